--- /dev/null
+++ b/Makefile
@@ -0,0 +1,31 @@
+BUILD ?= build
+
+.PHONY: all setup build test demo format lint check clean
+
+all: build
+
+setup:
+	scripts/setup
+
+build: setup
+	cmake -S . -B $(BUILD) -G Ninja >/dev/null
+	cmake --build $(BUILD)
+
+test: build
+	ctest --test-dir $(BUILD) --output-on-failure
+
+demo: build
+	scripts/demo
+
+format: setup
+	scripts/format --fix
+
+# Formatter and linters; fails on any finding.
+lint: build
+	scripts/format
+	scripts/lint $(BUILD)
+
+check: lint test
+
+clean:
+	rm -rf $(BUILD)
--- /dev/null
+++ b/src/answer.cpp
@@ -0,0 +1,148 @@
+#include "answer.h"
+
+#include <cmath>
+#include <cpprest/json.h>
+#include <random>
+
+namespace clementinelane {
+
+namespace {
+
+std::string jsonText(std::string_view Text) {
+  return web::json::value::string(std::string(Text)).serialize();
+}
+
+std::string usageJson(const request_action::send_end &End) {
+  return R"({"prompt_tokens":)" + std::to_string(End.PromptTokens) +
+         R"(,"completion_tokens":)" + std::to_string(End.CompletionTokens) +
+         R"(,"total_tokens":)" +
+         std::to_string(End.PromptTokens + End.CompletionTokens) + "}";
+}
+
+double jitter() {
+  thread_local std::minstd_rand Random{std::random_device{}()};
+  return std::uniform_real_distribution<>(0, 1)(Random);
+}
+
+} // namespace
+
+std::string retryAfter(error_kind Kind, double Fraction) {
+  const error_answer &Answer = answerOf(Kind);
+  if (!Answer.Retryable || Answer.RetryAfter.count() == 0)
+    return {};
+  // Load: a crowd refused at one moment. Harm prevented: all of it coming back
+  // at one moment. The base is spread over itself once more.
+  const double Seconds =
+      static_cast<double>(Answer.RetryAfter.count()) / 1000 * (1 + Fraction);
+  return std::to_string(static_cast<long>(std::ceil(Seconds)));
+}
+
+std::string errorBody(error_kind Kind, run_state Ran,
+                      std::string_view RequestId) {
+  const error_answer &Answer = answerOf(Kind);
+  return R"({"error":{"message":)" + jsonText(Answer.Message) + R"(,"type":")" +
+         std::string(Answer.Name) + R"(","code":")" + std::string(Answer.Name) +
+         R"(","ran":")" + std::string(nameOf(Ran)) + R"(","request_id":)" +
+         jsonText(RequestId) + "}}";
+}
+
+std::vector<answer_header> errorHeaders(error_kind Kind, run_state Ran) {
+  std::vector<answer_header> Headers{
+      {"Content-Type", "application/json"},
+      {"X-Error-Kind", std::string(answerOf(Kind).Name)},
+      {"X-Ran", std::string(nameOf(Ran))}};
+  if (std::string Wait = retryAfter(Kind, jitter()); !Wait.empty())
+    Headers.emplace_back("Retry-After", std::move(Wait));
+  return Headers;
+}
+
+std::vector<answer_header>
+answer_former::headers(std::string ContentType) const {
+  std::vector<answer_header> Headers{{"Content-Type", std::move(ContentType)},
+                                     {"X-Request-Id", Context.RequestId},
+                                     {"X-Ran", "ran"}};
+  if (!Context.IsService)
+    Headers.emplace_back("X-Version", Head.Version);
+  if (!Context.SessionToken.empty())
+    Headers.emplace_back("X-Session-Token", Context.SessionToken);
+  return Headers;
+}
+
+void answer_former::head(const request_action::send_head &Begin) {
+  Head = Begin;
+  if (!Context.Streamed)
+    return;
+  Begun = true;
+  Writer->begin(Head.Status, headers("text/event-stream"));
+  writeEvent(R"({"role":"assistant"})", "", "");
+}
+
+void answer_former::writeEvent(std::string_view DeltaJson,
+                               std::string_view FinishReason,
+                               std::string_view Usage) {
+  std::string Event = R"(data: {"id":)" + jsonText(Context.RequestId) +
+                      R"(,"object":"chat.completion.chunk","created":)" +
+                      std::to_string(Context.CreatedAt) + R"(,"model":)" +
+                      jsonText(Head.Version) +
+                      R"(,"choices":[{"index":0,"delta":)";
+  Event.append(DeltaJson);
+  Event += R"(,"finish_reason":)";
+  Event += FinishReason.empty() ? "null" : jsonText(FinishReason);
+  Event += "}]";
+  if (!Usage.empty())
+    Event.append(R"(,"usage":)").append(Usage);
+  Writer->write(Event + "}\n\n");
+}
+
+void answer_former::tokens(std::span<const answer_token> Tokens) {
+  for (const answer_token &Token : Tokens) {
+    if (Context.Streamed)
+      writeEvent(R"({"content":)" + jsonText(Token.Text) + "}", "", "");
+    else
+      Text += Token.Text;
+  }
+}
+
+void answer_former::end(const request_action::send_end &End) {
+  if (Context.Streamed) {
+    writeEvent("{}", End.FinishReason, usageJson(End));
+    Writer->write("data: [DONE]\n\n");
+    return Writer->end();
+  }
+  if (Context.IsService)
+    return Writer->whole(Head.Status, headers(Head.ContentType), Text);
+  const std::string Body =
+      R"({"id":)" + jsonText(Context.RequestId) +
+      R"(,"object":"chat.completion","created":)" +
+      std::to_string(Context.CreatedAt) + R"(,"model":)" +
+      jsonText(Head.Version) +
+      R"(,"choices":[{"index":0,"message":{"role":"assistant","content":)" +
+      jsonText(Text) + R"(},"finish_reason":)" + jsonText(End.FinishReason) +
+      R"(}],"usage":)" + usageJson(End) + "}";
+  Writer->whole(Head.Status, headers("application/json"), Body);
+}
+
+void answer_former::error(error_kind Kind, run_state Ran) {
+  const std::string Body = errorBody(Kind, Ran, Context.RequestId);
+  if (!Begun)
+    return Writer->whole(answerOf(Kind).HttpStatus, errorHeaders(Kind, Ran),
+                         Body);
+  // The status is out already; the stream ends with an error event and without
+  // the closing one, so that no caller takes a cut answer for a whole one.
+  Writer->write("data: " + Body + "\n\n");
+  Writer->end();
+}
+
+void answer_former::replay(const kept_answer &Answer) {
+  if (!Context.IsService) {
+    head({Answer.Status, Answer.ContentType, ""});
+    const answer_token Token{0, Answer.Body};
+    tokens({&Token, 1});
+    return end({0, 0, "stop"});
+  }
+  std::vector<answer_header> Headers = headers(Answer.ContentType);
+  Headers.emplace_back("Idempotent-Replayed", "true");
+  Writer->whole(Answer.Status, Headers, Answer.Body);
+}
+
+} // namespace clementinelane
--- /dev/null
+++ b/src/answer.h
@@ -0,0 +1,77 @@
+#pragma once
+
+#include "request_machine.h"
+
+#include <functional>
+#include <memory>
+#include <span>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace clementinelane {
+
+/// A header of an answer.
+using answer_header = std::pair<std::string, std::string>;
+
+/// Writes one answer to the caller's connection.
+class answer_writer {
+public:
+  virtual ~answer_writer() = default;
+  virtual void whole(std::uint32_t Status,
+                     std::span<const answer_header> Headers,
+                     std::string Body) = 0;
+  virtual void begin(std::uint32_t Status,
+                     std::span<const answer_header> Headers) = 0;
+  virtual void write(std::string_view Bytes) = 0;
+  virtual void end() = 0;
+  /// `Gone` is called once if the caller's connection is lost. Set before the
+  /// first byte goes out.
+  virtual void onGone(std::function<void()> Gone) = 0;
+};
+
+/// What an answer says of the request beside its text.
+struct answer_context {
+  std::string RequestId;
+  std::string SessionToken;
+  std::int64_t CreatedAt = 0; ///< wall time, seconds
+  bool Streamed = false;
+  bool IsService = false;
+};
+
+/// Forms the answer of one request: chat JSON, server-sent events, or the
+/// bytes of a service.
+class answer_former {
+public:
+  answer_former(answer_context Context, std::shared_ptr<answer_writer> Writer)
+      : Context(std::move(Context)), Writer(std::move(Writer)) {}
+
+  void head(const request_action::send_head &Head);
+  void tokens(std::span<const answer_token> Tokens);
+  void end(const request_action::send_end &End);
+  void error(error_kind Kind, run_state Ran);
+  void replay(const kept_answer &Answer);
+
+private:
+  std::vector<answer_header> headers(std::string ContentType) const;
+  void writeEvent(std::string_view DeltaJson, std::string_view FinishReason,
+                  std::string_view Usage);
+
+  answer_context Context;
+  std::shared_ptr<answer_writer> Writer;
+  request_action::send_head Head{};
+  std::string Text;
+  bool Begun = false;
+};
+
+/// The body of an error in the chat API's usual form.
+std::string errorBody(error_kind Kind, run_state Ran,
+                      std::string_view RequestId);
+/// Retry-After in whole seconds, rounded up and spread by `Fraction` (0 to 1);
+/// empty where asking again can't help.
+std::string retryAfter(error_kind Kind, double Fraction);
+/// Headers of an error answer.
+std::vector<answer_header> errorHeaders(error_kind Kind, run_state Ran);
+
+} // namespace clementinelane
--- /dev/null
+++ b/src/daemon.cpp
@@ -0,0 +1,75 @@
+#include "daemon.h"
+
+#include "logs.h"
+
+#include <csignal>
+#include <gflags/gflags.h>
+#include <iostream>
+#include <pplx/threadpool.h>
+#include <pthread.h>
+
+DEFINE_string(config, "", "settings file (TOML)");
+DEFINE_bool(check, false, "check the settings file and exit");
+
+namespace clementinelane {
+
+namespace {
+
+constexpr int ExitFailed = 1;
+constexpr int ExitBadSettings = 2;
+
+/// Blocks SIGTERM and SIGINT in all threads; only wait() takes them.
+class stop_signal {
+public:
+  stop_signal() {
+    sigemptyset(&Signals);
+    sigaddset(&Signals, SIGTERM);
+    sigaddset(&Signals, SIGINT);
+    pthread_sigmask(SIG_BLOCK, &Signals, nullptr);
+    // A caller that goes away must not end the process.
+    std::signal(SIGPIPE, SIG_IGN);
+  }
+  void wait() const {
+    int Signal = 0;
+    sigwait(&Signals, &Signal);
+    logs::info("stopping", {{"signal", std::to_string(Signal)}});
+  }
+
+private:
+  sigset_t Signals{};
+};
+
+} // namespace
+
+int runDaemon(int ArgCount, char **Args, const daemon_program &Program) {
+  gflags::SetUsageMessage(std::string(Program.Name) +
+                          " --config FILE [--check]");
+  gflags::ParseCommandLineFlags(&ArgCount, &Args, true);
+  if (FLAGS_config.empty()) {
+    std::cerr << Program.Name << ": needs --config FILE\n";
+    return ExitBadSettings;
+  }
+  const parsed_settings Parsed = loadSettings(FLAGS_config);
+  for (const file_error &Error : Parsed.Errors)
+    std::cerr << formatError(Error) << '\n';
+  if (!Parsed.Errors.empty())
+    return ExitBadSettings;
+  if (FLAGS_check) {
+    std::cout << FLAGS_config << ": ok\n";
+    return 0;
+  }
+  const settings &Settings = Parsed.Value;
+  logs::init(Program.Name, Settings.VmName, Settings.LogFormat);
+  const stop_signal Stop;
+  crossplat::threadpool::initialize_with_threads(Settings.Threads);
+  try {
+    Program.Run(Settings, [&Stop] { Stop.wait(); });
+  } catch (const std::exception &Error) {
+    logs::warning("failed", {{"what", Error.what()}});
+    return ExitFailed;
+  }
+  logs::info("stopped", {});
+  return 0;
+}
+
+} // namespace clementinelane
--- /dev/null
+++ b/src/http_server.cpp
@@ -0,0 +1,181 @@
+#include "http_server.h"
+
+#include "config.h"
+#include "logs.h"
+
+#include <algorithm>
+#include <cpprest/producerconsumerstream.h>
+
+namespace clementinelane {
+
+namespace {
+
+namespace http = web::http;
+using stream_buffer = concurrency::streams::producer_consumer_buffer<uint8_t>;
+
+/// Writes to a cpprest request. A streamed answer needs sync() after each
+/// write, or the library waits for a full block.
+class cpprest_writer final
+    : public answer_writer,
+      public std::enable_shared_from_this<cpprest_writer> {
+public:
+  explicit cpprest_writer(const http::http_request &Request)
+      : Request(Request) {}
+
+  void whole(std::uint32_t Status, std::span<const answer_header> Headers,
+             std::string Body) override {
+    http::http_response Response(static_cast<http::status_code>(Status));
+    Response.set_body(std::move(Body));
+    addHeaders(Response, Headers);
+    send(Response);
+  }
+
+  void begin(std::uint32_t Status,
+             std::span<const answer_header> Headers) override {
+    http::http_response Response(static_cast<http::status_code>(Status));
+    Response.set_body(Stream.create_istream());
+    addHeaders(Response, Headers);
+    send(Response);
+  }
+
+  void write(std::string_view Bytes) override {
+    Stream.putn_nocopy(reinterpret_cast<const uint8_t *>(Bytes.data()),
+                       Bytes.size());
+    Stream.sync();
+  }
+
+  void end() override { Stream.close(std::ios_base::out); }
+
+  void onGone(std::function<void()> Call) override { Gone = std::move(Call); }
+
+private:
+  static void addHeaders(http::http_response &Response,
+                         std::span<const answer_header> Headers) {
+    for (const auto &[Name, Value] : Headers)
+      Response.headers()[Name] = Value;
+  }
+
+  void send(const http::http_response &Response) {
+    Request.reply(Response).then(
+        [Self = shared_from_this()](const pplx::task<void> &Task) {
+          try {
+            Task.get();
+          } catch (const std::exception &) {
+            if (Self->Gone)
+              Self->Gone();
+          }
+        });
+  }
+
+  http::http_request Request;
+  stream_buffer Stream;
+  std::function<void()> Gone;
+};
+
+bool matches(const http_route &Route, const std::vector<std::string> &Path) {
+  std::size_t Index = 0;
+  for (const std::string &Segment : Route.Path) {
+    if (Segment == "**")
+      return true;
+    if (Index >= Path.size() || (Segment != "*" && Segment != Path[Index]))
+      return false;
+    ++Index;
+  }
+  return Index == Path.size();
+}
+
+} // namespace
+
+std::string http_call::header(std::string_view Name) const {
+  const auto Found = Request.headers().find(std::string(Name));
+  return Found == Request.headers().end() ? std::string() : Found->second;
+}
+
+std::string http_call::query(std::string_view Name) const {
+  const auto Query = web::uri::split_query(Request.request_uri().query());
+  const auto Found = Query.find(std::string(Name));
+  return Found == Query.end() ? std::string() : web::uri::decode(Found->second);
+}
+
+void http_call::fail(error_kind Kind) const {
+  Writer->whole(answerOf(Kind).HttpStatus,
+                errorHeaders(Kind, answerOf(Kind).Ran),
+                errorBody(Kind, answerOf(Kind).Ran, ""));
+}
+
+void http_call::json(const web::json::value &Json, std::uint32_t Status) const {
+  const answer_header Type{"Content-Type", "application/json"};
+  Writer->whole(Status, {&Type, 1}, Json.serialize());
+}
+
+void http_call::text(std::string Text, std::string ContentType) const {
+  const answer_header Type{"Content-Type", std::move(ContentType)};
+  Writer->whole(http::status_codes::OK, {&Type, 1}, std::move(Text));
+}
+
+http_server::http_server(std::string_view Address,
+                         std::vector<http_route> Routes)
+    : Routes(std::move(Routes)), Listener("http://" + std::string(Address)) {
+  Listener.support(
+      [this](const http::http_request &Request) { take(Request); });
+}
+
+http_server::~http_server() { close(); }
+
+void http_server::open() { Listener.open().wait(); }
+
+void http_server::close() {
+  try {
+    Listener.close().wait();
+  } catch (const std::exception &) {
+    // Closed before, or never opened.
+  }
+}
+
+void http_server::take(const http::http_request &Request) {
+  auto Call = std::make_shared<http_call>();
+  Call->Request = Request;
+  Call->Writer = std::make_shared<cpprest_writer>(Request);
+  try {
+    Call->Path =
+        web::uri::split_path(web::uri::decode(Request.relative_uri().path()));
+  } catch (const std::exception &) {
+    return Call->fail(error_kind::BadRequest);
+  }
+  if (Request.headers().content_length() > config::MaxBodyBytes)
+    return Call->fail(error_kind::BodyTooLarge);
+  Call->Request.extract_vector().then(
+      [this, Call](const pplx::task<std::vector<unsigned char>> &Task) {
+        try {
+          const auto Bytes = Task.get();
+          if (Bytes.size() > config::MaxBodyBytes)
+            return Call->fail(error_kind::BodyTooLarge);
+          Call->Body.assign(Bytes.begin(), Bytes.end());
+        } catch (const std::exception &) {
+          return Call->fail(error_kind::BadRequest);
+        }
+        route(Call);
+      });
+}
+
+void http_server::route(const std::shared_ptr<http_call> &Call) const {
+  bool IsPathKnown = false;
+  const std::string Method = Call->Request.method();
+  for (const http_route &Route : Routes) {
+    if (!matches(Route, Call->Path))
+      continue;
+    IsPathKnown = true;
+    if (Route.Method != "*" && Route.Method != Method)
+      continue;
+    try {
+      return Route.Handler(Call);
+    } catch (const std::exception &Error) {
+      logs::warning("handler_failed", {{"what", Error.what()}});
+      return Call->fail(error_kind::Internal);
+    }
+  }
+  Call->fail(IsPathKnown ? error_kind::MethodNotAllowed
+                         : error_kind::UnknownRoute);
+}
+
+} // namespace clementinelane
--- /dev/null
+++ b/src/http_server.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include "answer.h"
+
+#include <atomic>
+#include <cpprest/http_listener.h>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace clementinelane {
+
+/// One request, with its body read whole.
+struct http_call {
+  web::http::http_request Request;
+  std::vector<std::string> Path; ///< decoded segments
+  std::string Body;
+  std::shared_ptr<answer_writer> Writer;
+
+  std::string header(std::string_view Name) const;
+  std::string query(std::string_view Name) const;
+  /// Answers with one of the closed list of errors.
+  void fail(error_kind Kind) const;
+  /// Answers with a body of JSON.
+  void json(const web::json::value &Body,
+            std::uint32_t Status = web::http::status_codes::OK) const;
+  void text(std::string Body, std::string ContentType = "text/plain") const;
+};
+
+using http_handler = std::function<void(const std::shared_ptr<http_call> &)>;
+
+/// One row of a route table. A segment "*" matches any, a last "**" the rest.
+struct http_route {
+  std::string Method; ///< "*" matches any
+  std::vector<std::string> Path;
+  http_handler Handler;
+};
+
+/// An HTTP server by cpprestsdk with a table of routes. Reads each body whole,
+/// within limits of size and time, before the handler sees the call.
+class http_server {
+public:
+  http_server(std::string_view Address, std::vector<http_route> Routes);
+  ~http_server();
+  http_server(const http_server &) = delete;
+  http_server &operator=(const http_server &) = delete;
+
+  /// Throws if the address can't be bound.
+  void open();
+  /// Stops listening; answers under way go on.
+  void close();
+
+private:
+  void take(const web::http::http_request &Request);
+  void route(const std::shared_ptr<http_call> &Call) const;
+
+  std::vector<http_route> Routes;
+  web::http::experimental::listener::http_listener Listener;
+};
+
+} // namespace clementinelane
--- /dev/null
+++ b/src/link.cpp
@@ -0,0 +1,454 @@
+#include "link.h"
+
+#include "config.h"
+#include "link_p.h"
+
+#include <charconv>
+#include <future>
+#include <thread>
+#include <unordered_map>
+
+namespace clementinelane {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+namespace link_detail {
+
+result<tcp::endpoint> parseAddress(std::string_view Address) {
+  const auto Colon = Address.rfind(':');
+  if (Colon == std::string_view::npos)
+    return error_kind::PeerUnavailable;
+  boost::system::error_code Error;
+  const auto Ip =
+      asio::ip::make_address(std::string(Address.substr(0, Colon)), Error);
+  std::uint16_t Port = 0;
+  const std::string_view Digits = Address.substr(Colon + 1);
+  const auto Parsed =
+      std::from_chars(Digits.data(), Digits.data() + Digits.size(), Port);
+  if (Error || Parsed.ec != std::errc())
+    return error_kind::PeerUnavailable;
+  return tcp::endpoint(Ip, Port);
+}
+
+connection::connection(tcp::socket Socket, stream_events &Events)
+    : Socket(std::move(Socket)), Events(Events) {}
+
+connection::~connection() { nghttp2_session_del(Session); }
+
+void connection::start(bool IsServer) {
+  nghttp2_session_callbacks *Callbacks = nullptr;
+  nghttp2_session_callbacks_new(&Callbacks);
+  nghttp2_session_callbacks_set_on_header_callback(Callbacks, &onHeader);
+  nghttp2_session_callbacks_set_on_data_chunk_recv_callback(Callbacks, &onData);
+  nghttp2_session_callbacks_set_on_frame_recv_callback(Callbacks, &onFrame);
+  nghttp2_session_callbacks_set_on_stream_close_callback(Callbacks, &onClose);
+  if (IsServer)
+    nghttp2_session_server_new(&Session, Callbacks, this);
+  else
+    nghttp2_session_client_new(&Session, Callbacks, this);
+  nghttp2_session_callbacks_del(Callbacks);
+  const std::array<nghttp2_settings_entry, 2> Settings{
+      {{NGHTTP2_SETTINGS_MAX_CONCURRENT_STREAMS, MaxStreams},
+       {NGHTTP2_SETTINGS_INITIAL_WINDOW_SIZE, WindowBytes}}};
+  nghttp2_submit_settings(Session, NGHTTP2_FLAG_NONE, Settings.data(),
+                          Settings.size());
+  nghttp2_session_set_local_window_size(Session, NGHTTP2_FLAG_NONE, 0,
+                                        WindowBytes);
+  boost::system::error_code Ignored;
+  Socket.set_option(tcp::no_delay(true), Ignored);
+  read();
+  flush();
+}
+
+std::int32_t connection::submitRequest(std::string_view Path,
+                                       std::string Body) {
+  const std::string PathText(Path);
+  const std::array<nghttp2_nv, 4> Headers{
+      makeHeader(":method", "POST"), makeHeader(":scheme", "http"),
+      makeHeader(":authority", "peer"), makeHeader(":path", PathText)};
+  outgoing *Out = new outgoing{std::move(Body)};
+  const nghttp2_data_provider Provider = providerOf(Out);
+  const std::int32_t Id = nghttp2_submit_request(
+      Session, nullptr, Headers.data(), Headers.size(), &Provider, nullptr);
+  if (Id < 0)
+    delete Out;
+  else
+    Sending[Id].reset(Out);
+  flush();
+  return Id;
+}
+
+void connection::submitResponse(std::int32_t Stream,
+                                result<std::string> Reply) {
+  const bool Failed = !Reply;
+  const std::string Kind =
+      std::to_string(Failed ? static_cast<int>(kindOf(Reply.error())) : 0);
+  const std::array<nghttp2_nv, 2> Headers{makeHeader(":status", "200"),
+                                          makeHeader("error-kind", Kind)};
+  auto Out = std::make_unique<outgoing>();
+  if (!Failed)
+    Out->Body = std::move(Reply).value();
+  const nghttp2_data_provider Provider = providerOf(Out.get());
+  if (nghttp2_submit_response(Session, Stream, Headers.data(), Headers.size(),
+                              &Provider) == 0)
+    Sending[Stream] = std::move(Out);
+  flush();
+}
+
+void connection::close() {
+  if (Closed)
+    return;
+  Closed = true;
+  boost::system::error_code Ignored;
+  Socket.close(Ignored);
+  Events.onLost(*this);
+}
+
+nghttp2_nv connection::makeHeader(std::string_view Name,
+                                  std::string_view Value) {
+  const auto Bytes = [](std::string_view Text) {
+    return reinterpret_cast<std::uint8_t *>(const_cast<char *>(Text.data()));
+  };
+  return {Bytes(Name), Bytes(Value), Name.size(), Value.size(),
+          NGHTTP2_NV_FLAG_NONE};
+}
+
+nghttp2_data_provider connection::providerOf(outgoing *Out) {
+  nghttp2_data_provider Provider{};
+  Provider.source.ptr = Out;
+  Provider.read_callback = &readBody;
+  return Provider;
+}
+
+ssize_t connection::readBody(nghttp2_session *, std::int32_t,
+                             std::uint8_t *Buffer, std::size_t Size,
+                             std::uint32_t *Flags, nghttp2_data_source *Source,
+                             void *) {
+  auto *Out = static_cast<outgoing *>(Source->ptr);
+  const std::size_t Count = std::min(Size, Out->Body.size() - Out->Sent);
+  std::copy_n(Out->Body.data() + Out->Sent, Count, Buffer);
+  Out->Sent += Count;
+  if (Out->Sent == Out->Body.size())
+    *Flags |= NGHTTP2_DATA_FLAG_EOF;
+  return static_cast<ssize_t>(Count);
+}
+
+int connection::onHeader(nghttp2_session *, const nghttp2_frame *Frame,
+                         const std::uint8_t *Name, std::size_t NameSize,
+                         const std::uint8_t *Value, std::size_t ValueSize,
+                         std::uint8_t, void *Self) {
+  auto &Stream =
+      static_cast<connection *>(Self)->Receiving[Frame->hd.stream_id];
+  const std::string_view Key(reinterpret_cast<const char *>(Name), NameSize);
+  const std::string_view Text(reinterpret_cast<const char *>(Value), ValueSize);
+  if (Key == ":path")
+    Stream.Path = Text;
+  if (Key == "error-kind")
+    std::from_chars(Text.data(), Text.data() + Text.size(), Stream.ErrorKind);
+  return 0;
+}
+
+int connection::onData(nghttp2_session *Session, std::uint8_t,
+                       std::int32_t Stream, const std::uint8_t *Bytes,
+                       std::size_t Size, void *Self) {
+  auto &In = static_cast<connection *>(Self)->Receiving[Stream];
+  // Guard: a peer that sends without end would fill this VM's memory. The
+  // stream is reset at the limit, so one message holds at most that much.
+  if (In.Body.size() + Size > config::MaxLinkMessageBytes)
+    return nghttp2_submit_rst_stream(Session, NGHTTP2_FLAG_NONE, Stream,
+                                     NGHTTP2_REFUSED_STREAM);
+  In.Body.append(reinterpret_cast<const char *>(Bytes), Size);
+  return 0;
+}
+
+int connection::onFrame(nghttp2_session *, const nghttp2_frame *Frame,
+                        void *Self) {
+  const bool MayEnd =
+      Frame->hd.type == NGHTTP2_DATA || Frame->hd.type == NGHTTP2_HEADERS;
+  if (!MayEnd || (Frame->hd.flags & NGHTTP2_FLAG_END_STREAM) == 0)
+    return 0;
+  auto &This = *static_cast<connection *>(Self);
+  This.Events.onMessage(This, Frame->hd.stream_id,
+                        std::move(This.Receiving[Frame->hd.stream_id]));
+  This.Receiving.erase(Frame->hd.stream_id);
+  return 0;
+}
+
+int connection::onClose(nghttp2_session *, std::int32_t Stream, std::uint32_t,
+                        void *Self) {
+  auto &This = *static_cast<connection *>(Self);
+  This.Receiving.erase(Stream);
+  This.Sending.erase(Stream);
+  This.Events.onStreamClosed(This, Stream);
+  return 0;
+}
+
+void connection::read() {
+  Socket.async_read_some(
+      asio::buffer(Buffer),
+      [Self = shared_from_this()](const boost::system::error_code &Error,
+                                  std::size_t Size) {
+        if (Error || nghttp2_session_mem_recv(Self->Session,
+                                              Self->Buffer.data(), Size) < 0)
+          return Self->close();
+        Self->flush();
+        Self->read();
+      });
+}
+
+void connection::flush() {
+  if (Writing || Closed)
+    return;
+  WriteBuffer.clear();
+  const std::uint8_t *Bytes = nullptr;
+  ssize_t Size = 0;
+  while (WriteBuffer.size() < WriteBatchBytes &&
+         (Size = nghttp2_session_mem_send(Session, &Bytes)) > 0)
+    WriteBuffer.append(reinterpret_cast<const char *>(Bytes),
+                       static_cast<std::size_t>(Size));
+  if (Size < 0)
+    return close();
+  if (WriteBuffer.empty())
+    return;
+  Writing = true;
+  asio::async_write(Socket, asio::buffer(WriteBuffer),
+                    [Self = shared_from_this()](
+                        const boost::system::error_code &Error, std::size_t) {
+                      Self->Writing = false;
+                      if (Error)
+                        return Self->close();
+                      Self->flush();
+                    });
+}
+
+} // namespace link_detail
+
+using link_detail::connection;
+using link_detail::incoming;
+
+class link_server::impl final : public link_detail::stream_events {
+public:
+  impl(std::string_view Address, link_handler Handler)
+      : Handler(std::move(Handler)), Acceptor(Context) {
+    const auto Endpoint = link_detail::parseAddress(Address);
+    if (!Endpoint)
+      throw std::system_error(Endpoint.error(), std::string(Address));
+    Acceptor.open(Endpoint.value().protocol());
+    Acceptor.set_option(tcp::acceptor::reuse_address(true));
+    Acceptor.bind(Endpoint.value());
+    Acceptor.listen();
+    accept();
+    Thread = std::thread([this] { Context.run(); });
+  }
+
+  ~impl() {
+    Context.stop();
+    Thread.join();
+  }
+  impl(const impl &) = delete;
+  impl &operator=(const impl &) = delete;
+
+private:
+  void accept() {
+    Acceptor.async_accept(
+        [this](const boost::system::error_code &Error, tcp::socket Socket) {
+          if (!Error) {
+            auto Connection =
+                std::make_shared<connection>(std::move(Socket), *this);
+            Connection->start(true);
+          }
+          accept();
+        });
+  }
+
+  void onMessage(connection &From, std::int32_t Stream,
+                 incoming Message) override {
+    std::weak_ptr<connection> Weak = From.weak_from_this();
+    // The handler may reply from any thread and after the peer has gone.
+    Handler(Message.Path, std::move(Message.Body),
+            [this, Weak, Stream](result<std::string> Reply) {
+              asio::post(Context, [Weak, Stream, Reply = std::move(Reply)] {
+                if (const auto Connection = Weak.lock())
+                  Connection->submitResponse(Stream, Reply);
+              });
+            });
+  }
+  void onStreamClosed(connection &, std::int32_t) override {}
+  void onLost(connection &) override {}
+
+  link_handler Handler;
+  asio::io_context Context;
+  tcp::acceptor Acceptor;
+  std::thread Thread;
+};
+
+link_server::link_server(std::string_view Address, link_handler Handler)
+    : Impl(std::make_unique<impl>(Address, std::move(Handler))) {}
+link_server::~link_server() = default;
+
+class link_client::impl final : public link_detail::stream_events {
+public:
+  impl()
+      : Guard(asio::make_work_guard(Context)),
+        Thread([this] { Context.run(); }) {}
+
+  ~impl() {
+    Context.stop();
+    Thread.join();
+  }
+  impl(const impl &) = delete;
+  impl &operator=(const impl &) = delete;
+
+  void call(std::string Address, std::string Path, std::string Body,
+            std::chrono::milliseconds Timeout, link_reply Done) {
+    asio::post(Context,
+               [this, Address = std::move(Address),
+                Call = std::make_shared<pending_call>(
+                    Context, std::move(Path), std::move(Body), std::move(Done)),
+                Timeout] { begin(Address, Call, Timeout); });
+  }
+
+private:
+  struct pending_call {
+    pending_call(asio::io_context &Context, std::string Path, std::string Body,
+                 link_reply Done)
+        : Path(std::move(Path)), Body(std::move(Body)), Done(std::move(Done)),
+          Timer(Context) {}
+    void finish(result<std::string> Reply) {
+      Timer.cancel();
+      if (const link_reply Callback = std::exchange(Done, nullptr))
+        Callback(std::move(Reply));
+    }
+    std::string Path;
+    std::string Body;
+    link_reply Done;
+    asio::steady_timer Timer;
+  };
+  using call_ptr = std::shared_ptr<pending_call>;
+
+  struct peer {
+    std::shared_ptr<connection> Connection;
+    std::vector<call_ptr> Waiting; ///< for the connection
+    std::unordered_map<std::int32_t, call_ptr> Streams;
+  };
+
+  void begin(const std::string &Address, const call_ptr &Call,
+             std::chrono::milliseconds Timeout) {
+    Call->Timer.expires_after(Timeout);
+    Call->Timer.async_wait(
+        [this, Address, Call](const boost::system::error_code &Error) {
+          if (!Error)
+            drop(Address);
+        });
+    peer &Peer = Peers[Address];
+    if (Peer.Connection)
+      return send(Peer, Call);
+    Peer.Waiting.push_back(Call);
+    if (Peer.Waiting.size() == 1)
+      connect(Address);
+  }
+
+  void connect(const std::string &Address) {
+    const auto Endpoint = link_detail::parseAddress(Address);
+    if (!Endpoint)
+      return drop(Address);
+    auto Socket = std::make_shared<tcp::socket>(Context);
+    Socket->async_connect(
+        Endpoint.value(),
+        [this, Address, Socket](const boost::system::error_code &Error) {
+          peer &Peer = Peers[Address];
+          if (Error)
+            return drop(Address);
+          if (Peer.Waiting.empty() || Peer.Connection)
+            return;
+          Peer.Connection =
+              std::make_shared<connection>(std::move(*Socket), *this);
+          Peer.Connection->start(false);
+          for (const call_ptr &Call : std::exchange(Peer.Waiting, {}))
+            send(Peer, Call);
+        });
+  }
+
+  static void send(peer &Peer, const call_ptr &Call) {
+    const std::int32_t Stream =
+        Peer.Connection->submitRequest(Call->Path, std::move(Call->Body));
+    if (Stream < 0)
+      return Call->finish(error_kind::PeerUnavailable);
+    Peer.Streams[Stream] = Call;
+  }
+
+  // Guard: a connection that something between the two ends has forgotten
+  // goes silent for good. It shows as a call without an answer; the whole
+  // connection is dropped then, so the next call goes over a fresh one.
+  void drop(const std::string &Address) {
+    const auto Node = Peers.extract(Address);
+    if (Node.empty())
+      return;
+    peer &Peer = Node.mapped();
+    if (Peer.Connection)
+      Peer.Connection->close();
+    for (const call_ptr &Call : Peer.Waiting)
+      Call->finish(error_kind::PeerUnavailable);
+    for (const auto &[Stream, Call] : Peer.Streams)
+      Call->finish(error_kind::PeerUnavailable);
+  }
+
+  auto find(const connection &Connection) {
+    return std::find_if(Peers.begin(), Peers.end(), [&](const auto &Item) {
+      return Item.second.Connection.get() == &Connection;
+    });
+  }
+
+  void end(const connection &From, std::int32_t Stream,
+           result<std::string> Reply) {
+    const auto Peer = find(From);
+    if (Peer == Peers.end())
+      return;
+    if (const auto Node = Peer->second.Streams.extract(Stream); !Node.empty())
+      Node.mapped()->finish(std::move(Reply));
+  }
+
+  void onMessage(connection &From, std::int32_t Stream,
+                 incoming Message) override {
+    if (Message.ErrorKind != 0)
+      return end(From, Stream, static_cast<error_kind>(Message.ErrorKind));
+    end(From, Stream, std::move(Message.Body));
+  }
+
+  void onStreamClosed(connection &From, std::int32_t Stream) override {
+    end(From, Stream, error_kind::PeerUnavailable);
+  }
+
+  void onLost(connection &From) override {
+    if (const auto Peer = find(From); Peer != Peers.end())
+      drop(std::string(Peer->first));
+  }
+
+  asio::io_context Context;
+  asio::executor_work_guard<asio::io_context::executor_type> Guard;
+  std::unordered_map<std::string, peer> Peers;
+  std::thread Thread;
+};
+
+link_client::link_client() : Impl(std::make_unique<impl>()) {}
+link_client::~link_client() = default;
+
+void link_client::call(std::string_view Address, std::string_view Path,
+                       std::string Body, std::chrono::milliseconds Timeout,
+                       link_reply Done) {
+  Impl->call(std::string(Address), std::string(Path), std::move(Body), Timeout,
+             std::move(Done));
+}
+
+result<std::string> link_client::callSync(std::string_view Address,
+                                          std::string_view Path,
+                                          std::string Body,
+                                          std::chrono::milliseconds Timeout) {
+  std::promise<result<std::string>> Promise;
+  call(Address, Path, std::move(Body), Timeout,
+       [&](result<std::string> Reply) { Promise.set_value(std::move(Reply)); });
+  return Promise.get_future().get();
+}
+
+} // namespace clementinelane
--- /dev/null
+++ b/src/link_p.h
@@ -0,0 +1,94 @@
+#pragma once
+
+#include "clementinelane/error.h"
+
+#include <array>
+#include <boost/asio.hpp>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <nghttp2/nghttp2.h>
+#include <string>
+#include <string_view>
+
+/// One HTTP/2 connection between two of our processes, on Boost.Asio.
+namespace clementinelane::link_detail {
+
+/// Open calls on one connection; a VM has at most a few hundred at once.
+constexpr std::uint32_t MaxStreams = 4096;
+/// Flow-control window in bytes; a snapshot passes without a round trip more.
+constexpr std::uint32_t WindowBytes = 1U << 20U;
+/// Bytes gathered into one write.
+constexpr std::size_t WriteBatchBytes = 64U << 10U;
+
+result<boost::asio::ip::tcp::endpoint> parseAddress(std::string_view Address);
+
+/// A request or response that has arrived.
+struct incoming {
+  std::string Path;
+  std::string Body;
+  int ErrorKind = 0;
+};
+
+class connection;
+
+/// What a connection tells its owner; always on the owner's thread.
+class stream_events {
+public:
+  virtual void onMessage(connection &From, std::int32_t Stream,
+                         incoming Message) = 0;
+  virtual void onStreamClosed(connection &From, std::int32_t Stream) = 0;
+  virtual void onLost(connection &From) = 0;
+
+protected:
+  ~stream_events() = default;
+};
+
+class connection : public std::enable_shared_from_this<connection> {
+public:
+  connection(boost::asio::ip::tcp::socket Socket, stream_events &Events);
+  ~connection();
+  connection(const connection &) = delete;
+  connection &operator=(const connection &) = delete;
+
+  void start(bool IsServer);
+  /// The stream's id, or a negative number.
+  std::int32_t submitRequest(std::string_view Path, std::string Body);
+  void submitResponse(std::int32_t Stream, result<std::string> Reply);
+  void close();
+
+private:
+  struct outgoing {
+    std::string Body;
+    std::size_t Sent = 0;
+  };
+
+  static nghttp2_nv makeHeader(std::string_view Name, std::string_view Value);
+  static nghttp2_data_provider providerOf(outgoing *Out);
+  static ssize_t readBody(nghttp2_session *, std::int32_t, std::uint8_t *Buffer,
+                          std::size_t Size, std::uint32_t *Flags,
+                          nghttp2_data_source *Source, void *);
+  static int onHeader(nghttp2_session *, const nghttp2_frame *Frame,
+                      const std::uint8_t *Name, std::size_t NameSize,
+                      const std::uint8_t *Value, std::size_t ValueSize,
+                      std::uint8_t, void *Self);
+  static int onData(nghttp2_session *Session, std::uint8_t, std::int32_t Stream,
+                    const std::uint8_t *Bytes, std::size_t Size, void *Self);
+  static int onFrame(nghttp2_session *, const nghttp2_frame *Frame, void *Self);
+  static int onClose(nghttp2_session *, std::int32_t Stream, std::uint32_t,
+                     void *Self);
+  void read();
+  void flush();
+
+  boost::asio::ip::tcp::socket Socket;
+  stream_events &Events;
+  nghttp2_session *Session = nullptr;
+  std::array<std::uint8_t, 16384> Buffer{};
+  std::string WriteBuffer;
+  bool Writing = false;
+  bool Closed = false;
+  std::map<std::int32_t, incoming> Receiving;
+  std::map<std::int32_t, std::unique_ptr<outgoing>> Sending;
+};
+
+} // namespace clementinelane::link_detail
--- /dev/null
+++ b/src/operator_client.cpp
@@ -0,0 +1,160 @@
+#include "operator_client.h"
+
+#include "config.h"
+#include "request.h"
+#include "settings.h"
+
+#include <algorithm>
+#include <cpprest/http_client.h>
+#include <filesystem>
+#include <thread>
+
+namespace clementinelane {
+
+namespace {
+
+constexpr auto VerdictPoll = std::chrono::milliseconds(50);
+
+/// Looks for the record with `Id` from `From` on.
+result<std::optional<std::uint64_t>>
+findRecord(append_log &Log, std::uint64_t From, std::string_view Id) {
+  for (;;) {
+    const auto Batch =
+        Log.read(ConfigStream, From, std::chrono::milliseconds(0));
+    if (!Batch)
+      return Batch.error();
+    for (const log_record &Record : Batch.value().Records) {
+      From = Record.Offset + 1;
+      const auto Change = decodeChange(Record.Bytes);
+      if (Change && Change.value().Id == Id)
+        return std::optional(Record.Offset);
+    }
+    if (Batch.value().Records.empty())
+      return std::optional<std::uint64_t>();
+  }
+}
+
+} // namespace
+
+result<std::vector<config_file>> readFolder(const std::string &Folder) {
+  std::error_code Error;
+  std::filesystem::directory_iterator Entries(Folder, Error);
+  if (Error)
+    return error_kind::ConfigInvalid;
+  std::vector<config_file> Files;
+  for (const auto &Entry : Entries) {
+    if (Entry.path().extension() != ".toml")
+      continue;
+    config_file File{Entry.path().filename().string(), ""};
+    std::string Text;
+    if (!readFile(Entry.path().string(), Text))
+      return error_kind::ConfigInvalid;
+    File.Text = std::move(Text);
+    Files.push_back(std::move(File));
+  }
+  std::sort(Files.begin(), Files.end(),
+            [](const auto &A, const auto &B) { return A.Name < B.Name; });
+  return Files;
+}
+
+change_record makeChange(const remote_folder &Remote,
+                         const std::vector<config_file> &Local, bool IsWhole) {
+  change_record Change;
+  Change.Schema = config::ConfigSchema;
+  Change.Id = makeRequestId();
+  for (const config_file &File : Local) {
+    const auto Known = Remote.Files.find(File.Name);
+    if (Known != Remote.Files.end() && Known->second.Text == File.Text)
+      continue;
+    Change.Upserts[File.Name] = File.Text;
+    Change.Bases[File.Name] =
+        Known == Remote.Files.end() ? 0 : Known->second.Offset;
+  }
+  if (!IsWhole)
+    return Change;
+  for (const auto &[Name, File] : Remote.Files) {
+    const bool IsKept = std::any_of(
+        Local.begin(), Local.end(),
+        [&, Name = Name](const auto &Each) { return Each.Name == Name; });
+    if (IsKept)
+      continue;
+    Change.Deletes.push_back(Name);
+    Change.Bases[Name] = File.Offset;
+  }
+  return Change;
+}
+
+operator_client::operator_client(std::string_view Address)
+    : Base("http://" + std::string(Address)) {}
+
+result<web::json::value> operator_client::get(std::string_view Path) const {
+  try {
+    web::http::client::http_client_config Config;
+    Config.set_timeout(config::LogCallTimeout);
+    web::http::client::http_client Client(Base, Config);
+    const auto Response =
+        Client.request(web::http::methods::GET, std::string(Path)).get();
+    if (Response.status_code() != web::http::status_codes::OK)
+      return error_kind::PeerUnavailable;
+    return Response.extract_json().get();
+  } catch (const std::exception &) {
+    return error_kind::PeerUnavailable;
+  }
+}
+
+result<remote_folder> operator_client::files() const {
+  const auto Body = get("/v1/files");
+  if (!Body)
+    return Body.error();
+  remote_folder Folder;
+  Folder.Next = Body.value().at("next").as_number().to_uint64();
+  Folder.Offset = Body.value().at("offset").as_number().to_uint64();
+  for (const auto &[Name, Item] : Body.value().at("files").as_object())
+    Folder.Files[Name] = {Item.at("text").as_string(),
+                          Item.at("offset").as_number().to_uint64()};
+  return Folder;
+}
+
+publish_result publishChange(append_log &Log, const change_record &Change,
+                             std::uint64_t KnownNext,
+                             const operator_client &Control,
+                             std::chrono::milliseconds Patience) {
+  publish_result Result;
+  Result.Id = Change.Id;
+  // Guard: the append's answer may be lost after it took effect. Appending
+  // again would run into its own first try; the record's id says what became
+  // of it.
+  if (const auto Offset = Log.append(ConfigStream, encodeChange(Change));
+      !Offset) {
+    const auto Found = findRecord(Log, KnownNext, Change.Id);
+    if (!Found) {
+      Result.Error = error_kind::OutcomeUnknown;
+      return Result;
+    }
+    if (!Found.value()) {
+      Result.Error = error_kind::LogUnavailable;
+      return Result;
+    }
+  }
+  const auto GiveUpAt = std::chrono::steady_clock::now() + Patience;
+  while (std::chrono::steady_clock::now() < GiveUpAt) {
+    const auto Verdict = Control.get("/v1/verdicts/" + Change.Id);
+    if (!Verdict || !Verdict.value().at("known").as_bool()) {
+      std::this_thread::sleep_for(VerdictPoll);
+      continue;
+    }
+    Result.Offset = Verdict.value().at("offset").as_number().to_uint64() + 1;
+    if (Verdict.value().at("accepted").as_bool())
+      return Result;
+    const std::string Kind = Verdict.value().at("error").as_string();
+    Result.Error = Kind == answerOf(error_kind::ConfigConflict).Name
+                       ? error_kind::ConfigConflict
+                       : error_kind::ConfigInvalid;
+    Result.Detail = Verdict.value().at("detail").as_string();
+    return Result;
+  }
+  Result.Error = error_kind::OutcomeUnknown;
+  return Result;
+}
+
+} // namespace clementinelane
--- /dev/null
+++ b/src/request_machine.h
@@ -0,0 +1,252 @@
+#pragma once
+
+#include "clementinelane/error.h"
+#include "clock.h"
+#include "intents.h"
+#include "placement.h"
+#include "usage.h"
+
+#include <cstdint>
+#include <span>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace clementinelane {
+
+/// One token of a streamed answer, or the whole answer of a service.
+struct answer_token {
+  std::uint64_t Index = 0;
+  std::string Text;
+};
+
+/// What a request is, once its version plan is made.
+struct request_plan {
+  std::string RequestId;
+  std::string Customer;
+  std::string Work;
+  std::string Vm;
+  std::int64_t WallMillis = 0;
+  std::vector<std::string> Versions; ///< in order of escalation, or one service
+  std::vector<double> CostsPer1kTokens; ///< beside Versions
+  bool Idempotent = true;
+  intent_key Intent; ///< for non-idempotent work
+};
+
+/// What happens to a request. An event that names an attempt is dropped if
+/// another attempt has taken its place.
+namespace request_event {
+struct started {};
+struct admitted {};
+struct refused {
+  error_kind Kind;
+};
+struct intent_decided {
+  intent_verdict Verdict;
+};
+struct placed {
+  std::string Endpoint;
+};
+struct not_placed {
+  error_kind Kind;
+};
+/// The endpoint's answer has begun; for a service, its status.
+struct head {
+  unsigned Attempt;
+  std::uint32_t Status;
+  std::string ContentType;
+};
+struct tokens {
+  unsigned Attempt;
+  std::vector<answer_token> Tokens;
+};
+struct finished {
+  unsigned Attempt;
+  std::uint64_t PromptTokens;
+  std::uint64_t CompletionTokens;
+  std::string FinishReason;
+};
+struct failed {
+  unsigned Attempt;
+  error_kind Kind;
+  run_state Ran;
+};
+/// No progress within the limit of the exchange.
+struct silent {
+  unsigned Attempt;
+};
+struct rated {
+  bool Accepted;
+};
+struct usage_kept {
+  std::error_code Error;
+};
+struct outcome_recorded {
+  std::error_code Error;
+};
+struct caller_gone {};
+struct deadline {};
+} // namespace request_event
+
+using request_input =
+    std::variant<request_event::started, request_event::admitted,
+                 request_event::refused, request_event::intent_decided,
+                 request_event::placed, request_event::not_placed,
+                 request_event::head, request_event::tokens,
+                 request_event::finished, request_event::failed,
+                 request_event::silent, request_event::rated,
+                 request_event::usage_kept, request_event::outcome_recorded,
+                 request_event::caller_gone, request_event::deadline>;
+
+/// What the shell is to do.
+namespace request_action {
+struct admit {};
+struct place_intent {
+  intent_key Key;
+};
+struct place {
+  std::string Version;
+  std::vector<std::string> Exclude;
+  std::string Only;
+  bool IsRetry;
+};
+struct dispatch {
+  unsigned Attempt;
+  std::string Version;
+  std::string Endpoint;
+  std::uint64_t ResumeFrom;
+  std::string SoFar; ///< the text before ResumeFrom
+};
+struct cancel {
+  unsigned Attempt;
+};
+/// The attempt is over; tells placement how it went.
+struct release {
+  std::string Endpoint;
+  attempt_outcome Outcome;
+};
+/// Close all pooled connections to the endpoint; open ones may be silent too.
+struct drop_connections {
+  std::string Endpoint;
+};
+struct rate {
+  std::string Version;
+  std::string Answer;
+};
+struct send_head {
+  std::uint32_t Status;
+  std::string ContentType;
+  std::string Version;
+};
+struct send_tokens {
+  std::vector<answer_token> Tokens;
+};
+struct keep_usage {
+  usage_record Record;
+};
+struct record_outcome {
+  intent_outcome Outcome;
+};
+/// The last byte of a whole answer.
+struct send_end {
+  std::uint64_t PromptTokens;
+  std::uint64_t CompletionTokens;
+  std::string FinishReason;
+};
+/// The final answer of a request given up on; at once.
+struct send_error {
+  error_kind Kind;
+  run_state Ran;
+};
+struct send_replay {
+  kept_answer Answer;
+};
+/// Nothing more will come; the shell lets go of the request.
+struct done {};
+} // namespace request_action
+
+using request_output =
+    std::variant<request_action::admit, request_action::place_intent,
+                 request_action::place, request_action::dispatch,
+                 request_action::cancel, request_action::release,
+                 request_action::drop_connections, request_action::rate,
+                 request_action::send_head, request_action::send_tokens,
+                 request_action::keep_usage, request_action::record_outcome,
+                 request_action::send_end, request_action::send_error,
+                 request_action::send_replay, request_action::done>;
+
+/// The life of one request, without I/O: admission, intent, attempts, resume,
+/// cascade, usage, outcome, answer.
+class request_machine {
+public:
+  explicit request_machine(request_plan Plan) : Plan(std::move(Plan)) {}
+
+  /// Takes one event and says what to do, in order.
+  std::vector<request_output> handle(const request_input &Event);
+
+  bool isDone() const { return State == state::Done; }
+  unsigned attempts() const { return Attempts; }
+
+private:
+  enum class state : std::uint8_t {
+    Idle,
+    Admitting,
+    PlacingIntent,
+    Placing,
+    Dispatched,
+    Rating,
+    KeepingUsage,
+    RecordingOutcome,
+    Done
+  };
+
+  void on(const request_event::started &Event);
+  void on(const request_event::admitted &Event);
+  void on(const request_event::refused &Event);
+  void on(const request_event::intent_decided &Event);
+  void on(const request_event::placed &Event);
+  void on(const request_event::not_placed &Event);
+  void on(const request_event::head &Event);
+  void on(const request_event::tokens &Event);
+  void on(const request_event::finished &Event);
+  void on(const request_event::failed &Event);
+  void on(const request_event::silent &Event);
+  void on(const request_event::rated &Event);
+  void on(const request_event::usage_kept &Event);
+  void on(const request_event::outcome_recorded &Event);
+  void on(const request_event::caller_gone &Event);
+  void on(const request_event::deadline &Event);
+
+  bool isCurrent(unsigned Attempt) const;
+  bool mayEscalate() const { return Step + 1 < Plan.Versions.size(); }
+  void placeNext(std::string Only);
+  void retryOrGiveUp(error_kind Kind, run_state Ran);
+  void giveUp(error_kind Kind, run_state Ran);
+  void tellCaller(error_kind Kind, run_state Ran);
+  void recordEnd(intent_end End);
+  void complete();
+  void keepUsage();
+  void finish();
+  void emit(request_output Action) { Actions.push_back(std::move(Action)); }
+
+  request_plan Plan;
+  state State = state::Idle;
+  std::vector<request_output> Actions;
+  unsigned Attempts = 0; ///< also the id of the current attempt
+  std::size_t Step = 0;  ///< index into Plan.Versions
+  std::string Endpoint;
+  std::string SilentEndpoint; ///< was silent once, gets one fresh connection
+  std::vector<std::string> Exclude;
+  std::uint64_t NextToken = 0;
+  std::vector<answer_token> Tokens; ///< all so far, for resume and replay
+  bool HeadSent = false;
+  bool CallerTold = false; ///< got its final answer, or went away
+  std::uint32_t Status = 200;
+  std::string ContentType = "application/json";
+  request_event::finished End{};
+  std::vector<usage_part> Parts;
+  error_kind GivenUp = error_kind::Ok;
+  run_state GivenUpRan = run_state::NotRun;
+};
+
+} // namespace clementinelane
--- /dev/null
+++ b/src/request_runner.cpp
@@ -0,0 +1,351 @@
+#include "request_runner.h"
+
+#include "logs.h"
+
+#include <algorithm>
+#include <deque>
+#include <mutex>
+#include <xxhash.h>
+
+namespace clementinelane {
+
+namespace {
+
+namespace action = request_action;
+namespace event = request_event;
+
+std::string hashOf(const caller_request &Request) {
+  return sha256Hex(Request.Method + "\n" + Request.Model + "\n" + Request.Path +
+                   "\n" + Request.Body);
+}
+
+std::string versionPool(const configuration &Config, bool IsService,
+                        const std::string &Name) {
+  if (IsService)
+    return Config.Services.at(Name).Pool;
+  return Config.Versions.at(Name).Pool;
+}
+
+/// One request under way: a mailbox before its machine, so that events from
+/// many threads are taken one by one and in order.
+class request_run : public std::enable_shared_from_this<request_run> {
+public:
+  request_run(request_services Services, caller_request Request,
+              request_plan Plan, answer_former Former)
+      : Services(std::move(Services)), Request(std::move(Request)),
+        Machine(std::move(Plan)), Former(std::move(Former)) {
+    ++this->Services.Open;
+  }
+  ~request_run() { --Services.Open; }
+  request_run(const request_run &) = delete;
+  request_run &operator=(const request_run &) = delete;
+
+  void start() {
+    Deadline =
+        Services.Timers.after(Request.TimeLeft, [Weak = weak_from_this()] {
+          if (const auto Self = Weak.lock())
+            Self->post(event::deadline{});
+        });
+    post(event::started{});
+  }
+
+  void post(request_input Event) {
+    {
+      const std::scoped_lock Lock(Mutex);
+      Mailbox.push_back(std::move(Event));
+      if (std::exchange(Running, true))
+        return;
+    }
+    drain();
+  }
+
+private:
+  void drain() {
+    for (;;) {
+      request_input Next;
+      {
+        const std::scoped_lock Lock(Mutex);
+        if (Mailbox.empty()) {
+          Running = false;
+          return;
+        }
+        Next = std::move(Mailbox.front());
+        Mailbox.pop_front();
+      }
+      for (const request_output &Action : Machine.handle(Next))
+        std::visit([this](const auto &Each) { perform(Each); }, Action);
+    }
+  }
+
+  /// Passes events on for as long as the request lives.
+  auto sink() {
+    return [Self = shared_from_this()](request_input Event) {
+      Self->post(std::move(Event));
+    };
+  }
+
+  void perform(const action::admit &) {
+    if (!Services.Usage.hasRoom())
+      return post(event::refused{error_kind::UsageStoreFull});
+    post(event::admitted{});
+  }
+
+  void perform(const action::place_intent &Place) {
+    Services.Intents.place(Place.Key, [Post = sink()](intent_verdict Verdict) {
+      Post(event::intent_decided{std::move(Verdict)});
+    });
+  }
+
+  void perform(const action::place &Place) {
+    const std::string &Affinity =
+        Request.SessionId.empty() ? Request.Id : Request.SessionId;
+    // The configuration of now, not of the request's start: endpoints may have
+    // gone, and a withdrawn version takes no further attempt.
+    const configuration_ptr Current = Services.Config.get();
+    if (!isInForce(*Current, Place.Version))
+      return post(event::not_placed{error_kind::NoVersionActive});
+    const std::string Pool =
+        versionPool(*Current, Request.IsService, Place.Version);
+    const result<placement> Placed =
+        Services.Placer.place(*Current,
+                              {Pool, Affinity, Place.Exclude, Place.Only,
+                               Request.PromptTokens + Request.MaxTokens},
+                              Services.Clock.now());
+    if (!Placed) {
+      logs::decision(
+          "no_place",
+          {{"request", Request.Id},
+           {"version", Place.Version},
+           {"pool", Pool},
+           {"reason", std::string(answerOf(kindOf(Placed.error())).Name)}});
+      return post(event::not_placed{kindOf(Placed.error())});
+    }
+    Address = Placed.value().Endpoint.Address;
+    AttemptStart = Services.Clock.now();
+    logs::decision("place", {{"request", Request.Id},
+                             {"version", Place.Version},
+                             {"endpoint", Placed.value().Endpoint.Name},
+                             {"reason", Placed.value().Reason},
+                             {"runner_up", Placed.value().RunnerUp},
+                             {"retry", Place.IsRetry ? "true" : "false"}});
+    post(event::placed{Placed.value().Endpoint.Name});
+  }
+
+  bool isInForce(const configuration &Current, const std::string &Name) const {
+    if (Request.IsService)
+      return Current.Services.contains(Name);
+    const auto Version = Current.Versions.find(Name);
+    return Version != Current.Versions.end() &&
+           Version->second.State != version_state::Withdrawn;
+  }
+
+  void perform(const action::dispatch &Dispatch) {
+    Services.Transport.start(Request,
+                             {Address, Dispatch.Version, Dispatch.Attempt,
+                              Dispatch.ResumeFrom, Dispatch.SoFar},
+                             sink());
+  }
+
+  void perform(const action::cancel &Cancel) {
+    Services.Transport.cancel(Request.Id, Cancel.Attempt);
+  }
+
+  void perform(const action::release &Release) {
+    const mono_time Now = Services.Clock.now();
+    Services.Placer.finished(Release.Endpoint,
+                             Request.PromptTokens + Request.MaxTokens,
+                             Release.Outcome, Now - AttemptStart, Now);
+  }
+
+  void perform(const action::drop_connections &Drop) {
+    logs::warning("drop_connections",
+                  {{"request", Request.Id}, {"endpoint", Drop.Endpoint}});
+    Services.Transport.dropConnections(Address);
+  }
+
+  void perform(const action::rate &) { post(event::rated{true}); }
+
+  void perform(const action::send_head &Head) { Former.head(Head); }
+  void perform(const action::send_tokens &Send) { Former.tokens(Send.Tokens); }
+  void perform(const action::send_end &End) { Former.end(End); }
+  void perform(const action::send_replay &Replay) {
+    Former.replay(Replay.Answer);
+  }
+
+  void perform(const action::send_error &Error) {
+    logs::decision("refuse",
+                   {{"request", Request.Id},
+                    {"kind", std::string(answerOf(Error.Kind).Name)},
+                    {"ran", std::string(nameOf(Error.Ran))},
+                    {"attempts", std::to_string(Machine.attempts())}});
+    Former.error(Error.Kind, Error.Ran);
+  }
+
+  void perform(const action::keep_usage &Keep) {
+    Services.Usage.keep(Keep.Record, [Post = sink()](std::error_code Error) {
+      Post(event::usage_kept{Error});
+    });
+  }
+
+  void perform(const action::record_outcome &Record) {
+    Services.Intents.record(Record.Outcome,
+                            [Post = sink()](std::error_code Error) {
+                              Post(event::outcome_recorded{Error});
+                            });
+  }
+
+  void perform(const action::done &) { Services.Timers.cancel(Deadline); }
+
+  request_services Services;
+  caller_request Request;
+  request_machine Machine;
+  answer_former Former;
+  std::string Address;
+  mono_time AttemptStart{};
+  timer_service::handle Deadline;
+  std::mutex Mutex;
+  std::deque<request_input> Mailbox;
+  bool Running = false;
+};
+
+/// A request's plan, or the reason to refuse it.
+struct planned_request {
+  request_plan Plan;
+  session_binding Binding; ///< to sign into the answer's token
+  std::string Reason;
+  std::string RunnerUp;
+};
+
+result<planned_request> planService(const configuration &Config,
+                                    const customer_spec &Customer,
+                                    const caller_request &Request) {
+  const auto Service = Config.Services.find(Request.Model);
+  if (Service == Config.Services.end())
+    return error_kind::ServiceUnknown;
+  if (std::find(Customer.Services.begin(), Customer.Services.end(),
+                Request.Model) == Customer.Services.end())
+    return error_kind::ServiceNotAllowed;
+  planned_request Planned;
+  Planned.Plan.Idempotent =
+      Service->second.Idempotent && !Request.NonIdempotent;
+  Planned.Plan.Versions = {Request.Model};
+  Planned.Plan.CostsPer1kTokens = {0};
+  Planned.Reason = "service";
+  return Planned;
+}
+
+result<planned_request> planChat(const request_services &Services,
+                                 const configuration &Config,
+                                 const customer_spec &Customer,
+                                 const caller_request &Request) {
+  std::optional<session_binding> Bound;
+  if (!Request.SessionToken.empty()) {
+    auto Verified =
+        Services.Tokens.verify(Request.SessionToken, Services.Clock.wallNow());
+    if (!Verified)
+      return Verified.error();
+    if (Verified.value().Customer != Customer.Name)
+      return error_kind::SessionTokenInvalid;
+    Bound = std::move(Verified).value();
+  }
+  const std::string &Session =
+      Request.SessionId.empty() ? Request.Id : Request.SessionId;
+  auto Chosen = chooseVersion(Config, {Customer, Request.Model, Session, Bound},
+                              Services.Quality);
+  if (!Chosen)
+    return Chosen.error();
+  const version_plan &Choice = Chosen.value();
+  planned_request Planned;
+  Planned.Plan.Idempotent = !Request.NonIdempotent;
+  Planned.Plan.Work = Choice.Work;
+  // Sessions stay on one version, and work that may not be repeated runs once:
+  // neither takes part in a cascade.
+  const bool IsSingle =
+      !Planned.Plan.Idempotent || Bound || !Request.SessionId.empty();
+  for (const version_spec &Version : Choice.Versions) {
+    Planned.Plan.Versions.push_back(Version.Name);
+    Planned.Plan.CostsPer1kTokens.push_back(Version.CostPer1kTokens);
+    if (IsSingle)
+      break;
+  }
+  Planned.Binding =
+      Bound ? *Bound
+            : session_binding{Customer.Name, Request.SessionId,
+                              Choice.Work,   Planned.Plan.Versions.front(),
+                              Config.Offset, 0};
+  Planned.Reason = Choice.Reason;
+  Planned.RunnerUp = Choice.RunnerUp;
+  return Planned;
+}
+
+result<planned_request> planRequest(const request_services &Services,
+                                    const configuration &Config,
+                                    const caller_request &Request,
+                                    const customer_spec *&Customer) {
+  Customer = findCustomer(Config, Request.Key);
+  if (!Customer)
+    return error_kind::KeyWrong;
+  auto Planned = Request.IsService
+                     ? planService(Config, *Customer, Request)
+                     : planChat(Services, Config, *Customer, Request);
+  if (Planned && !Planned.value().Plan.Idempotent &&
+      Request.IdempotencyKey.empty())
+    return error_kind::IdempotencyKeyMissing;
+  return Planned;
+}
+
+} // namespace
+
+void runRequest(const request_services &Services, caller_request Request,
+                std::shared_ptr<answer_writer> Writer) {
+  const auto Refuse = [&](error_kind Kind) {
+    logs::decision("refuse", {{"request", Request.Id},
+                              {"kind", std::string(answerOf(Kind).Name)},
+                              {"ran", "not_run"}});
+    answer_former({Request.Id, "", 0, false, Request.IsService}, Writer)
+        .error(Kind, run_state::NotRun);
+  };
+  const configuration_ptr Config = Services.Config.get();
+  if (!Config)
+    return Refuse(error_kind::NotReady);
+  const customer_spec *Customer = nullptr;
+  auto Result = planRequest(Services, *Config, Request, Customer);
+  if (!Result)
+    return Refuse(kindOf(Result.error()));
+  planned_request &Planned = Result.value();
+  logs::decision("route", {{"request", Request.Id},
+                           {"customer", Customer->Name},
+                           {"model", Request.Model},
+                           {"version", Planned.Plan.Versions.front()},
+                           {"reason", Planned.Reason},
+                           {"runner_up", Planned.RunnerUp},
+                           {"config_offset", std::to_string(Config->Offset)}});
+  const auto Wall = Services.Clock.wallNow().time_since_epoch();
+  const auto WallSeconds =
+      std::chrono::duration_cast<std::chrono::seconds>(Wall).count();
+  if (Planned.Binding.OpenedAt == 0)
+    Planned.Binding.OpenedAt = WallSeconds;
+  request_plan &Plan = Planned.Plan;
+  Plan.RequestId = Request.Id;
+  Plan.Customer = Customer->Name;
+  Plan.Vm = Services.VmName;
+  Plan.WallMillis =
+      std::chrono::duration_cast<std::chrono::milliseconds>(Wall).count();
+  Plan.Intent = {Customer->Name, Request.IdempotencyKey, hashOf(Request),
+                 Request.Id};
+  answer_former Former({Request.Id,
+                        Request.IsService
+                            ? std::string()
+                            : Services.Tokens.sign(Planned.Binding),
+                        WallSeconds, Request.Streamed, Request.IsService},
+                       Writer);
+  auto Run = std::make_shared<request_run>(Services, std::move(Request),
+                                           std::move(Plan), std::move(Former));
+  Writer->onGone([Weak = std::weak_ptr(Run)] {
+    if (const auto Self = Weak.lock())
+      Self->post(event::caller_gone{});
+  });
+  Run->start();
+}
+
+} // namespace clementinelane
--- /dev/null
+++ b/src/request_runner.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "answer.h"
+#include "clock.h"
+#include "config_source.h"
+#include "endpoint_client.h"
+#include "intents.h"
+#include "placement.h"
+#include "request.h"
+#include "session_token.h"
+#include "timers.h"
+#include "usage.h"
+#include "version_choice.h"
+
+#include <atomic>
+#include <memory>
+#include <string>
+
+namespace clementinelane {
+
+/// What a request needs of its VM.
+struct request_services {
+  const runtime_clock &Clock;
+  const config_source &Config;
+  const quality_source &Quality;
+  const session_token_codec &Tokens;
+  placer &Placer;
+  intent_service &Intents;
+  usage_service &Usage;
+  endpoint_transport &Transport;
+  timer_service &Timers;
+  std::string VmName;
+  std::atomic<std::uint64_t> &Open; ///< requests under way
+};
+
+/// Chooses a version for `Request`, starts its machine and carries out what it
+/// says until it is done.
+void runRequest(const request_services &Services, caller_request Request,
+                std::shared_ptr<answer_writer> Writer);
+
+} // namespace clementinelane
--- /dev/null
+++ b/src/session_token.cpp
@@ -0,0 +1,100 @@
+#include "session_token.h"
+
+#include "config.h"
+
+#include <algorithm>
+#include <array>
+#include <openssl/crypto.h>
+#include <openssl/evp.h>
+#include <openssl/hmac.h>
+
+namespace clementinelane {
+
+namespace {
+
+std::string toBase64(std::string_view Bytes) {
+  std::string Text(4 * ((Bytes.size() + 2) / 3) + 1, '\0');
+  const int Size =
+      EVP_EncodeBlock(reinterpret_cast<unsigned char *>(Text.data()),
+                      reinterpret_cast<const unsigned char *>(Bytes.data()),
+                      static_cast<int>(Bytes.size()));
+  Text.resize(static_cast<std::size_t>(Size));
+  std::replace(Text.begin(), Text.end(), '+', '-');
+  std::replace(Text.begin(), Text.end(), '/', '_');
+  while (!Text.empty() && Text.back() == '=')
+    Text.pop_back();
+  return Text;
+}
+
+bool fromBase64(std::string_view Text, std::string &Bytes) {
+  std::string Padded(Text);
+  std::replace(Padded.begin(), Padded.end(), '-', '+');
+  std::replace(Padded.begin(), Padded.end(), '_', '/');
+  const std::size_t Padding = (4 - Padded.size() % 4) % 4;
+  Padded.append(Padding, '=');
+  Bytes.resize(Padded.size());
+  const int Size =
+      EVP_DecodeBlock(reinterpret_cast<unsigned char *>(Bytes.data()),
+                      reinterpret_cast<const unsigned char *>(Padded.data()),
+                      static_cast<int>(Padded.size()));
+  if (Size < static_cast<int>(Padding))
+    return false;
+  Bytes.resize(static_cast<std::size_t>(Size) - Padding);
+  return true;
+}
+
+std::string macOf(const session_key &Key, std::string_view Payload) {
+  std::array<unsigned char, EVP_MAX_MD_SIZE> Mac{};
+  unsigned Size = 0;
+  HMAC(EVP_sha256(), Key.Secret.data(), static_cast<int>(Key.Secret.size()),
+       reinterpret_cast<const unsigned char *>(Payload.data()), Payload.size(),
+       Mac.data(), &Size);
+  return {reinterpret_cast<const char *>(Mac.data()), Size};
+}
+
+} // namespace
+
+std::string session_token_codec::sign(const session_binding &Binding) const {
+  if (Keys.empty())
+    return {};
+  msgpack::sbuffer Buffer;
+  msgpack::pack(Buffer, Binding);
+  const std::string Payload =
+      Keys.front().Id + "." + toBase64({Buffer.data(), Buffer.size()});
+  return Payload + "." + toBase64(macOf(Keys.front(), Payload));
+}
+
+result<session_binding> session_token_codec::verify(std::string_view Token,
+                                                    wall_time Now) const {
+  const std::error_code Invalid = error_kind::SessionTokenInvalid;
+  const auto First = Token.find('.');
+  const auto Last = Token.rfind('.');
+  if (First == std::string_view::npos || First == Last)
+    return Invalid;
+  const auto Key =
+      std::find_if(Keys.begin(), Keys.end(), [&](const session_key &Each) {
+        return Each.Id == Token.substr(0, First);
+      });
+  std::string Mac;
+  if (Key == Keys.end() || !fromBase64(Token.substr(Last + 1), Mac))
+    return Invalid;
+  const std::string Expected = macOf(*Key, Token.substr(0, Last));
+  if (Mac.size() != Expected.size() ||
+      CRYPTO_memcmp(Mac.data(), Expected.data(), Mac.size()) != 0)
+    return Invalid;
+  std::string Bytes;
+  if (!fromBase64(Token.substr(First + 1, Last - First - 1), Bytes))
+    return Invalid;
+  try {
+    const auto Binding =
+        msgpack::unpack(Bytes.data(), Bytes.size()).get().as<session_binding>();
+    const auto Age = Now - wall_time(std::chrono::seconds(Binding.OpenedAt));
+    if (Age > config::SessionTokenMaxAge)
+      return Invalid;
+    return Binding;
+  } catch (const std::exception &) {
+    return Invalid;
+  }
+}
+
+} // namespace clementinelane
--- /dev/null
+++ b/src/settings.cpp
@@ -0,0 +1,112 @@
+#include "settings.h"
+
+#include <fstream>
+#include <sstream>
+
+namespace clementinelane {
+
+bool readFile(const std::string &Path, std::string &Text) {
+  std::ifstream Stream(Path, std::ios::binary);
+  if (!Stream)
+    return false;
+  std::ostringstream Buffer;
+  Buffer << Stream.rdbuf();
+  Text = std::move(Buffer).str();
+  return true;
+}
+
+namespace {
+
+constexpr std::uint64_t MaxPort = 65535;
+constexpr std::size_t MinSecretBytes = 16;
+
+void readKeys(const toml::table &Table, const std::string &Path, settings &Out,
+              std::vector<file_error> &Errors) {
+  section_reader Reader(Table, Path, Errors);
+  std::vector<std::string> Pairs;
+  Reader.texts("session", Pairs)
+      .text("operator_key_sha256", Out.OperatorKeySha256)
+      .finish();
+  for (const std::string &Pair : Pairs) {
+    const auto Colon = Pair.find(':');
+    std::string Secret;
+    if (Colon == std::string::npos ||
+        !readFile(Pair.substr(Colon + 1), Secret)) {
+      Reader.report("session", "must be a list of \"id:readable file\"");
+      continue;
+    }
+    if (Secret.size() < MinSecretBytes)
+      Reader.report("session", "a key needs at least 16 bytes");
+    Out.SessionKeys.push_back({Pair.substr(0, Colon), std::move(Secret)});
+  }
+}
+
+} // namespace
+
+parsed_settings parseSettings(std::string_view File, std::string_view Text) {
+  parsed_settings Parsed;
+  settings &Out = Parsed.Value;
+  std::vector<file_error> &Errors = Parsed.Errors;
+  const toml::table Root = parseToml(File, Text, Errors);
+  if (!Errors.empty())
+    return Parsed;
+  section_reader Reader(Root, "", Errors);
+  Reader
+      .table("vm",
+             [&](const toml::table &Table, const std::string &Path) {
+               section_reader(Table, Path, Errors)
+                   .text("name", Out.VmName, true)
+                   .text("data_centre", Out.DataCentre, true)
+                   .text("region", Out.Region, true)
+                   .text("address", Out.Address, true)
+                   .finish();
+             })
+      .table("entry",
+             [&](const toml::table &Table, const std::string &Path) {
+               section_reader(Table, Path, Errors)
+                   .integer("port", Out.EntryPort, 1, MaxPort)
+                   .integer("threads", Out.Threads, 2, 256)
+                   .finish();
+             })
+      .table("control",
+             [&](const toml::table &Table, const std::string &Path) {
+               section_reader(Table, Path, Errors)
+                   .integer("link_port", Out.LinkPort, 1, MaxPort)
+                   .integer("operator_port", Out.OperatorPort, 1, MaxPort)
+                   .texts("seeds", Out.Seeds)
+                   .finish();
+             })
+      .table("platform",
+             [&](const toml::table &Table, const std::string &Path) {
+               section_reader(Table, Path, Errors)
+                   .text("log", Out.LogAddress, true)
+                   .text("vm_list", Out.VmListAddress)
+                   .text("rater", Out.RaterAddress)
+                   .finish();
+             })
+      .table("keys",
+             [&](const toml::table &Table, const std::string &Path) {
+               readKeys(Table, Path, Out, Errors);
+             })
+      .table("logs",
+             [&](const toml::table &Table, const std::string &Path) {
+               section_reader Logs(Table, Path, Errors);
+               Logs.text("format", Out.LogFormat).finish();
+               if (Out.LogFormat != "keyvalue" && Out.LogFormat != "json")
+                 Logs.report("format", "must be keyvalue or json");
+             })
+      .finish();
+  if (Errors.empty() && (Out.VmName.empty() || Out.LogAddress.empty()))
+    Errors.push_back(
+        {std::string(File), 0, "", "needs the tables [vm] and [platform]"});
+  return Parsed;
+}
+
+parsed_settings loadSettings(const std::string &Path) {
+  std::string Text;
+  if (!readFile(Path, Text))
+    return {{}, {{Path, 0, "", "cannot be read"}}};
+  return parseSettings(Path, Text);
+}
+
+} // namespace clementinelane
--- /dev/null
+++ b/src/version_choice.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include "clementinelane/error.h"
+#include "configuration.h"
+#include "session_token.h"
+
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace clementinelane {
+
+/// What is known of a version's quality for one customer and kind of work.
+class quality_source {
+public:
+  virtual ~quality_source() = default;
+  /// Lower confidence bound of the share of good answers, 0 to 1.
+  virtual double lowerBound(const version_spec &Version, std::string_view Work,
+                            std::string_view Customer) const = 0;
+  /// Whether this VM has stopped sending new sessions to `Version` by itself.
+  virtual bool isBraked(std::string_view Version) const = 0;
+};
+
+/// Takes the operators' prior as it stands.
+class prior_quality final : public quality_source {
+public:
+  double lowerBound(const version_spec &Version, std::string_view,
+                    std::string_view) const override {
+    return Version.Quality;
+  }
+  bool isBraked(std::string_view) const override { return false; }
+};
+
+struct choice_request {
+  const customer_spec &Customer;
+  std::string_view Model;     ///< work, model, or model@version
+  std::string_view SessionId; ///< or the request's id, where there is none
+  std::optional<session_binding> Bound;
+};
+
+/// The versions a request may run on, in the order to try them.
+struct version_plan {
+  std::string Work; ///< empty where a model was named
+  double Target = 0;
+  bool Cascade = false;
+  std::vector<version_spec> Versions; ///< the choice first; more only to
+                                      ///< escalate a cascade
+  std::string Reason;
+  std::string RunnerUp;
+};
+
+/// Chooses the cheapest allowed version that meets the quality target.
+///
+/// Load: every request. Harm prevented: work on a version that the customer
+/// doesn't allow, that is withdrawn, or that is too weak; a session moved in
+/// silence; money spent on a dearer version than needed.
+result<version_plan> chooseVersion(const configuration &Config,
+                                   const choice_request &Request,
+                                   const quality_source &Quality);
+
+} // namespace clementinelane
--- /dev/null
+++ b/tests/standin/main.cpp
@@ -0,0 +1,43 @@
+#include "log_stream.h"
+#include "model_engine.h"
+#include "plain_service.h"
+
+#include <csignal>
+#include <gflags/gflags.h>
+#include <iostream>
+
+DEFINE_string(listen, "127.0.0.1:7000", "IP number and port");
+DEFINE_string(role, "log", "log, engine or service");
+DEFINE_uint64(retention, 100000, "log: records kept of each stream");
+DEFINE_uint64(token_delay_us, 2000, "engine: time between tokens");
+
+int main(int ArgCount, char **Args) {
+  gflags::ParseCommandLineFlags(&ArgCount, &Args, true);
+  sigset_t Signals{};
+  sigemptyset(&Signals);
+  sigaddset(&Signals, SIGTERM);
+  sigaddset(&Signals, SIGINT);
+  pthread_sigmask(SIG_BLOCK, &Signals, nullptr);
+  std::signal(SIGPIPE, SIG_IGN);
+
+  namespace standin = clementinelane::standin;
+  std::vector<clementinelane::http_route> Routes;
+  standin::log_stream Log(FLAGS_retention);
+  standin::model_engine Engine{std::chrono::microseconds(FLAGS_token_delay_us)};
+  standin::plain_service Service;
+  if (FLAGS_role == "log")
+    Routes = Log.routes();
+  else if (FLAGS_role == "engine")
+    Routes = Engine.routes();
+  else if (FLAGS_role == "service")
+    Routes = Service.routes();
+  else {
+    std::cerr << "clementine_standin: no role " << FLAGS_role << '\n';
+    return 2;
+  }
+  clementinelane::http_server Server(FLAGS_listen, std::move(Routes));
+  Server.open();
+  int Signal = 0;
+  sigwait(&Signals, &Signal);
+  return 0;
+}
