Fix the seams between the parts before they are built side by side

Cause: at-most-once, membership, the data path and the decisions under load are built at the same time, and each needs types of the others.

Conclusion: no behaviour changed but Retry-After, which a refusal may now set.

--- /dev/null
+++ b/src/admission.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include "clementinelane/error.h"
+#include "clock.h"
+#include "request.h"
+
+#include <functional>
+#include <string>
+#include <string_view>
+
+namespace clementinelane {
+
+/// What admission needs to know of a request.
+struct admission_request {
+  std::string Id;
+  std::string Customer;
+  std::string Pool;
+  double Weight = 1;               ///< the customer's share in a full queue
+  double QuotaTokensPerSecond = 0; ///< 0: none
+  priority Priority = priority::Normal;
+  std::uint64_t Tokens = 0; ///< estimate of prompt and answer
+  mono_time Deadline;
+};
+
+struct admission_verdict {
+  std::error_code Error; ///< none: go on now
+  std::chrono::milliseconds RetryAfter{0};
+};
+
+/// Lets requests in, queues or refuses them.
+class admission_gate {
+public:
+  virtual ~admission_gate() = default;
+  /// One call of `Done`, at once or later, from any thread.
+  virtual void offer(const admission_request &Request,
+                     std::function<void(const admission_verdict &)> Done) = 0;
+  /// The request is over, in whatever way; also ends a wait in the queue.
+  virtual void finished(std::string_view Id) = 0;
+};
+
+/// Lets everything in.
+class open_admission final : public admission_gate {
+public:
+  void offer(const admission_request &,
+             std::function<void(const admission_verdict &)> Done) override {
+    Done({});
+  }
+  void finished(std::string_view) override {}
+};
+
+} // namespace clementinelane
--- a/src/answer.cpp
+++ b/src/answer.cpp
@@ -26,14 +26,17 @@
 
 } // namespace
 
-std::string retryAfter(error_kind Kind, double Fraction) {
+std::string retryAfter(error_kind Kind, std::chrono::milliseconds Base,
+                       double Fraction) {
   const error_answer &Answer = answerOf(Kind);
-  if (!Answer.Retryable || Answer.RetryAfter.count() == 0)
+  if (Base.count() == 0)
+    Base = Answer.RetryAfter;
+  if (!Answer.Retryable || Base.count() == 0)
     return {};
   // Load: a crowd refused at one moment. Harm prevented: all of it coming back
   // at one moment. The base is spread over itself once more.
   const double Seconds =
-      static_cast<double>(Answer.RetryAfter.count()) / 1000 * (1 + Fraction);
+      static_cast<double>(Base.count()) / 1000 * (1 + Fraction);
   return std::to_string(static_cast<long>(std::ceil(Seconds)));
 }
 
@@ -46,12 +49,13 @@
          jsonText(RequestId) + "}}";
 }
 
-std::vector<answer_header> errorHeaders(error_kind Kind, run_state Ran) {
+std::vector<answer_header> errorHeaders(error_kind Kind, run_state Ran,
+                                        std::chrono::milliseconds RetryAfter) {
   std::vector<answer_header> Headers{
       {"Content-Type", "application/json"},
       {"X-Error-Kind", std::string(answerOf(Kind).Name)},
       {"X-Ran", std::string(nameOf(Ran))}};
-  if (std::string Wait = retryAfter(Kind, jitter()); !Wait.empty())
+  if (std::string Wait = retryAfter(Kind, RetryAfter, jitter()); !Wait.empty())
     Headers.emplace_back("Retry-After", std::move(Wait));
   return Headers;
 }
@@ -122,11 +126,12 @@
   Writer->whole(Head.Status, headers("application/json"), Body);
 }
 
-void answer_former::error(error_kind Kind, run_state Ran) {
+void answer_former::error(const request_action::send_error &Error) {
+  const auto &[Kind, Ran, RetryAfter] = Error;
   const std::string Body = errorBody(Kind, Ran, Context.RequestId);
   if (!Begun)
-    return Writer->whole(answerOf(Kind).HttpStatus, errorHeaders(Kind, Ran),
-                         Body);
+    return Writer->whole(answerOf(Kind).HttpStatus,
+                         errorHeaders(Kind, Ran, RetryAfter), Body);
   // The status is out already; the stream ends with an error event and without
   // the closing one, so that no caller takes a cut answer for a whole one.
   Writer->write("data: " + Body + "\n\n");
--- a/src/answer.h
+++ b/src/answer.h
@@ -50,7 +50,7 @@
   void head(const request_action::send_head &Head);
   void tokens(std::span<const answer_token> Tokens);
   void end(const request_action::send_end &End);
-  void error(error_kind Kind, run_state Ran);
+  void error(const request_action::send_error &Error);
   void replay(const kept_answer &Answer);
 
 private:
@@ -68,10 +68,13 @@
 /// The body of an error in the chat API's usual form.
 std::string errorBody(error_kind Kind, run_state Ran,
                       std::string_view RequestId);
-/// Retry-After in whole seconds, rounded up and spread by `Fraction` (0 to 1);
-/// empty where asking again can't help.
-std::string retryAfter(error_kind Kind, double Fraction);
+/// Retry-After in whole seconds, rounded up, from `Base` (0: the answer
+/// table's) spread by `Fraction` (0 to 1); empty where asking again can't help.
+std::string retryAfter(error_kind Kind, std::chrono::milliseconds Base,
+                       double Fraction);
 /// Headers of an error answer.
-std::vector<answer_header> errorHeaders(error_kind Kind, run_state Ran);
+std::vector<answer_header>
+errorHeaders(error_kind Kind, run_state Ran,
+             std::chrono::milliseconds RetryAfter = {});
 
 } // namespace clementinelane
--- a/src/entry.cpp
+++ b/src/entry.cpp
@@ -70,9 +70,9 @@
     return Call->fail(error_kind::Draining);
   if (!Request)
     return Call->fail(kindOf(Request.error()));
-  const request_services Services{Clock,  Config,          Quality, Tokens,
-                                  Placer, Intents,         Usage,   Transport,
-                                  Timers, Settings.VmName, Open};
+  const request_services Services{Clock,     Config, Quality,         Tokens,
+                                  Admission, Placer, Intents,         Usage,
+                                  Transport, Timers, Settings.VmName, Open};
   runRequest(Services, std::move(Request).value(), Call->Writer);
 }
 
--- a/src/entry.h
+++ b/src/entry.h
@@ -43,6 +43,7 @@
   config_source Config;
   prior_quality Quality;
   session_token_codec Tokens;
+  open_admission Admission;
   placer Placer;
   http_append_log Log;
   log_intent_service Intents;
--- /dev/null
+++ b/src/peers.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include <cstdint>
+#include <mutex>
+#include <string>
+#include <vector>
+
+namespace clementinelane {
+
+/// Another VM of the system, as membership sees it now.
+struct peer_info {
+  std::string Vm;
+  std::string DataCentre;
+  std::string Region;
+  std::string ControlLink; ///< IP number and port
+  std::string EntryLink;   ///< IP number and port
+  std::uint64_t Incarnation = 0;
+  bool IsLeaving = false;
+};
+
+/// The VMs that can be asked now, this one left out.
+class peer_source {
+public:
+  virtual ~peer_source() = default;
+  virtual std::vector<peer_info> peers() const = 0;
+};
+
+/// A list that is replaced whole: fixed in tests, handed over by control in
+/// entry.
+class peer_list final : public peer_source {
+public:
+  std::vector<peer_info> peers() const override {
+    const std::scoped_lock Lock(Mutex);
+    return Peers;
+  }
+  void set(std::vector<peer_info> Newer) {
+    const std::scoped_lock Lock(Mutex);
+    Peers = std::move(Newer);
+  }
+
+private:
+  mutable std::mutex Mutex;
+  std::vector<peer_info> Peers;
+};
+
+} // namespace clementinelane
--- a/src/request_machine.cpp
+++ b/src/request_machine.cpp
@@ -61,7 +61,7 @@
 void request_machine::on(const event::refused &Event) {
   if (State != state::Admitting)
     return;
-  tellCaller(Event.Kind, run_state::NotRun);
+  tellCaller(Event.Kind, run_state::NotRun, Event.RetryAfter);
   finish();
 }
 
@@ -237,9 +237,10 @@
                                      : intent_end::Unknown);
 }
 
-void request_machine::tellCaller(error_kind Kind, run_state Ran) {
+void request_machine::tellCaller(error_kind Kind, run_state Ran,
+                                 std::chrono::milliseconds RetryAfter) {
   if (!std::exchange(CallerTold, true))
-    emit(action::send_error{Kind, Ran});
+    emit(action::send_error{Kind, Ran, RetryAfter});
 }
 
 void request_machine::recordEnd(intent_end End) {
--- a/src/request_machine.h
+++ b/src/request_machine.h
@@ -40,6 +40,7 @@
 struct admitted {};
 struct refused {
   error_kind Kind;
+  std::chrono::milliseconds RetryAfter{0}; ///< 0: the answer table's
 };
 struct intent_decided {
   intent_verdict Verdict;
@@ -157,6 +158,7 @@
 struct send_error {
   error_kind Kind;
   run_state Ran;
+  std::chrono::milliseconds RetryAfter{0}; ///< 0: the answer table's
 };
 struct send_replay {
   kept_answer Answer;
@@ -222,7 +224,8 @@
   void placeNext(std::string Only);
   void retryOrGiveUp(error_kind Kind, run_state Ran);
   void giveUp(error_kind Kind, run_state Ran);
-  void tellCaller(error_kind Kind, run_state Ran);
+  void tellCaller(error_kind Kind, run_state Ran,
+                  std::chrono::milliseconds RetryAfter = {});
   void recordEnd(intent_end End);
   void complete();
   void keepUsage();
--- a/src/request_runner.cpp
+++ b/src/request_runner.cpp
@@ -31,9 +31,11 @@
 class request_run : public std::enable_shared_from_this<request_run> {
 public:
   request_run(request_services Services, caller_request Request,
-              request_plan Plan, answer_former Former)
+              request_plan Plan, answer_former Former,
+              admission_request Admission)
       : Services(std::move(Services)), Request(std::move(Request)),
-        Machine(std::move(Plan)), Former(std::move(Former)) {
+        Admission(std::move(Admission)), Machine(std::move(Plan)),
+        Former(std::move(Former)) {
     ++this->Services.Open;
   }
   ~request_run() { --Services.Open; }
@@ -87,7 +89,12 @@
   void perform(const action::admit &) {
     if (!Services.Usage.hasRoom())
       return post(event::refused{error_kind::UsageStoreFull});
-    post(event::admitted{});
+    Services.Admission.offer(Admission, [Post = sink()](
+                                            const admission_verdict &Verdict) {
+      if (Verdict.Error)
+        return Post(event::refused{kindOf(Verdict.Error), Verdict.RetryAfter});
+      Post(event::admitted{});
+    });
   }
 
   void perform(const action::place_intent &Place) {
@@ -178,7 +185,7 @@
                     {"kind", std::string(answerOf(Error.Kind).Name)},
                     {"ran", std::string(nameOf(Error.Ran))},
                     {"attempts", std::to_string(Machine.attempts())}});
-    Former.error(Error.Kind, Error.Ran);
+    Former.error(Error);
   }
 
   void perform(const action::keep_usage &Keep) {
@@ -194,10 +201,14 @@
                             });
   }
 
-  void perform(const action::done &) { Services.Timers.cancel(Deadline); }
+  void perform(const action::done &) {
+    Services.Timers.cancel(Deadline);
+    Services.Admission.finished(Request.Id);
+  }
 
   request_services Services;
   caller_request Request;
+  admission_request Admission;
   request_machine Machine;
   answer_former Former;
   std::string Address;
@@ -303,7 +314,7 @@
                               {"kind", std::string(answerOf(Kind).Name)},
                               {"ran", "not_run"}});
     answer_former({Request.Id, "", 0, false, Request.IsService}, Writer)
-        .error(Kind, run_state::NotRun);
+        .error({Kind, run_state::NotRun});
   };
   const configuration_ptr Config = Services.Config.get();
   if (!Config)
@@ -339,8 +350,18 @@
                             : Services.Tokens.sign(Planned.Binding),
                         WallSeconds, Request.Streamed, Request.IsService},
                        Writer);
+  admission_request Admission{
+      Request.Id,
+      Customer->Name,
+      versionPool(*Config, Request.IsService, Plan.Versions.front()),
+      Customer->Weight,
+      Customer->QuotaTokensPerSecond,
+      Request.Priority,
+      Request.PromptTokens + Request.MaxTokens,
+      Services.Clock.now() + Request.TimeLeft};
   auto Run = std::make_shared<request_run>(Services, std::move(Request),
-                                           std::move(Plan), std::move(Former));
+                                           std::move(Plan), std::move(Former),
+                                           std::move(Admission));
   Writer->onGone([Weak = std::weak_ptr(Run)] {
     if (const auto Self = Weak.lock())
       Self->post(event::caller_gone{});
--- a/src/request_runner.h
+++ b/src/request_runner.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "admission.h"
 #include "answer.h"
 #include "clock.h"
 #include "config_source.h"
@@ -24,6 +25,7 @@
   const config_source &Config;
   const quality_source &Quality;
   const session_token_codec &Tokens;
+  admission_gate &Admission;
   placer &Placer;
   intent_service &Intents;
   usage_service &Usage;
--- a/src/settings.cpp
+++ b/src/settings.cpp
@@ -65,6 +65,7 @@
              [&](const toml::table &Table, const std::string &Path) {
                section_reader(Table, Path, Errors)
                    .integer("port", Out.EntryPort, 1, MaxPort)
+                   .integer("link_port", Out.EntryLinkPort, 1, MaxPort)
                    .integer("threads", Out.Threads, 2, 256)
                    .finish();
              })
--- a/src/settings.h
+++ b/src/settings.h
@@ -23,7 +23,8 @@
   std::string Region;
   std::string Address; ///< IP number of this VM
   std::uint64_t EntryPort = 8080;
-  std::uint64_t LinkPort = 9090;
+  std::uint64_t EntryLinkPort = 8090; ///< entry to entry
+  std::uint64_t LinkPort = 9090;      ///< control to control, entry to control
   std::uint64_t OperatorPort = 9091;
   std::uint64_t Threads = 8;
   std::string LogAddress;    ///< IP number and port of the log service
