Choose versions by ratings: bounds, cascade, exploration, roll-out test

Cause: the choice believed the operators' priors, a cascade always ended with its first answer, and a roll-out had nothing to stop it.

Change: quality_table keeps fading sums by version, work and customer and gives Beta bounds; a cascade accepts an answer only where ratings bear the engine's signal out; two in a hundred requests without session, booking or counter try a cheaper version; sequential_test watches a roll-out's new version and is valid at any time; answers are sampled to the rating service and read back.

--- a/src/config.h
+++ b/src/config.h
@@ -62,6 +62,55 @@
 /// Wait between tries when a peer or the log does not answer.
 constexpr auto ReconnectDelay = 200ms;
 
+// --- quality ---------------------------------------------------------------
+
+/// Probability that a version's quality is below its lower bound. One in
+/// twenty, since the target must hold in nearly all windows of a customer.
+constexpr double QualityDoubt = 0.05;
+/// Rated answers by which sums may differ before a bound is worked out anew.
+constexpr double BoundTolerance = 0.25;
+/// Rated answers after which an old one has faded to a third. Enough to tell
+/// 0.95 from 0.97, few enough to see a change within a morning.
+constexpr double RatingMemory = 600;
+/// Rated answers that the operators' prior and all other customers' ratings
+/// count for at most, beside a customer's own. Tried on seeds 1001 to 1003: at
+/// 150 a customer with harder documents stays too long (0.987 of windows
+/// good), at 50 others pay more (1.03 of the clairvoyant cost, 75: 0.99).
+constexpr double CustomerPriorWeight = 75;
+/// Share of requests that may try a cheaper version not yet proved good
+/// enough. Two in a hundred bounds both the cost of learning and the harm.
+constexpr double ExplorationShare = 0.02;
+/// Probability that a good roll-out is stopped within 1,920 ratings. The users
+/// allow one in a hundred; half is left for what is assumed of the old version.
+/// Tried on seeds 1001 to 1400: 0.005 to 0.01, restart 10 to 25, margin 0.02
+/// and 0.03, equal and falling weights.
+constexpr double RolloutFalseStops = 0.005;
+/// How much worse than the old version a new one may be.
+constexpr double RolloutMargin = 0.02;
+/// Rated answers at a step before the next; a version that fell to 0.60 is
+/// found within 60 of them.
+constexpr std::uint64_t RolloutStepRatings = 100;
+/// Ratings between two new bets of the sequential test; a drop is noticed as
+/// if the test had begun at most so many ratings earlier.
+constexpr std::size_t SequentialRestart = 20;
+/// Bets kept; bounds memory and time of one rating.
+constexpr std::size_t MaxSequentialBets = 96;
+/// Bounds of the null mean, so that one rating can't decide alone.
+constexpr double SmallestNullMean = 0.05;
+constexpr double LargestNullMean = 0.95;
+/// Share of answers sent to the rating service, beside all that explore.
+constexpr double RatingShare = 0.1;
+/// Answers that wait to be sent; more are dropped, since ratings are only
+/// evidence. At 50 requests a second this is over a minute of outage.
+constexpr std::size_t MaxSamplesWaiting = 512;
+constexpr auto RaterCallTimeout = 5s;
+/// Time between two reads of ratings, which are tens of seconds late anyway.
+constexpr auto RatingPoll = 500ms;
+/// Rated answers in a bin of the engine's signal before it counts.
+constexpr double CascadeBinRatings = 20;
+/// How far below the target a bin may be if surer answers make up for it.
+constexpr double CascadeBinSlack = 0.05;
+
 // --- sessions --------------------------------------------------------------
 
 /// Age at which a session token is no longer taken. A working day and a night.
--- a/src/endpoint_client.cpp
+++ b/src/endpoint_client.cpp
@@ -256,6 +256,8 @@
                         Delta.at("content").as_string()});
     if (Choice.has_string_field("finish_reason"))
       Finish.FinishReason = Choice.at("finish_reason").as_string();
+    if (Json.has_number_field("confidence"))
+      Finish.Confidence = Json.at("confidence").as_double();
     if (Json.has_object_field("usage")) {
       const auto &Usage = Json.at("usage");
       Finish.PromptTokens = Usage.at("prompt_tokens").as_number().to_uint64();
--- a/src/entry.cpp
+++ b/src/entry.cpp
@@ -19,7 +19,9 @@
 } // namespace
 
 entry::entry(const settings &Settings, const runtime_clock &Clock)
-    : Settings(Settings), Clock(Clock), Tokens(Settings.SessionKeys),
+    : Settings(Settings), Clock(Clock),
+      Rater(Settings.RaterAddress, Config, Quality),
+      Tokens(Settings.SessionKeys),
       Placer(Settings.DataCentre, std::random_device{}()),
       Log(Settings.LogAddress), Intents(Log), Usage(Log), Transport(Timers),
       Server(Settings.Address + ":" + std::to_string(Settings.EntryPort),
@@ -70,9 +72,9 @@
     return Call->fail(error_kind::Draining);
   if (!Request)
     return Call->fail(kindOf(Request.error()));
-  const request_services Services{Clock,     Config, Quality,         Tokens,
-                                  Admission, Placer, Intents,         Usage,
-                                  Transport, Timers, Settings.VmName, Open};
+  const request_services Services{
+      Clock, Config, Quality,   Tokens, Admission,       Placer, Intents,
+      Usage, Rater,  Transport, Timers, Settings.VmName, Open};
   runRequest(Services, std::move(Request).value(), Call->Writer);
 }
 
@@ -164,6 +166,7 @@
     }
     Known = State.value().Accepted;
     Config.set(Parsed.Config);
+    Quality.follow(*Parsed.Config);
     logs::info("configuration", {{"offset", std::to_string(Known)}});
   }
 }
--- a/src/entry.h
+++ b/src/entry.h
@@ -41,7 +41,8 @@
   settings Settings;
   const runtime_clock &Clock;
   config_source Config;
-  prior_quality Quality;
+  quality_table Quality;
+  rater_client Rater;
   session_token_codec Tokens;
   open_admission Admission;
   placer Placer;
--- /dev/null
+++ b/src/quality.cpp
@@ -0,0 +1,248 @@
+#include "quality.h"
+
+#include "config.h"
+
+#include <algorithm>
+#include <boost/math/distributions/beta.hpp>
+#include <cmath>
+#include <xxhash.h>
+
+namespace clementinelane {
+
+namespace {
+
+/// A Beta shape must be above zero; this is far below one rating.
+constexpr double SmallestShape = 0.01;
+
+double quantile(double Good, double Bad, double Probability) {
+  const boost::math::beta_distribution<> Beta(std::max(Good, SmallestShape),
+                                              std::max(Bad, SmallestShape));
+  return boost::math::quantile(Beta, Probability);
+}
+
+} // namespace
+
+void rating_sum::add(double Value) {
+  // Harm prevented: a version that was good for a year and turns bad today
+  // being judged by the year. Old ratings fade with a memory of RatingMemory.
+  const double Keep = 1 - 1 / config::RatingMemory;
+  Weight = Weight * Keep + 1;
+  Score = Score * Keep + Value;
+}
+
+void rating_sum::addAll(const rating_sum &Other) {
+  Weight += Other.Weight;
+  Score += Other.Score;
+}
+
+quality_table::shard &quality_table::shardOf(std::string_view Version) const {
+  return Shards[XXH3_64bits(Version.data(), Version.size()) % ShardCount];
+}
+
+// Load: every request, for each version it might take. Harm prevented: a
+// customer whose documents are harder than most judged by the others, and a
+// customer with few ratings judged by chance.
+rating_sum quality_table::blend(rating_sum Own, rating_sum Others, double Cap) {
+  Others.Weight = std::max(Others.Weight - Own.Weight, 0.0);
+  Others.Score = std::clamp(Others.Score - Own.Score, 0.0, Others.Weight);
+  if (Others.Weight > Cap) {
+    Others.Score *= Cap / Others.Weight;
+    Others.Weight = Cap;
+  }
+  Own.addAll(Others);
+  return Own;
+}
+
+quality_table::cached_bound
+quality_table::boundOf(const version_spec &Version, std::string_view Work,
+                       std::string_view Customer) const {
+  shard &Shard = shardOf(Version.Name);
+  const std::scoped_lock Lock(Shard.Mutex);
+  work_ratings &Ratings = Shard.Work[work_key(Version.Name, std::string(Work))];
+  rating_sum Own;
+  if (const auto Mine = Ratings.ByCustomer.find(Customer);
+      Mine != Ratings.ByCustomer.end())
+    Own = Mine->second.All;
+  rating_sum Others = Ratings.All.All;
+  Others.addAll(
+      {Version.QualityWeight, Version.QualityWeight * Version.Quality});
+  const rating_sum Sum = blend(Own, Others, config::CustomerPriorWeight);
+  const auto Known = Ratings.Bounds.find(Customer);
+  cached_bound &Bound = Known == Ratings.Bounds.end()
+                            ? Ratings.Bounds[std::string(Customer)]
+                            : Known->second;
+  // The quantile costs some 20 microseconds; a fraction of one rating can't
+  // move it by anything that matters.
+  const bool IsFresh =
+      std::abs(Bound.From.Weight - Sum.Weight) < config::BoundTolerance &&
+      std::abs(Bound.From.Score - Sum.Score) < config::BoundTolerance;
+  if (!IsFresh) {
+    const double Bad = Sum.Weight - Sum.Score;
+    Bound = {Sum, quantile(Sum.Score, Bad, config::QualityDoubt),
+             quantile(Sum.Score, Bad, 1 - config::QualityDoubt)};
+  }
+  return Bound;
+}
+
+double quality_table::lowerBound(const version_spec &Version,
+                                 std::string_view Work,
+                                 std::string_view Customer) const {
+  return boundOf(Version, Work, Customer).Lower;
+}
+
+double quality_table::upperBound(const version_spec &Version,
+                                 std::string_view Work,
+                                 std::string_view Customer) const {
+  return boundOf(Version, Work, Customer).Upper;
+}
+
+void quality_table::rating_group::add(double Score, double Confidence) {
+  All.add(Score);
+  if (Confidence >= 0)
+    BySignal[binOf(Confidence)].add(Score);
+}
+
+std::size_t quality_table::binOf(double Confidence) {
+  const double Scaled = std::clamp(Confidence, 0.0, 1.0) * SignalBins;
+  return std::min(static_cast<std::size_t>(Scaled), SignalBins - 1);
+}
+
+// Load: each first answer of a cascade. Harm prevented: weak answers let
+// through because the engine is sure of itself without reason, and dear ones
+// paid for where the cheap one does. The signal counts only as far as ratings
+// bear it out. The bin alone must be nearly good enough, or surer ones would
+// carry it; together they must meet the target.
+bool quality_table::meetsTarget(const work_ratings &Ratings,
+                                std::string_view Customer, std::size_t Bin,
+                                double Target) {
+  const rating_sum &Own = Ratings.All.BySignal[Bin];
+  if (Own.Weight < config::CascadeBinRatings ||
+      Own.Score / Own.Weight < Target - config::CascadeBinSlack)
+    return false;
+  const rating_sum Sure = sureSum(Ratings, Customer, Bin);
+  return quantile(Sure.Score, Sure.Weight - Sure.Score, config::QualityDoubt) >=
+         Target;
+}
+
+rating_sum quality_table::sureSum(const work_ratings &Ratings,
+                                  std::string_view Customer, std::size_t Bin) {
+  const auto Mine = Ratings.ByCustomer.find(Customer);
+  rating_sum Own;
+  rating_sum All;
+  for (std::size_t Index = Bin; Index < SignalBins; ++Index) {
+    All.addAll(Ratings.All.BySignal[Index]);
+    if (Mine != Ratings.ByCustomer.end())
+      Own.addAll(Mine->second.BySignal[Index]);
+  }
+  return blend(Own, All, config::CustomerPriorWeight);
+}
+
+bool quality_table::acceptsCascade(const version_spec &Version,
+                                   std::string_view Work,
+                                   std::string_view Customer, double Confidence,
+                                   double Target) const {
+  if (Confidence < 0)
+    return false;
+  const shard &Shard = shardOf(Version.Name);
+  const std::scoped_lock Lock(Shard.Mutex);
+  const auto Found = Shard.Work.find(work_key(Version.Name, std::string(Work)));
+  return Found != Shard.Work.end() &&
+         meetsTarget(Found->second, Customer, binOf(Confidence), Target);
+}
+
+double quality_table::cascadeShare(const version_spec &Version,
+                                   std::string_view Work,
+                                   std::string_view Customer,
+                                   double Target) const {
+  const shard &Shard = shardOf(Version.Name);
+  const std::scoped_lock Lock(Shard.Mutex);
+  const auto Found = Shard.Work.find(work_key(Version.Name, std::string(Work)));
+  if (Found == Shard.Work.end())
+    return 0;
+  double Accepted = 0;
+  double Total = 0;
+  for (std::size_t Bin = 0; Bin < SignalBins; ++Bin) {
+    const double Weight = Found->second.All.BySignal[Bin].Weight;
+    Total += Weight;
+    if (meetsTarget(Found->second, Customer, Bin, Target))
+      Accepted += Weight;
+  }
+  return Total > 0 ? Accepted / Total : 0;
+}
+
+bool quality_table::isBraked(std::string_view Version) const {
+  const std::scoped_lock Lock(WatchMutex);
+  return std::any_of(Watches.begin(), Watches.end(), [&](const auto &Item) {
+    return Item.second.To == Version && Item.second.Test.isRejected();
+  });
+}
+
+void quality_table::follow(const configuration &Config) {
+  const std::scoped_lock Lock(WatchMutex);
+  std::erase_if(Watches, [&](const auto &Item) {
+    const auto Rollout = Config.Rollouts.find(Item.first);
+    return Rollout == Config.Rollouts.end() ||
+           Rollout->second.To != Item.second.To ||
+           Rollout->second.From != Item.second.From;
+  });
+  for (const auto &[Name, Rollout] : Config.Rollouts) {
+    const auto [Watch, IsNew] = Watches.try_emplace(
+        Name, rollout_watch{Rollout.From, Rollout.To, Rollout.Step,
+                            sequential_test(config::RolloutFalseStops), 0});
+    if (!IsNew && Watch->second.Step != Rollout.Step) {
+      Watch->second.Step = Rollout.Step;
+      Watch->second.StepRatings = 0;
+    }
+  }
+}
+
+void quality_table::add(const configuration &Config,
+                        const answer_rating &Rating) {
+  if (!Config.Versions.contains(Rating.Version) || std::isnan(Rating.Score))
+    return;
+  const double Score = std::clamp(Rating.Score, 0.0, 1.0);
+  // The test looks before the table changes, so that its null mean doesn't
+  // depend on the score it is to judge.
+  watch(Config, Rating);
+  shard &Shard = shardOf(Rating.Version);
+  const std::scoped_lock Lock(Shard.Mutex);
+  work_ratings &Ratings = Shard.Work[work_key(Rating.Version, Rating.Work)];
+  Ratings.All.add(Score, Rating.Confidence);
+  Ratings.ByCustomer[Rating.Customer].add(Score, Rating.Confidence);
+}
+
+// Load: one rating of a version that is being rolled out. Harm prevented: a
+// bad version taking a growing share of new sessions while its ratings trickle
+// in, and a good one stopped by chance. A candidate may be RolloutMargin worse
+// than what is known for sure of the old version.
+void quality_table::watch(const configuration &Config,
+                          const answer_rating &Rating) {
+  const std::scoped_lock Lock(WatchMutex);
+  for (auto &[Name, Watch] : Watches) {
+    if (Watch.To != Rating.Version)
+      continue;
+    const auto From = Config.Versions.find(Watch.From);
+    if (From == Config.Versions.end())
+      continue;
+    const double Known = lowerBound(From->second, Rating.Work, Rating.Customer);
+    Watch.Test.add(std::clamp(Rating.Score, 0.0, 1.0),
+                   Known - config::RolloutMargin);
+    ++Watch.StepRatings;
+  }
+}
+
+std::vector<candidate_verdict> quality_table::verdicts() const {
+  const std::scoped_lock Lock(WatchMutex);
+  std::vector<candidate_verdict> Verdicts;
+  for (const auto &[Name, Watch] : Watches) {
+    candidate_state State = candidate_state::Undecided;
+    if (Watch.Test.isRejected())
+      State = candidate_state::Bad;
+    else if (Watch.StepRatings >= config::RolloutStepRatings)
+      State = candidate_state::Good;
+    Verdicts.push_back({Name, Watch.To, State, Watch.StepRatings});
+  }
+  return Verdicts;
+}
+
+} // namespace clementinelane
--- /dev/null
+++ b/src/rater.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include "config_source.h"
+#include "quality.h"
+
+#include <condition_variable>
+#include <cstdint>
+#include <deque>
+#include <mutex>
+#include <string>
+#include <string_view>
+#include <thread>
+
+namespace clementinelane {
+
+/// An answer to be rated.
+struct answer_sample {
+  std::string RequestId;
+  std::string Customer;
+  std::string Work;
+  std::string Version;
+  std::string Answer;
+  double Confidence = -1;
+};
+
+/// Sends samples to the platform's rating service and reads its ratings:
+///   POST /v1/ratings  {"request_id","customer","work","version","answer",
+///                      "confidence"} -> 202
+///   GET  /v1/ratings?from=n -> {"next": n, "ratings": [{"request_id",
+///                      "customer","work","version","score","confidence"}]}
+/// Samples are dropped when the service is slow or away: ratings are only
+/// evidence, and nothing waits for them.
+class rater_client {
+public:
+  /// `Address` may be empty: no ratings then.
+  rater_client(std::string_view Address, const config_source &Config,
+               quality_table &Table);
+  ~rater_client();
+  rater_client(const rater_client &) = delete;
+  rater_client &operator=(const rater_client &) = delete;
+
+  void offer(answer_sample Sample);
+
+private:
+  void sendSamples();
+  void readRatings();
+  bool waitBeforeNext();
+
+  std::string Base;
+  const config_source &Config;
+  quality_table &Table;
+  std::mutex Mutex;
+  std::condition_variable Changed;
+  std::deque<answer_sample> Samples;
+  bool Stopping = false;
+  std::thread Sender;
+  std::thread Reader;
+};
+
+} // namespace clementinelane
--- a/src/request_machine.cpp
+++ b/src/request_machine.cpp
@@ -166,10 +166,12 @@
   Parts.push_back({Plan.Versions[Step], Endpoint, Event.PromptTokens,
                    Event.CompletionTokens,
                    Tokens1k * Plan.CostsPer1kTokens[Step]});
+  if (Plan.IsSampled)
+    emit(action::sample{Plan.Versions[Step], textOf(Tokens), Event.Confidence});
   if (!mayEscalate())
     return keepUsage();
   State = state::Rating;
-  emit(action::rate{Plan.Versions[Step], textOf(Tokens)});
+  emit(action::rate{Plan.Versions[Step], Event.Confidence});
 }
 
 void request_machine::on(const event::rated &Event) {
--- a/src/request_machine.h
+++ b/src/request_machine.h
@@ -30,7 +30,8 @@
   std::vector<std::string> Versions; ///< in order of escalation, or one service
   std::vector<double> CostsPer1kTokens; ///< beside Versions
   bool Idempotent = true;
-  intent_key Intent; ///< for non-idempotent work
+  bool IsSampled = false; ///< its answers are sent to the rating service
+  intent_key Intent;      ///< for non-idempotent work
 };
 
 /// What happens to a request. An event that names an attempt is dropped if
@@ -66,6 +67,7 @@
   std::uint64_t PromptTokens;
   std::uint64_t CompletionTokens;
   std::string FinishReason;
+  double Confidence = -1; ///< the engine's signal, 0 to 1; below 0: none
 };
 struct failed {
   unsigned Attempt;
@@ -130,9 +132,16 @@
 struct drop_connections {
   std::string Endpoint;
 };
+/// Ask whether a cascade may end with this answer.
 struct rate {
+  std::string Version;
+  double Confidence;
+};
+/// Send the answer to the rating service.
+struct sample {
   std::string Version;
   std::string Answer;
+  double Confidence;
 };
 struct send_head {
   std::uint32_t Status;
@@ -172,10 +181,11 @@
                  request_action::place, request_action::dispatch,
                  request_action::cancel, request_action::release,
                  request_action::drop_connections, request_action::rate,
-                 request_action::send_head, request_action::send_tokens,
-                 request_action::keep_usage, request_action::record_outcome,
-                 request_action::send_end, request_action::send_error,
-                 request_action::send_replay, request_action::done>;
+                 request_action::sample, request_action::send_head,
+                 request_action::send_tokens, request_action::keep_usage,
+                 request_action::record_outcome, request_action::send_end,
+                 request_action::send_error, request_action::send_replay,
+                 request_action::done>;
 
 /// The life of one request, without I/O: admission, intent, attempts, resume,
 /// cascade, usage, outcome, answer.
--- a/src/request_runner.cpp
+++ b/src/request_runner.cpp
@@ -1,5 +1,6 @@
 #include "request_runner.h"
 
+#include "config.h"
 #include "logs.h"
 
 #include <algorithm>
@@ -19,6 +20,13 @@
                    "\n" + Request.Body);
 }
 
+/// Whether a stable `Share` of all requests holds this one.
+bool isSampled(std::string_view RequestId, double Share) {
+  constexpr std::uint64_t Steps = 1'000'000;
+  const auto Hash = XXH3_64bits(RequestId.data(), RequestId.size());
+  return static_cast<double>(Hash % Steps) < Share * Steps;
+}
+
 std::string versionPool(const configuration &Config, bool IsService,
                         const std::string &Name) {
   if (IsService)
@@ -26,16 +34,22 @@
   return Config.Versions.at(Name).Pool;
 }
 
+/// What the version was chosen for.
+struct chosen_work {
+  std::string Work;
+  double Target = 0;
+};
+
 /// One request under way: a mailbox before its machine, so that events from
 /// many threads are taken one by one and in order.
 class request_run : public std::enable_shared_from_this<request_run> {
 public:
   request_run(request_services Services, caller_request Request,
               request_plan Plan, answer_former Former,
-              admission_request Admission)
+              admission_request Admission, chosen_work Choice)
       : Services(std::move(Services)), Request(std::move(Request)),
-        Admission(std::move(Admission)), Machine(std::move(Plan)),
-        Former(std::move(Former)) {
+        Admission(std::move(Admission)), Choice(std::move(Choice)),
+        Machine(std::move(Plan)), Former(std::move(Former)) {
     ++this->Services.Open;
   }
   ~request_run() { --Services.Open; }
@@ -170,7 +184,25 @@
     Services.Transport.dropConnections(Address);
   }
 
-  void perform(const action::rate &) { post(event::rated{true}); }
+  void perform(const action::rate &Rate) {
+    const configuration_ptr Current = Services.Config.get();
+    const auto Version = Current->Versions.find(Rate.Version);
+    const bool Accepted = Version != Current->Versions.end() &&
+                          Services.Quality.acceptsCascade(
+                              Version->second, Choice.Work, Admission.Customer,
+                              Rate.Confidence, Choice.Target);
+    logs::decision("cascade", {{"request", Request.Id},
+                               {"version", Rate.Version},
+                               {"confidence", std::to_string(Rate.Confidence)},
+                               {"target", std::to_string(Choice.Target)},
+                               {"accepted", Accepted ? "true" : "false"}});
+    post(event::rated{Accepted});
+  }
+
+  void perform(const action::sample &Sample) {
+    Services.Rater.offer({Request.Id, Admission.Customer, Choice.Work,
+                          Sample.Version, Sample.Answer, Sample.Confidence});
+  }
 
   void perform(const action::send_head &Head) { Former.head(Head); }
   void perform(const action::send_tokens &Send) { Former.tokens(Send.Tokens); }
@@ -209,6 +241,7 @@
   request_services Services;
   caller_request Request;
   admission_request Admission;
+  chosen_work Choice;
   request_machine Machine;
   answer_former Former;
   std::string Address;
@@ -222,6 +255,7 @@
 /// A request's plan, or the reason to refuse it.
 struct planned_request {
   request_plan Plan;
+  double Target = 0;
   session_binding Binding; ///< to sign into the answer's token
   std::string Reason;
   std::string RunnerUp;
@@ -261,23 +295,29 @@
   }
   const std::string &Session =
       Request.SessionId.empty() ? Request.Id : Request.SessionId;
-  auto Chosen = chooseVersion(Config, {Customer, Request.Model, Session, Bound},
-                              Services.Quality);
+  const bool HasSession = Bound || !Request.SessionId.empty();
+  const bool MayExplore = !HasSession && !Request.NonIdempotent &&
+                          Request.Priority != priority::Counter;
+  auto Chosen = chooseVersion(
+      Config, {Customer, Request.Model, Session, Bound, HasSession, MayExplore},
+      Services.Quality);
   if (!Chosen)
     return Chosen.error();
   const version_plan &Choice = Chosen.value();
   planned_request Planned;
   Planned.Plan.Idempotent = !Request.NonIdempotent;
   Planned.Plan.Work = Choice.Work;
-  // Sessions stay on one version, and work that may not be repeated runs once:
-  // neither takes part in a cascade.
-  const bool IsSingle =
-      !Planned.Plan.Idempotent || Bound || !Request.SessionId.empty();
-  for (const version_spec &Version : Choice.Versions) {
-    Planned.Plan.Versions.push_back(Version.Name);
-    Planned.Plan.CostsPer1kTokens.push_back(Version.CostPer1kTokens);
-    if (IsSingle)
-      break;
+  Planned.Plan.IsSampled =
+      Choice.IsExploring || isSampled(Request.Id, config::RatingShare);
+  Planned.Target = Choice.Target;
+  // Work that may not be repeated runs once, on the version that meets the
+  // target: the last of the plan.
+  const std::size_t First =
+      Planned.Plan.Idempotent ? 0 : Choice.Versions.size() - 1;
+  for (std::size_t Index = First; Index < Choice.Versions.size(); ++Index) {
+    Planned.Plan.Versions.push_back(Choice.Versions[Index].Name);
+    Planned.Plan.CostsPer1kTokens.push_back(
+        Choice.Versions[Index].CostPer1kTokens);
   }
   Planned.Binding =
       Bound ? *Bound
@@ -359,9 +399,9 @@
       Request.Priority,
       Request.PromptTokens + Request.MaxTokens,
       Services.Clock.now() + Request.TimeLeft};
-  auto Run = std::make_shared<request_run>(Services, std::move(Request),
-                                           std::move(Plan), std::move(Former),
-                                           std::move(Admission));
+  auto Run = std::make_shared<request_run>(
+      Services, std::move(Request), std::move(Plan), std::move(Former),
+      std::move(Admission), chosen_work{Planned.Binding.Work, Planned.Target});
   Writer->onGone([Weak = std::weak_ptr(Run)] {
     if (const auto Self = Weak.lock())
       Self->post(event::caller_gone{});
--- a/src/request_runner.h
+++ b/src/request_runner.h
@@ -7,6 +7,7 @@
 #include "endpoint_client.h"
 #include "intents.h"
 #include "placement.h"
+#include "rater.h"
 #include "request.h"
 #include "session_token.h"
 #include "timers.h"
@@ -29,6 +30,7 @@
   placer &Placer;
   intent_service &Intents;
   usage_service &Usage;
+  rater_client &Rater;
   endpoint_transport &Transport;
   timer_service &Timers;
   std::string VmName;
--- a/src/version_choice.h
+++ b/src/version_choice.h
@@ -18,6 +18,18 @@
   /// Lower confidence bound of the share of good answers, 0 to 1.
   virtual double lowerBound(const version_spec &Version, std::string_view Work,
                             std::string_view Customer) const = 0;
+  /// Upper confidence bound of the same.
+  virtual double upperBound(const version_spec &Version, std::string_view Work,
+                            std::string_view Customer) const = 0;
+  /// Whether a cascade may end with an answer of `Version` that the engine is
+  /// sure of to the degree `Confidence` (below 0: not said).
+  virtual bool acceptsCascade(const version_spec &Version,
+                              std::string_view Work, std::string_view Customer,
+                              double Confidence, double Target) const = 0;
+  /// Share of the answers of `Version` that a cascade would end with, 0 to 1.
+  virtual double cascadeShare(const version_spec &Version,
+                              std::string_view Work, std::string_view Customer,
+                              double Target) const = 0;
   /// Whether this VM has stopped sending new sessions to `Version` by itself.
   virtual bool isBraked(std::string_view Version) const = 0;
 };
@@ -29,6 +41,18 @@
                     std::string_view) const override {
     return Version.Quality;
   }
+  double upperBound(const version_spec &Version, std::string_view,
+                    std::string_view) const override {
+    return Version.Quality;
+  }
+  bool acceptsCascade(const version_spec &Version, std::string_view,
+                      std::string_view, double, double Target) const override {
+    return Version.Quality >= Target;
+  }
+  double cascadeShare(const version_spec &Version, std::string_view,
+                      std::string_view, double Target) const override {
+    return Version.Quality >= Target ? 1 : 0;
+  }
   bool isBraked(std::string_view) const override { return false; }
 };
 
@@ -37,6 +61,14 @@
   std::string_view Model;     ///< work, model, or model@version
   std::string_view SessionId; ///< or the request's id, where there is none
   std::optional<session_binding> Bound;
+  bool HasSession = false; ///< sessions take no part in a cascade
+  bool MayExplore = false; ///< nobody's session, booking or counter hangs on it
+};
+
+/// Why a version was not considered.
+struct version_exclusion {
+  std::string Version;
+  std::string Reason;
 };
 
 /// The versions a request may run on, in the order to try them.
@@ -44,8 +76,10 @@
   std::string Work; ///< empty where a model was named
   double Target = 0;
   bool Cascade = false;
+  bool IsExploring = false;           ///< its answers are always rated
   std::vector<version_spec> Versions; ///< the choice first; more only to
                                       ///< escalate a cascade
+  std::vector<version_exclusion> Excluded;
   std::string Reason;
   std::string RunnerUp;
 };
