Keep answers whole and refusals true in every order of events

Cause, found by reading the machine against each state and event: - a read with tokens on both sides of a gap took the first ones as received but never sent them, so the resume skipped them and the caller's answer was cut in the middle; - an end was believed without looking at its count or finish reason; - an endpoint's "not run" was believed after it had begun to answer, so a booking could be sent twice; - a place told after the caller had left was never given back; - a silent endpoint that left at the same moment ended the request, though other endpoints were there; - a cascade whose next version had no endpoint told "not run" after the cheap one had run, lost the cheap part's usage, and drew its first attempt at the next version from the retry budget.

Ruled out: resuming a stream of a withdrawn version; see DESIGN.

Conclusion: attempts given back by us are attempt_outcome::Cancelled, so that callers who leave don't count against the endpoint; usage parts say whether they were delivered.

--- a/src/placement.h
+++ b/src/placement.h
@@ -29,7 +29,13 @@
 };
 
 /// How an attempt at an endpoint ended.
-enum class attempt_outcome : std::uint8_t { Answered, Refused, Failed, Silent };
+enum class attempt_outcome : std::uint8_t {
+  Answered,
+  Refused,
+  Failed,
+  Silent,
+  Cancelled ///< given back by us; says nothing of the endpoint
+};
 
 /// Chooses an endpoint of a pool for each attempt.
 class placer {
--- a/src/request_machine.cpp
+++ b/src/request_machine.cpp
@@ -39,6 +39,8 @@
 request_machine::handle(const request_input &Event) {
   if (State != state::Done)
     std::visit([this](const auto &Each) { on(Each); }, Event);
+  else if (const auto *Placed = std::get_if<event::placed>(&Event))
+    on(*Placed);
   return std::exchange(Actions, {});
 }
 
@@ -88,20 +90,29 @@
 
 void request_machine::placeNext(std::string Only) {
   State = state::Placing;
+  OnFreshOnly = !Only.empty();
+  // The first attempt of a cascade's next version is no retry: it must not
+  // draw on the retry budget.
   emit(action::place{Plan.Versions[Step], Exclude, std::move(Only),
-                     Attempts > 0});
+                     StepAttempts > 0});
 }
 
+// Guard: a caller may go away between placement and the event that tells of
+// it. Dropping that event would leave the attempt counted at the endpoint for
+// good, which shows as an endpoint that slowly takes less and less. A place
+// that nobody waits for is given back.
 void request_machine::on(const event::placed &Event) {
   if (State != state::Placing)
-    return;
+    return emit(action::release{Event.Endpoint, attempt_outcome::Cancelled});
   if (CallerTold) {
-    emit(action::release{Event.Endpoint, attempt_outcome::Refused});
+    emit(action::release{Event.Endpoint, attempt_outcome::Cancelled});
     return giveUp(error_kind::Cancelled, run_state::NotRun);
   }
   State = state::Dispatched;
   Endpoint = Event.Endpoint;
+  AttemptAnswered = false;
   ++Attempts;
+  ++StepAttempts;
   emit(action::dispatch{Attempts, Plan.Versions[Step], Endpoint, NextToken,
                         textOf(Tokens)});
 }
@@ -109,10 +120,25 @@
 void request_machine::on(const event::not_placed &Event) {
   if (State != state::Placing)
     return;
-  // After a failed attempt the first failure says more than "no endpoint".
-  if (GivenUp != error_kind::Ok)
-    return giveUp(GivenUp, GivenUpRan);
-  giveUp(Event.Kind, run_state::NotRun);
+  // The silent endpoint takes nothing new, so there is no fresh connection to
+  // it; another one may still end the answer.
+  if (OnFreshOnly && Event.Kind == error_kind::NoEndpoint) {
+    Exclude.push_back(Endpoint);
+    return placeNext("");
+  }
+  // After a failed attempt the first failure says more than "no endpoint"; that
+  // the version was withdrawn meanwhile says more than the failure.
+  const bool IsWithdrawn = Event.Kind == error_kind::NoVersionActive;
+  const error_kind Kind =
+      GivenUp == error_kind::Ok || IsWithdrawn ? Event.Kind : GivenUp;
+  giveUp(Kind, ranSoFar());
+}
+
+// Guard: "not run" told after a cheaper version of the cascade has answered, or
+// after an attempt that may go on, would be false.
+run_state request_machine::ranSoFar() const {
+  return Parts.empty() ? GivenUpRan
+                       : std::max(GivenUpRan, run_state::MayHaveRun);
 }
 
 // Guard: an answer that comes late, after a resume on another endpoint, would
@@ -125,6 +151,7 @@
 void request_machine::on(const event::head &Event) {
   if (!isCurrent(Event.Attempt))
     return;
+  AttemptAnswered = true;
   Status = Event.Status;
   ContentType = Event.ContentType;
 }
@@ -132,22 +159,28 @@
 void request_machine::on(const event::tokens &Event) {
   if (!isCurrent(Event.Attempt))
     return;
+  AttemptAnswered = true;
   std::vector<answer_token> Fresh;
+  bool HasGap = false;
   for (const answer_token &Token : Event.Tokens) {
     // Guard: an engine may repeat tokens after a resume, or lose some. Repeats
     // are dropped; a gap ends the attempt, and the next resumes before it, so
-    // that the caller never gets a cut answer as a whole one.
+    // that the caller never gets a cut answer as a whole one. Tokens before the
+    // gap count as received and go out: the resume starts after them.
     if (Token.Index < NextToken)
       continue;
-    if (Token.Index > NextToken) {
-      emit(action::cancel{Attempts});
-      emit(action::release{Endpoint, attempt_outcome::Failed});
-      return retryOrGiveUp(error_kind::EndpointFailed, run_state::MayHaveRun);
-    }
+    if (HasGap = Token.Index > NextToken; HasGap)
+      break;
     ++NextToken;
     Tokens.push_back(Token);
     Fresh.push_back(Token);
   }
+  sendFresh(std::move(Fresh));
+  if (HasGap)
+    abandonAttempt();
+}
+
+void request_machine::sendFresh(std::vector<answer_token> Fresh) {
   // An answer that may yet be thrown away by the cascade is held.
   if (Fresh.empty() || mayEscalate() || CallerTold)
     return;
@@ -156,9 +189,28 @@
   emit(action::send_tokens{std::move(Fresh)});
 }
 
+void request_machine::abandonAttempt() {
+  emit(action::cancel{Attempts});
+  emit(action::release{Endpoint, attempt_outcome::Failed});
+  retryOrGiveUp(error_kind::EndpointFailed, run_state::MayHaveRun);
+}
+
+// Guard: an endpoint may end an answer before its last token, by a lost event
+// or by a connection that something closed in order. It shows as an end
+// without a finish reason, or with a count that differs from what came. Such
+// an end is a gap like any other.
+bool request_machine::isWhole(const event::finished &Event) const {
+  if (Event.FinishReason.empty())
+    return false;
+  const bool IsStated = Event.Counted || Event.CompletionTokens != 0;
+  return !IsStated || Event.CompletionTokens == NextToken;
+}
+
 void request_machine::on(const event::finished &Event) {
   if (!isCurrent(Event.Attempt))
     return;
+  if (!isWhole(Event))
+    return abandonAttempt();
   emit(action::release{Endpoint, attempt_outcome::Answered});
   End = Event;
   const double Tokens1k =
@@ -177,21 +229,30 @@
     return;
   if (Event.Accepted)
     return keepUsage();
+  // The discarded answer cost what it cost, but was never delivered.
+  Parts.back().Delivered = false;
   ++Step;
+  StepAttempts = 0;
   NextToken = 0;
   Tokens.clear();
   Exclude.clear();
+  SilentEndpoint.clear();
+  GivenUp = error_kind::Ok;
   placeNext("");
 }
 
 void request_machine::on(const event::failed &Event) {
   if (!isCurrent(Event.Attempt))
     return;
-  emit(action::release{Endpoint, Event.Ran == run_state::NotRun
+  // Guard: an endpoint that refuses after it began to answer has run the work,
+  // at least in part. Taking its word would repeat a booking.
+  const run_state Ran =
+      AttemptAnswered ? std::max(Event.Ran, run_state::MayHaveRun) : Event.Ran;
+  emit(action::release{Endpoint, Ran == run_state::NotRun
                                      ? attempt_outcome::Refused
                                      : attempt_outcome::Failed});
   Exclude.push_back(Endpoint);
-  retryOrGiveUp(Event.Kind, Event.Ran);
+  retryOrGiveUp(Event.Kind, Ran);
 }
 
 void request_machine::on(const event::silent &Event) {
@@ -208,7 +269,7 @@
   SilentEndpoint = Endpoint;
   if (IsSecond)
     Exclude.push_back(Endpoint);
-  else if (Plan.Idempotent && Attempts < config::MaxAttempts) {
+  else if (Plan.Idempotent && StepAttempts < config::MaxAttempts) {
     GivenUp = error_kind::EndpointSilent;
     GivenUpRan = run_state::MayHaveRun;
     return placeNext(Endpoint);
@@ -218,21 +279,21 @@
 
 // Load: a pool that fails under many requests at once. Harm prevented: work
 // that may not be repeated running twice; attempts that multiply the load on
-// what is left. MaxAttempts bounds one request; the shell's retry budget, asked
-// when placing, bounds all.
+// what is left. MaxAttempts bounds one request at each version; the shell's
+// retry budget, asked when placing, bounds all.
 void request_machine::retryOrGiveUp(error_kind Kind, run_state Ran) {
   GivenUp = Kind;
   GivenUpRan = std::max(GivenUpRan, Ran);
   const bool MayRepeat = Plan.Idempotent || Ran == run_state::NotRun;
-  if (CallerTold || !MayRepeat || Attempts >= config::MaxAttempts)
-    return giveUp(GivenUp, GivenUpRan);
+  if (CallerTold || !MayRepeat || StepAttempts >= config::MaxAttempts)
+    return giveUp(GivenUp, ranSoFar());
   placeNext("");
 }
 
 void request_machine::giveUp(error_kind Kind, run_state Ran) {
   tellCaller(Kind, Ran);
   if (Plan.Idempotent)
-    return finish();
+    return closeOut();
   recordEnd(Ran == run_state::NotRun ? intent_end::NotRun
                                      : intent_end::Unknown);
 }
@@ -291,6 +352,16 @@
   finish();
 }
 
+// The end of a request without an answer. Versions of the cascade that answered
+// have cost something, and their parts are kept as not delivered.
+void request_machine::closeOut() {
+  if (Parts.empty())
+    return finish();
+  for (usage_part &Part : Parts)
+    Part.Delivered = false;
+  keepUsage();
+}
+
 void request_machine::finish() {
   State = state::Done;
   emit(action::done{});
@@ -298,24 +369,28 @@
 
 void request_machine::on(const event::caller_gone &) {
   CallerTold = true;
-  const bool Dispatched = State == state::Dispatched;
   // Work that may not be repeated is awaited, and its outcome recorded; the
-  // same holds for an intent that is under way.
-  if (!Plan.Idempotent && State != state::Admitting)
+  // same holds for an intent that is under way. A bill that is being kept is
+  // awaited too: the work has run.
+  const bool IsAwaited = !Plan.Idempotent && State > state::Admitting;
+  if (IsAwaited || State == state::KeepingUsage)
     return;
-  if (Dispatched) {
+  if (State == state::Dispatched) {
     emit(action::cancel{Attempts});
-    emit(action::release{Endpoint, attempt_outcome::Refused});
+    emit(action::release{Endpoint, attempt_outcome::Cancelled});
   }
-  if (State != state::KeepingUsage)
-    finish();
+  closeOut();
 }
 
 void request_machine::on(const event::deadline &) {
+  const bool HasRun =
+      State == state::KeepingUsage || State == state::RecordingOutcome;
   const bool MayHaveRun = Attempts > 0;
   tellCaller(MayHaveRun ? error_kind::DeadlinePassed
                         : error_kind::DeadlineTooShort,
-             MayHaveRun ? run_state::MayHaveRun : run_state::NotRun);
+             HasRun       ? run_state::Ran
+             : MayHaveRun ? run_state::MayHaveRun
+                          : run_state::NotRun);
   on(event::caller_gone{});
 }
 
--- a/src/request_machine.h
+++ b/src/request_machine.h
@@ -65,7 +65,8 @@
   unsigned Attempt;
   std::uint64_t PromptTokens;
   std::uint64_t CompletionTokens;
-  std::string FinishReason;
+  std::string FinishReason; ///< empty: the endpoint never said it was whole
+  bool Counted = false;     ///< the endpoint stated CompletionTokens
 };
 struct failed {
   unsigned Attempt;
@@ -220,8 +221,14 @@
   void on(const request_event::deadline &Event);
 
   bool isCurrent(unsigned Attempt) const;
-  bool mayEscalate() const { return Step + 1 < Plan.Versions.size(); }
+  bool mayEscalate() const {
+    return Plan.Idempotent && Step + 1 < Plan.Versions.size();
+  }
+  bool isWhole(const request_event::finished &Event) const;
+  run_state ranSoFar() const;
   void placeNext(std::string Only);
+  void sendFresh(std::vector<answer_token> Fresh);
+  void abandonAttempt();
   void retryOrGiveUp(error_kind Kind, run_state Ran);
   void giveUp(error_kind Kind, run_state Ran);
   void tellCaller(error_kind Kind, run_state Ran,
@@ -229,16 +236,20 @@
   void recordEnd(intent_end End);
   void complete();
   void keepUsage();
+  void closeOut();
   void finish();
   void emit(request_output Action) { Actions.push_back(std::move(Action)); }
 
   request_plan Plan;
   state State = state::Idle;
   std::vector<request_output> Actions;
-  unsigned Attempts = 0; ///< also the id of the current attempt
-  std::size_t Step = 0;  ///< index into Plan.Versions
+  unsigned Attempts = 0;     ///< also the id of the current attempt
+  unsigned StepAttempts = 0; ///< those at the current version
+  std::size_t Step = 0;      ///< index into Plan.Versions
   std::string Endpoint;
-  std::string SilentEndpoint; ///< was silent once, gets one fresh connection
+  std::string SilentEndpoint;   ///< was silent once, gets one fresh connection
+  bool OnFreshOnly = false;     ///< placing at SilentEndpoint and no other
+  bool AttemptAnswered = false; ///< the current attempt sent something
   std::vector<std::string> Exclude;
   std::uint64_t NextToken = 0;
   std::vector<answer_token> Tokens; ///< all so far, for resume and replay
--- a/src/usage.h
+++ b/src/usage.h
@@ -17,7 +17,9 @@
   std::uint64_t PromptTokens = 0;
   std::uint64_t CompletionTokens = 0;
   double Cost = 0;
-  MSGPACK_DEFINE_MAP(Version, Endpoint, PromptTokens, CompletionTokens, Cost)
+  bool Delivered = true; ///< false: ran, but the caller never got its answer
+  MSGPACK_DEFINE_MAP(Version, Endpoint, PromptTokens, CompletionTokens, Cost,
+                     Delivered)
 };
 
 /// The bill of one request; consumers drop repeats by RequestId.
--- /dev/null
+++ b/tests/request_events_test.cpp
@@ -0,0 +1,158 @@
+// Every event in every state: random walks over the request machine, checked
+// against what a caller and an endpoint may see.
+#define BOOST_TEST_MODULE request_events
+#include "request_machine.h"
+
+#include <boost/test/unit_test.hpp>
+#include <rapidcheck.h>
+
+using namespace clementinelane;
+namespace event = request_event;
+namespace action = request_action;
+
+namespace {
+
+/// What the world around one request has seen of it.
+struct observer {
+  bool Idempotent = true;
+  unsigned Dispatched = 0; ///< attempts that may have run
+  unsigned Attempt = 0;
+  bool MayRun = false; ///< a dispatched attempt was not refused
+  int HeldPlaces = 0;
+  unsigned FinalAnswers = 0;
+  std::uint64_t NextToken = 0;
+  bool UsageKept = false;
+  bool ToldNotRun = false;
+
+  void see(const action::dispatch &Dispatch) {
+    RC_ASSERT(!ToldNotRun);
+    RC_ASSERT(Idempotent || !MayRun);
+    Attempt = Dispatch.Attempt;
+    MayRun = true;
+  }
+  void see(const action::release &) { --HeldPlaces; }
+  void see(const action::send_tokens &Sent) {
+    RC_ASSERT(FinalAnswers == 0U);
+    for (const answer_token &Token : Sent.Tokens)
+      RC_ASSERT(Token.Index == NextToken++);
+  }
+  void see(const action::send_end &End) {
+    RC_ASSERT(++FinalAnswers == 1U);
+    RC_ASSERT(UsageKept);
+    RC_ASSERT(End.CompletionTokens == NextToken);
+  }
+  void see(const action::send_error &Error) {
+    RC_ASSERT(++FinalAnswers == 1U);
+    ToldNotRun = Error.Ran == run_state::NotRun;
+    RC_ASSERT(!ToldNotRun || !MayRun);
+  }
+  void see(const action::send_replay &) { RC_ASSERT(++FinalAnswers == 1U); }
+  template <typename T> void see(const T &) {}
+};
+
+constexpr std::uint64_t AnswerLength = 4;
+
+/// An event of any kind; its attempt is the current one or an earlier one.
+request_input arbitraryEvent(const observer &Seen) {
+  const unsigned Back = *rc::gen::inRange(0U, 4U) == 0 ? 1U : 0U;
+  const unsigned Attempt = Seen.Attempt > Back ? Seen.Attempt - Back : 0;
+  const auto First = *rc::gen::inRange<std::uint64_t>(0, AnswerLength + 1);
+  const bool Flag = *rc::gen::arbitrary<bool>();
+  const auto Ran = Flag ? run_state::NotRun : run_state::MayHaveRun;
+  const std::error_code Error = *rc::gen::inRange(0, 4) == 0
+                                    ? error_kind::LogUnavailable
+                                    : error_kind::Ok;
+  const std::vector<request_input> Choices{
+      event::admitted{},
+      event::refused{error_kind::QueueFull},
+      event::intent_decided{
+          {static_cast<intent_status>(*rc::gen::inRange(0, 6)), {}}},
+      event::placed{Flag ? "e1" : "e2"},
+      event::not_placed{error_kind::NoEndpoint},
+      event::head{Attempt, 200, "text/plain"},
+      event::tokens{Attempt, {{First, "a"}, {First + 1, "b"}}},
+      event::tokens{Attempt, {{Seen.NextToken, "n"}}},
+      event::tokens{Attempt,
+                    {{Seen.NextToken, "n"}, {Seen.NextToken + 2, "g"}}},
+      event::finished{Attempt, 1, First, Flag ? "stop" : "", true},
+      event::failed{Attempt, error_kind::EndpointFailed, Ran},
+      event::silent{Attempt},
+      event::rated{Flag},
+      event::usage_kept{Error},
+      event::outcome_recorded{Error},
+      event::caller_gone{},
+      event::deadline{}};
+  return Choices[*rc::gen::inRange<std::size_t>(0, Choices.size())];
+}
+
+void note(observer &Seen, const request_input &Event) {
+  if (std::holds_alternative<event::placed>(Event))
+    ++Seen.HeldPlaces;
+  if (const auto *Kept = std::get_if<event::usage_kept>(&Event))
+    Seen.UsageKept = Seen.UsageKept || !Kept->Error;
+  const auto *Failed = std::get_if<event::failed>(&Event);
+  if (Failed && Failed->Attempt == Seen.Attempt &&
+      Failed->Ran == run_state::NotRun)
+    Seen.MayRun = false;
+  const auto *Head = std::get_if<event::head>(&Event);
+  const auto *Tokens = std::get_if<event::tokens>(&Event);
+  if ((Head && Head->Attempt == Seen.Attempt) ||
+      (Tokens && Tokens->Attempt == Seen.Attempt))
+    Seen.Dispatched = Seen.Attempt;
+}
+
+void feed(request_machine &Machine, observer &Seen,
+          const request_input &Event) {
+  const bool MayRun = Seen.MayRun;
+  note(Seen, Event);
+  // An attempt that had begun to answer is not undone by a refusal.
+  if (MayRun && Seen.Attempt > 0 && Seen.Dispatched == Seen.Attempt)
+    Seen.MayRun = true;
+  for (const request_output &Action : Machine.handle(Event))
+    std::visit([&](const auto &Each) { Seen.see(Each); }, Action);
+}
+
+} // namespace
+
+// Late, repeated and out-of-order events of every kind hit a request. Whatever
+// their order: each token once and in order, one final answer, no end without
+// a kept bill, a booking dispatched again only after a believed refusal, "not
+// run" never told of work that may run, and every place given back.
+BOOST_AUTO_TEST_CASE(any_order_of_events_keeps_the_promises) {
+  const bool Held = rc::check([] {
+    request_plan Plan;
+    Plan.RequestId = "r1";
+    Plan.Idempotent = *rc::gen::arbitrary<bool>();
+    Plan.Versions = {"s@1"};
+    if (*rc::gen::arbitrary<bool>())
+      Plan.Versions.emplace_back("l@1");
+    Plan.CostsPer1kTokens.assign(Plan.Versions.size(), 1);
+    observer Seen;
+    Seen.Idempotent = Plan.Idempotent;
+    request_machine Machine(std::move(Plan));
+    feed(Machine, Seen, event::started{});
+    if (*rc::gen::inRange(0, 4) != 0) {
+      feed(Machine, Seen, event::admitted{});
+      feed(Machine, Seen, event::intent_decided{{intent_status::Won, {}}});
+      feed(Machine, Seen, event::placed{"e1"});
+    }
+    const auto Steps = *rc::gen::inRange(0, 200);
+    for (int Step = 0; Step < Steps; ++Step)
+      feed(Machine, Seen, arbitraryEvent(Seen));
+    // What is still open ends at last: the deadline, the attempt, the log.
+    const std::vector<request_input> Endings{
+        event::deadline{},
+        event::refused{error_kind::QueueFull},
+        event::intent_decided{{intent_status::Unavailable, {}}},
+        event::not_placed{error_kind::NoEndpoint},
+        event::failed{Machine.attempts(), error_kind::EndpointFailed,
+                      run_state::MayHaveRun},
+        event::usage_kept{{}},
+        event::outcome_recorded{{}}};
+    for (const request_input &Ending : Endings)
+      feed(Machine, Seen, Ending);
+    RC_ASSERT(Machine.isDone());
+    RC_ASSERT(Seen.HeldPlaces == 0);
+  });
+  BOOST_TEST(Held);
+}
--- a/tests/request_machine_test.cpp
+++ b/tests/request_machine_test.cpp
@@ -127,3 +127,119 @@
   BOOST_TEST((find<action::send_error>(Out)->Ran == run_state::NotRun));
   BOOST_TEST(Machine.isDone());
 }
+
+// One read brings tokens 0, 1 and 3: an event was lost on the way. The resume
+// starts at 2, so 0 and 1 must reach the caller from this read or never.
+BOOST_AUTO_TEST_CASE(tokens_before_a_gap_reach_the_caller) {
+  request_machine Machine = dispatched(true);
+  const auto Out =
+      Machine.handle(event::tokens{1, {{0, "a"}, {1, "b"}, {3, "x"}}});
+  BOOST_REQUIRE(find<action::send_tokens>(Out));
+  BOOST_TEST(find<action::send_tokens>(Out)->Tokens.size() == 2U);
+  BOOST_TEST(find<action::cancel>(Out));
+  const auto Placed = Machine.handle(event::placed{"e2"});
+  BOOST_TEST(find<action::dispatch>(Placed)->ResumeFrom == 2U);
+}
+
+// The engine says it is finished after 3 tokens and one of them was lost on
+// the way. Taken at its word, the caller would get a cut answer as a whole one.
+BOOST_AUTO_TEST_CASE(end_that_disagrees_with_the_tokens_resumes) {
+  for (const event::finished &Short :
+       {event::finished{1, 4, 3, "stop"},
+        event::finished{1, 4, 0, "stop", true}, event::finished{1, 4, 2, ""}}) {
+    request_machine Machine = dispatched(true);
+    Machine.handle(event::tokens{1, {{0, "a"}, {1, "b"}}});
+    const auto Out = Machine.handle(Short);
+    BOOST_TEST(!find<action::keep_usage>(Out));
+    BOOST_TEST(find<action::place>(Out));
+  }
+}
+
+// A booking service begins its answer and then refuses with "not run". Its
+// work has begun; taking its word would book at a second endpoint.
+BOOST_AUTO_TEST_CASE(refusal_after_the_answer_began_is_not_believed) {
+  request_machine Machine = dispatched(false);
+  Machine.handle(event::head{1, 200, "text/plain"});
+  const auto Out = Machine.handle(
+      event::failed{1, error_kind::EndpointRefused, run_state::NotRun});
+  BOOST_TEST(!find<action::place>(Out));
+  BOOST_REQUIRE(find<action::send_error>(Out));
+  BOOST_TEST((find<action::send_error>(Out)->Ran == run_state::MayHaveRun));
+}
+
+// The caller leaves between the choice of an endpoint and the event that tells
+// of it. Unless the place is given back, the endpoint counts it for good.
+BOOST_AUTO_TEST_CASE(late_place_is_given_back) {
+  request_machine Machine(makePlan(true));
+  Machine.handle(event::started{});
+  Machine.handle(event::admitted{});
+  Machine.handle(event::caller_gone{});
+  BOOST_TEST(Machine.isDone());
+  const auto Out = Machine.handle(event::placed{"e1"});
+  BOOST_REQUIRE(find<action::release>(Out));
+  BOOST_TEST(!find<action::dispatch>(Out));
+}
+
+// A connection goes silent and its endpoint starts to leave at that moment, so
+// there is no fresh connection to it. Another endpoint ends the answer.
+BOOST_AUTO_TEST_CASE(silent_endpoint_that_leaves_is_replaced) {
+  request_machine Machine = dispatched(true);
+  Machine.handle(event::silent{1});
+  const auto Out = Machine.handle(event::not_placed{error_kind::NoEndpoint});
+  BOOST_REQUIRE(find<action::place>(Out));
+  BOOST_TEST(find<action::place>(Out)->Only.empty());
+}
+
+// A version is withdrawn because it answers wrongly, while one of its streams
+// breaks. A resume would be new work for it; the caller is told the reason.
+BOOST_AUTO_TEST_CASE(stream_of_a_withdrawn_version_is_not_resumed) {
+  request_machine Machine = dispatched(true);
+  Machine.handle(event::tokens{1, {{0, "a"}}});
+  Machine.handle(
+      event::failed{1, error_kind::EndpointFailed, run_state::MayHaveRun});
+  const auto Out =
+      Machine.handle(event::not_placed{error_kind::NoVersionActive});
+  BOOST_REQUIRE(find<action::send_error>(Out));
+  const auto &Error = *find<action::send_error>(Out);
+  BOOST_TEST((Error.Kind == error_kind::NoVersionActive));
+  BOOST_TEST((Error.Ran == run_state::MayHaveRun));
+}
+
+// The cheap version answers, its answer is rejected, and no endpoint of the
+// dearer one is free. The cheap work has run and cost money: "not run" would
+// be false, and its part is kept, marked as not delivered.
+BOOST_AUTO_TEST_CASE(discarded_answer_counts_but_was_not_delivered) {
+  request_plan Plan = makePlan(true);
+  Plan.Versions = {"s@1", "l@1"};
+  Plan.CostsPer1kTokens = {1, 10};
+  request_machine Machine(std::move(Plan));
+  Machine.handle(event::started{});
+  Machine.handle(event::admitted{});
+  Machine.handle(event::placed{"e1"});
+  Machine.handle(event::tokens{1, {{0, "a"}}});
+  Machine.handle(event::finished{1, 1, 1, "stop"});
+  const auto Rated = Machine.handle(event::rated{false});
+  BOOST_REQUIRE(find<action::place>(Rated));
+  BOOST_TEST(!find<action::place>(Rated)->IsRetry);
+  const auto Out = Machine.handle(event::not_placed{error_kind::NoEndpoint});
+  BOOST_REQUIRE(find<action::send_error>(Out));
+  BOOST_TEST((find<action::send_error>(Out)->Ran == run_state::MayHaveRun));
+  BOOST_REQUIRE(find<action::keep_usage>(Out));
+  BOOST_TEST(!find<action::keep_usage>(Out)->Record.Parts.at(0).Delivered);
+  Machine.handle(event::usage_kept{{}});
+  BOOST_TEST(Machine.isDone());
+}
+
+// The deadline passes while the bill of a whole answer is being kept. The work
+// ran, the bill is kept, and the caller is told so once.
+BOOST_AUTO_TEST_CASE(deadline_while_usage_is_kept) {
+  request_machine Machine = dispatched(true);
+  Machine.handle(event::tokens{1, {{0, "a"}}});
+  Machine.handle(event::finished{1, 1, 1, "stop"});
+  const auto Out = Machine.handle(event::deadline{});
+  BOOST_REQUIRE(find<action::send_error>(Out));
+  BOOST_TEST((find<action::send_error>(Out)->Ran == run_state::Ran));
+  BOOST_TEST(!Machine.isDone());
+  BOOST_TEST(!find<action::send_end>(Machine.handle(event::usage_kept{{}})));
+  BOOST_TEST(Machine.isDone());
+}
