Send bookings once, and count progress in tokens

Cause: the HTTP library sends a request a second time, unasked, when a kept connection is closed before the first byte of the answer; a booking could run twice though the machine dispatched it once. Beside that, any byte counted as progress, so comments on a stream held a caller to its deadline; a busy status of a booking was taken for "not run"; every exchange that found a pool silent dropped the pool again; and an engine was never told to stop.

Ruled out: a length check of our own on whole bodies. Taken out, the test of short bodies still passed: the library reports them.

Conclusion: one exchange is a file of its own; limits are by token; endpoints' X-Leaving reaches placement.

--- a/src/config.h
+++ b/src/config.h
@@ -26,13 +26,26 @@
 
 // --- endpoints -------------------------------------------------------------
 
-/// First byte from an endpoint. Engines queue, so this is long.
-constexpr auto FirstByteTimeout = 10s;
-/// Gap between bytes of a stream: 41 ms is usual, so 2 s is silence.
-constexpr auto BetweenBytesTimeout = 2s;
 /// Attempts of one idempotent request, the first included.
 constexpr unsigned MaxAttempts = 3;
 
+// --- exchanges with endpoints (path) ---------------------------------------
+
+/// First token of an engine, or the whole answer of an idempotent service.
+/// Engines queue, so this is long.
+constexpr auto FirstTokenTimeout = 10s;
+/// Gap between tokens of a stream: 41 ms is usual, so 2 s is silence.
+constexpr auto BetweenTokensTimeout = 2s;
+/// Answer of a call that may not be repeated. Giving up on it leaves someone
+/// to find out whether it ran, so it gets longer than any other.
+constexpr auto AtMostOnceTimeout = 60s;
+/// Telling an engine to stop an attempt; past it the engine finds out itself.
+constexpr auto CancelCallTimeout = 2s;
+/// Bytes taken from a stream at once.
+constexpr std::size_t StreamReadBytes = 8192;
+/// Bytes of one event of a stream; a token's event is under 1 KiB.
+constexpr std::size_t MaxStreamEventBytes = 1U << 20U;
+
 // --- the log ---------------------------------------------------------------
 
 /// One call to the log service.
--- a/src/endpoint_client.h
+++ b/src/endpoint_client.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "progress.h"
 #include "request.h"
 #include "request_machine.h"
 #include "timers.h"
@@ -18,6 +19,8 @@
   unsigned Attempt = 0;
   std::uint64_t ResumeFrom = 0;
   std::string SoFar;
+  bool AtMostOnce = false; ///< never sent twice, and waited for longer
+  std::string Endpoint;    ///< name, for what its answers say of it
 };
 
 /// Takes the events of one attempt, from any thread.
@@ -31,21 +34,28 @@
                      exchange_events Events) = 0;
   /// No more events of this attempt; the endpoint is told to stop.
   virtual void cancel(std::string_view RequestId, unsigned Attempt) = 0;
-  /// Closes every pooled connection to `Address`.
-  virtual void dropConnections(std::string_view Address) = 0;
+  /// Closes every kept connection of the pool that this attempt used.
+  virtual void dropConnections(std::string_view RequestId,
+                               unsigned Attempt) = 0;
 };
 
+/// Told when an endpoint's own answer says that it is leaving, or that it is
+/// not; from any thread.
+using leaving_sign =
+    std::function<void(const std::string &Endpoint, bool IsLeaving)>;
+
 /// Endpoints over HTTP by cpprestsdk: engines stream server-sent events of the
 /// chat API, with `token_index` in each; services answer whole.
 class http_endpoint_transport final : public endpoint_transport {
 public:
-  explicit http_endpoint_transport(timer_service &Timers);
+  http_endpoint_transport(timer_service &Timers, const runtime_clock &Clock,
+                          leaving_sign Leaving, progress_limits Limits = {});
   ~http_endpoint_transport() override;
 
   void start(const caller_request &Request, const endpoint_call &Call,
              exchange_events Events) override;
   void cancel(std::string_view RequestId, unsigned Attempt) override;
-  void dropConnections(std::string_view Address) override;
+  void dropConnections(std::string_view RequestId, unsigned Attempt) override;
 
 private:
   class impl;
--- a/src/entry.cpp
+++ b/src/entry.cpp
@@ -21,7 +21,11 @@
 entry::entry(const settings &Settings, const runtime_clock &Clock)
     : Settings(Settings), Clock(Clock), Tokens(Settings.SessionKeys),
       Placer(Settings.DataCentre, std::random_device{}()),
-      Log(Settings.LogAddress), Intents(Log), Usage(Log), Transport(Timers),
+      Log(Settings.LogAddress), Intents(Log), Usage(Log),
+      Transport(Timers, Clock,
+                [this](const std::string &Endpoint, bool IsLeaving) {
+                  Placer.markLeaving(Endpoint, IsLeaving);
+                }),
       Server(Settings.Address + ":" + std::to_string(Settings.EntryPort),
              routes()) {}
 
--- /dev/null
+++ b/src/exchange.cpp
@@ -0,0 +1,309 @@
+#include "exchange_p.h"
+
+#include <algorithm>
+#include <cpprest/rawptrstream.h>
+
+namespace clementinelane {
+
+namespace {
+
+namespace http = web::http;
+
+constexpr std::string_view EventEnd = "\n\n";
+constexpr std::string_view DataPrefix = "data: ";
+constexpr std::string_view LastEvent = "[DONE]";
+constexpr auto LeavingHeader = "X-Leaving";
+
+http::http_request makeChatRequest(const caller_request &Request,
+                                   const endpoint_call &Call) {
+  auto Body = web::json::value::parse(Request.Body);
+  Body["model"] = web::json::value::string(Call.Version);
+  Body["stream"] = web::json::value::boolean(true);
+  Body["request_id"] = web::json::value::string(Request.Id);
+  Body["attempt"] = web::json::value::number(Call.Attempt);
+  Body["priority"] =
+      web::json::value::string(std::string(nameOf(Request.Priority)));
+  if (Call.ResumeFrom > 0) {
+    Body["resume_from"] = web::json::value::number(Call.ResumeFrom);
+    Body["resume_text"] = web::json::value::string(Call.SoFar);
+  }
+  http::http_request Out(http::methods::POST);
+  Out.set_request_uri("/v1/chat/completions");
+  Out.set_body(Body);
+  return Out;
+}
+
+http::http_request makeServiceRequest(const caller_request &Request) {
+  http::http_request Out(Request.Method);
+  Out.set_request_uri(Request.Path.empty() ? "/" : Request.Path);
+  if (!Request.Body.empty())
+    Out.set_body(Request.Body, Request.ContentType.empty()
+                                   ? "application/octet-stream"
+                                   : Request.ContentType);
+  return Out;
+}
+
+duration firstLimit(const progress_limits &Limits, const endpoint_call &Call) {
+  return Call.AtMostOnce ? Limits.AtMostOnce : Limits.First;
+}
+
+/// Whether nothing was sent: no connection came about.
+bool isNeverSent(const http::http_exception &Error) {
+  return Error.error_code() == std::errc::connection_refused ||
+         Error.error_code() == std::errc::host_unreachable ||
+         Error.error_code() == std::errc::network_unreachable;
+}
+
+} // namespace
+
+exchange::exchange(std::shared_ptr<exchange_context> Shared,
+                   const caller_request &Request, const endpoint_call &Call,
+                   exchange_events Events, std::function<void()> OnEnd)
+    : Context(std::move(Shared)),
+      Client(Call.AtMostOnce ? connection_pool::fresh(Call.Address)
+                             : Context->Pool.pooled(Call.Address)),
+      Call(Call), Id(Request.Id), IsService(Request.IsService),
+      Events(std::move(Events)), OnEnd(std::move(OnEnd)),
+      Watch(firstLimit(Context->Limits, Call), Context->Limits.Between,
+            Context->Clock.now()) {
+  Finish.Attempt = Call.Attempt;
+}
+
+void exchange::run(const caller_request &Request) {
+  arm();
+  guarded([&] {
+    http::http_request Out = IsService ? makeServiceRequest(Request)
+                                       : makeChatRequest(Request, Call);
+    Out.headers().add("X-Request-Id", Id);
+    if (!Request.Traceparent.empty())
+      Out.headers().add("traceparent", Request.Traceparent);
+    if (!Request.IdempotencyKey.empty())
+      Out.headers().add("Idempotency-Key", Request.IdempotencyKey);
+    Client->request(Out, Canceller.get_token())
+        .then([Self = shared_from_this()](
+                  const pplx::task<http::http_response> &Task) {
+          Self->guarded([&] { Self->onHead(Task.get()); });
+        });
+  });
+}
+
+void exchange::cancel() {
+  Ended = true;
+  Canceller.cancel();
+  if (!IsService)
+    tellEngine();
+}
+
+// An engine notices a closed connection only when it next writes; told by name
+// it stops at once. The attempt is named, so that one that comes late can't
+// stop a newer attempt at the same engine.
+void exchange::tellEngine() {
+  auto Body = web::json::value::object();
+  Body["request_id"] = web::json::value::string(Id);
+  Body["attempt"] = web::json::value::number(Call.Attempt);
+  pplx::cancellation_token_source Limit;
+  const auto Client = Context->Pool.pooled(Call.Address);
+  const auto Timer = Context->Timers.after(config::CancelCallTimeout,
+                                           [Limit] { Limit.cancel(); });
+  Client->request(http::methods::POST, "/v1/cancel", Body, Limit.get_token())
+      .then([Client, Timer,
+             Context = Context](const pplx::task<http::http_response> &Task) {
+        Context->Timers.cancel(Timer);
+        try {
+          Task.get();
+        } catch (const std::exception &) {
+          // The engine is gone or slow; it ends the work when it next writes.
+        }
+      });
+}
+
+/// Turns an exception of the library into a failed attempt.
+template <typename F> void exchange::guarded(F Run) {
+  try {
+    Run();
+  } catch (const http::http_exception &Error) {
+    end(request_event::failed{Call.Attempt, error_kind::EndpointFailed,
+                              isNeverSent(Error) ? run_state::NotRun
+                                                 : run_state::MayHaveRun});
+  } catch (const std::exception &) {
+    end(request_event::failed{Call.Attempt, error_kind::EndpointFailed,
+                              run_state::MayHaveRun});
+  }
+}
+
+// A busy status of an engine, or of a service whose calls may be repeated, is
+// a refusal. For a call that may not be repeated it proves nothing (a gateway
+// may send it after the work was done), so it needs the endpoint's word that
+// it did not run; else the status is the service's answer.
+bool exchange::isRefusal(http::status_code Status) const {
+  const bool IsBusy = Status == http::status_codes::ServiceUnavailable ||
+                      Status == http::status_codes::TooManyRequests;
+  if (!IsBusy)
+    return !IsService && Status == http::status_codes::NotFound;
+  if (!Call.AtMostOnce)
+    return true;
+  const auto Ran = Response.headers().find("X-Ran");
+  return Ran != Response.headers().end() && Ran->second == "not_run";
+}
+
+void exchange::onHead(const http::http_response &Answer) {
+  Response = Answer;
+  const auto Status = Response.status_code();
+  const auto Sign = Response.headers().find(LeavingHeader);
+  if (Sign != Response.headers().end())
+    Context->Leaving(Call.Endpoint, Sign->second == "true");
+  if (isRefusal(Status))
+    return end(request_event::failed{Call.Attempt, error_kind::EndpointRefused,
+                                     run_state::NotRun});
+  if (IsService) {
+    Events(request_event::head{Call.Attempt, Status,
+                               Response.headers().content_type()});
+    return readWhole();
+  }
+  if (Status != http::status_codes::OK)
+    return end(request_event::failed{Call.Attempt, error_kind::EndpointFailed,
+                                     run_state::MayHaveRun});
+  Events(request_event::head{Call.Attempt, Status, "application/json"});
+  Body = Response.body().streambuf();
+  readMore();
+}
+
+void exchange::readWhole() {
+  Response.extract_vector().then(
+      [Self = shared_from_this()](
+          const pplx::task<std::vector<unsigned char>> &Task) {
+        Self->guarded([&] {
+          const auto Bytes = Task.get();
+          Self->onWhole({Bytes.begin(), Bytes.end()});
+        });
+      });
+}
+
+// The library reports a body shorter than its Content-Length as a failure; a
+// test holds it to that.
+void exchange::onWhole(std::string Bytes) {
+  if (!Bytes.empty())
+    Events(request_event::tokens{Call.Attempt, {{0, std::move(Bytes)}}});
+  Finish.FinishReason = "stop";
+  end(Finish);
+}
+
+// A plain getn(n) would wait for n bytes; one byte and then what is there
+// passes each token on as it comes.
+void exchange::readMore() {
+  Body.bumpc().then([Self = shared_from_this()](const pplx::task<int> &Task) {
+    Self->guarded([&] {
+      const int First = Task.get();
+      if (First == concurrency::streams::char_traits<unsigned char>::eof())
+        return Self->end(request_event::failed{Self->Call.Attempt,
+                                               error_kind::EndpointFailed,
+                                               run_state::MayHaveRun});
+      Self->Pending += static_cast<char>(First);
+      Self->readAvailable();
+    });
+  });
+}
+
+void exchange::readAvailable() {
+  const std::size_t Count = std::min(Body.in_avail(), Chunk.size());
+  if (Count == 0)
+    return onBytes();
+  Body.getn(Chunk.data(), Count)
+      .then([Self = shared_from_this()](const pplx::task<std::size_t> &Task) {
+        Self->guarded([&] {
+          Self->Pending.append(
+              reinterpret_cast<const char *>(Self->Chunk.data()), Task.get());
+          Self->onBytes();
+        });
+      });
+}
+
+void exchange::onBytes() {
+  if (Ended)
+    return;
+  std::vector<answer_token> Tokens;
+  std::size_t Begin = 0;
+  for (auto Split = Pending.find(EventEnd); Split != std::string::npos;
+       Split = Pending.find(EventEnd, Begin)) {
+    const std::string_view Event =
+        std::string_view(Pending).substr(Begin, Split - Begin);
+    Begin = Split + EventEnd.size();
+    if (Event.substr(0, DataPrefix.size()) == DataPrefix)
+      readEvent(Event.substr(DataPrefix.size()), Tokens);
+  }
+  Pending.erase(0, Begin);
+  if (Pending.size() > config::MaxStreamEventBytes)
+    return end(request_event::failed{Call.Attempt, error_kind::EndpointFailed,
+                                     run_state::MayHaveRun});
+  if (!Tokens.empty()) {
+    progress();
+    Events(request_event::tokens{Call.Attempt, std::move(Tokens)});
+  }
+  if (IsLast)
+    return end(Finish);
+  readMore();
+}
+
+void exchange::readEvent(std::string_view Data,
+                         std::vector<answer_token> &Tokens) {
+  if (Data == LastEvent) {
+    IsLast = true;
+    return;
+  }
+  const auto Json = web::json::value::parse(std::string(Data));
+  const auto &Choice = Json.at("choices").as_array().at(0);
+  const auto &Delta = Choice.at("delta");
+  if (Delta.has_string_field("content"))
+    Tokens.push_back({Json.at("token_index").as_number().to_uint64(),
+                      Delta.at("content").as_string()});
+  if (Choice.has_string_field("finish_reason"))
+    Finish.FinishReason = Choice.at("finish_reason").as_string();
+  if (Json.has_object_field("usage")) {
+    const auto &Usage = Json.at("usage");
+    Finish.PromptTokens = Usage.at("prompt_tokens").as_number().to_uint64();
+    Finish.CompletionTokens =
+        Usage.at("completion_tokens").as_number().to_uint64();
+    Finish.Counted = true;
+  }
+}
+
+void exchange::progress() {
+  Watch.advance(Context->Clock.now());
+  // The limit is shorter from here on; later tokens only move its end, and the
+  // timer looks again when it fires, so that no token costs a timer.
+  if (!std::exchange(HasProgress, true))
+    arm();
+}
+
+void exchange::arm() {
+  const std::scoped_lock Lock(TimerMutex);
+  Context->Timers.cancel(Timer);
+  Timer = Context->Timers.after(Watch.expiry() - Context->Clock.now(),
+                                [Weak = weak_from_this()] {
+                                  if (const auto Self = Weak.lock())
+                                    Self->onTimer();
+                                });
+}
+
+void exchange::onTimer() {
+  if (Ended)
+    return;
+  if (!Watch.isSilent(Context->Clock.now()))
+    return arm();
+  end(request_event::silent{Call.Attempt});
+}
+
+void exchange::end(request_input Event) {
+  if (Ended.exchange(true))
+    return;
+  {
+    const std::scoped_lock Lock(TimerMutex);
+    Context->Timers.cancel(Timer);
+  }
+  // A silent exchange stays known, so that cancel() can close its connection.
+  if (!std::holds_alternative<request_event::silent>(Event))
+    OnEnd();
+  Events(std::move(Event));
+}
+
+} // namespace clementinelane
--- a/src/request_machine.cpp
+++ b/src/request_machine.cpp
@@ -262,9 +262,9 @@
   // the pool may be silent too. It shows as an exchange without progress. The
   // whole pool is dropped and the same endpoint gets one fresh connection;
   // only if that one is silent as well does the endpoint count as failed.
+  emit(action::drop_connections{Endpoint});
   emit(action::cancel{Attempts});
   emit(action::release{Endpoint, attempt_outcome::Silent});
-  emit(action::drop_connections{Endpoint});
   const bool IsSecond = SilentEndpoint == Endpoint;
   SilentEndpoint = Endpoint;
   if (IsSecond)
--- a/src/request_runner.cpp
+++ b/src/request_runner.cpp
@@ -34,8 +34,8 @@
               request_plan Plan, answer_former Former,
               admission_request Admission)
       : Services(std::move(Services)), Request(std::move(Request)),
-        Admission(std::move(Admission)), Machine(std::move(Plan)),
-        Former(std::move(Former)) {
+        Admission(std::move(Admission)), AtMostOnce(!Plan.Idempotent),
+        Machine(std::move(Plan)), Former(std::move(Former)) {
     ++this->Services.Open;
   }
   ~request_run() { --Services.Open; }
@@ -149,7 +149,8 @@
   void perform(const action::dispatch &Dispatch) {
     Services.Transport.start(Request,
                              {Address, Dispatch.Version, Dispatch.Attempt,
-                              Dispatch.ResumeFrom, Dispatch.SoFar},
+                              Dispatch.ResumeFrom, Dispatch.SoFar, AtMostOnce,
+                              Dispatch.Endpoint},
                              sink());
   }
 
@@ -167,7 +168,7 @@
   void perform(const action::drop_connections &Drop) {
     logs::warning("drop_connections",
                   {{"request", Request.Id}, {"endpoint", Drop.Endpoint}});
-    Services.Transport.dropConnections(Address);
+    Services.Transport.dropConnections(Request.Id, Machine.attempts());
   }
 
   void perform(const action::rate &) { post(event::rated{true}); }
@@ -209,6 +210,7 @@
   request_services Services;
   caller_request Request;
   admission_request Admission;
+  bool AtMostOnce;
   request_machine Machine;
   answer_former Former;
   std::string Address;
--- /dev/null
+++ b/tests/endpoint_client_test.cpp
@@ -0,0 +1,204 @@
+#define BOOST_TEST_MODULE endpoint_client
+#include "endpoint_client.h"
+#include "scripted_endpoint.h"
+
+#include <boost/test/unit_test.hpp>
+#include <condition_variable>
+#include <deque>
+
+using namespace clementinelane;
+namespace event = request_event;
+
+namespace {
+
+constexpr std::string_view StreamHead =
+    "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+    "Transfer-Encoding: chunked\r\n\r\n";
+
+std::string chunk(std::string_view Text) {
+  std::ostringstream Out;
+  Out << std::hex << Text.size() << "\r\n" << Text << "\r\n";
+  return Out.str();
+}
+
+std::string tokenEvent(int Index) {
+  return R"(data: {"token_index":)" + std::to_string(Index) +
+         R"(,"choices":[{"delta":{"content":"w"},"finish_reason":null}]})"
+         "\n\n";
+}
+
+/// Collects the events of attempts and waits for the last one of each.
+class event_queue {
+public:
+  exchange_events sink() {
+    return [this](request_input Event) {
+      const std::scoped_lock Lock(Mutex);
+      Events.push_back(std::move(Event));
+      Changed.notify_all();
+    };
+  }
+  /// The event that ends the attempt, with all others dropped.
+  request_input end() {
+    std::unique_lock Lock(Mutex);
+    for (;;) {
+      Changed.wait(Lock, [this] { return !Events.empty(); });
+      request_input Next = std::move(Events.front());
+      Events.pop_front();
+      if (std::holds_alternative<event::head>(Next) ||
+          std::holds_alternative<event::tokens>(Next))
+        continue;
+      return Next;
+    }
+  }
+
+private:
+  std::mutex Mutex;
+  std::condition_variable Changed;
+  std::deque<request_input> Events;
+};
+
+struct fixture {
+  system_runtime_clock Clock;
+  timer_service Timers;
+  std::atomic<int> LeavingSigns{0};
+  progress_limits Limits{std::chrono::milliseconds(200),
+                         std::chrono::milliseconds(200),
+                         std::chrono::seconds(30)};
+  http_endpoint_transport Transport{
+      Timers, Clock,
+      [this](const std::string &, bool IsLeaving) {
+        LeavingSigns += IsLeaving ? 1 : 0;
+      },
+      Limits};
+  event_queue Events;
+
+  request_input call(const scripted_endpoint &Endpoint, unsigned Attempt,
+                     bool IsService, bool AtMostOnce) {
+    start(Endpoint, Attempt, IsService, AtMostOnce);
+    return Events.end();
+  }
+
+  void start(const scripted_endpoint &Endpoint, unsigned Attempt,
+             bool IsService, bool AtMostOnce) {
+    caller_request Request;
+    Request.Id = "r1";
+    Request.IsService = IsService;
+    Request.Path = "/slots";
+    Request.Body = IsService ? "slot" : R"({"model":"m","messages":[]})";
+    endpoint_call Call{Endpoint.address(), "m@1", Attempt, 0, "",
+                       AtMostOnce,         "e1"};
+    Transport.start(Request, Call, Events.sink());
+  }
+};
+
+const event::failed &failure(const request_input &Event) {
+  BOOST_REQUIRE(std::holds_alternative<event::failed>(Event));
+  return std::get<event::failed>(Event);
+}
+
+} // namespace
+
+// A caller books a slot and finds it booked twice. The booking service took
+// the call on a kept connection and fell over before its answer; the HTTP
+// library saw a kept connection close and sent the call again by itself.
+BOOST_FIXTURE_TEST_CASE(booking_is_never_sent_twice, fixture) {
+  const scripted_endpoint Endpoint([](int, int Request) {
+    if (Request == 0)
+      return scripted_answer{"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"};
+    return scripted_answer{"", false};
+  });
+  // The library keeps a connection a little after its answer is out; of many
+  // calls some would find one.
+  constexpr int Calls = 50;
+  for (unsigned Attempt = 1; Attempt <= Calls; ++Attempt)
+    call(Endpoint, Attempt, true, true);
+  BOOST_TEST(Endpoint.requests("POST /slots") == Calls);
+}
+
+// A service promises ten bytes, sends four and closes. The caller would get a
+// cut confirmation with a good status.
+BOOST_FIXTURE_TEST_CASE(short_body_is_a_failure, fixture) {
+  const scripted_endpoint Endpoint([](int, int) {
+    return scripted_answer{"HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf",
+                           false};
+  });
+  BOOST_TEST(
+      (failure(call(Endpoint, 1, true, true)).Ran == run_state::MayHaveRun));
+}
+
+// A service that has booked is asked by its gateway too late, and the gateway
+// says 503. Taken for a refusal, the slot would be booked again elsewhere.
+BOOST_FIXTURE_TEST_CASE(busy_status_of_a_booking_is_its_answer, fixture) {
+  const scripted_endpoint Endpoint([](int, int) {
+    return scripted_answer{
+        "HTTP/1.1 503 Busy\r\nX-Leaving: true\r\nContent-Length: 0\r\n\r\n"};
+  });
+  BOOST_TEST(
+      std::holds_alternative<event::finished>(call(Endpoint, 1, true, true)));
+  BOOST_TEST(
+      (failure(call(Endpoint, 2, true, false)).Ran == run_state::NotRun));
+  BOOST_TEST(LeavingSigns == 2);
+}
+
+// An engine sends one token and from then on only comments, which keep the
+// connection warm. The caller would wait to its deadline for the next word.
+BOOST_FIXTURE_TEST_CASE(comments_are_no_progress, fixture) {
+  std::string Warm = std::string(StreamHead) + chunk(tokenEvent(0));
+  const scripted_endpoint Endpoint([&](int, int) {
+    return scripted_answer{Warm, true, chunk(": ping\n\n")};
+  });
+  BOOST_TEST(
+      std::holds_alternative<event::silent>(call(Endpoint, 1, false, false)));
+}
+
+// Something between the ends forgot a kept connection. Bytes sent on it go
+// nowhere and no error ever comes; the next attempt must not wait on it again,
+// and the engine is told to stop the attempt given up on.
+BOOST_FIXTURE_TEST_CASE(silent_pool_is_dropped_whole, fixture) {
+  const std::string Whole =
+      std::string(StreamHead) + chunk(tokenEvent(0)) +
+      chunk(R"(data: {"choices":[{"delta":{},"finish_reason":"stop"}],)"
+            R"("usage":{"prompt_tokens":1,"completion_tokens":1}})"
+            "\n\ndata: [DONE]\n\n") +
+      "0\r\n\r\n";
+  constexpr int Kept = 8;
+  std::atomic<int> Opened{0};
+  const scripted_endpoint Endpoint([&](int Connection, int Request) {
+    // Each kept connection is forgotten after its first answer. The first ones
+    // are answered once all are open, so that the pool keeps several.
+    if (Request > 0)
+      return scripted_answer{""};
+    ++Opened;
+    while (Connection < Kept && Opened < Kept)
+      std::this_thread::yield();
+    return scripted_answer{Whole};
+  });
+  unsigned Attempt = 0;
+  for (; Attempt < Kept; ++Attempt)
+    start(Endpoint, Attempt, false, false);
+  for (int Answer = 0; Answer < Kept; ++Answer)
+    BOOST_TEST(std::holds_alternative<event::finished>(Events.end()));
+  while (!std::holds_alternative<event::silent>(
+      call(Endpoint, ++Attempt, false, false)))
+    continue;
+  Transport.dropConnections("r1", Attempt);
+  Transport.cancel("r1", Attempt);
+  BOOST_TEST(std::holds_alternative<event::finished>(
+      call(Endpoint, ++Attempt, false, false)));
+}
+
+// Nothing listens at the endpoint's address. Nothing was sent, so another
+// endpoint may have the work, and a caller may be told "not run".
+BOOST_FIXTURE_TEST_CASE(refused_connection_never_ran, fixture) {
+  std::string Address;
+  caller_request Request;
+  Request.Id = "r1";
+  Request.IsService = true;
+  {
+    const scripted_endpoint Closed([](int, int) { return scripted_answer{}; });
+    Address = Closed.address();
+  }
+  Transport.start(Request, {Address, "booking", 1, 0, "", true, "e1"},
+                  Events.sink());
+  BOOST_TEST((failure(Events.end()).Ran == run_state::NotRun));
+}
