Stop a VM without cutting a request

Cause: a stop refused requests in the moment of the signal, before a balancer could know, and closed the listener as soon as the last request was done for us, with its last bytes still on their way; nothing bounded or forced it.

Ruled out: refusing at once and leaving the rest to callers' retries.

Conclusion: a stop is a small machine; a caller stand-in behind a balancer of its own carries the load.

--- a/src/config.h
+++ b/src/config.h
@@ -46,6 +46,20 @@
 /// Bytes of one event of a stream; a token's event is under 1 KiB.
 constexpr std::size_t MaxStreamEventBytes = 1U << 20U;
 
+// --- planned stops (path) --------------------------------------------------
+
+/// From "not ready" to the first refusal: two probes of a balancer that looks
+/// every 500 ms.
+constexpr auto StopGrace = 1s;
+/// Without a request for this long nobody sends here any more; far above the
+/// way of a request that is under way.
+constexpr auto StopQuiet = 200ms;
+/// A stop ends here, whatever is open: the longest deadline and what follows
+/// it.
+constexpr auto StopLimit = 660s;
+/// Between looks at what is still open.
+constexpr auto StopPoll = 10ms;
+
 // --- the log ---------------------------------------------------------------
 
 /// One call to the log service.
--- a/src/daemon.cpp
+++ b/src/daemon.cpp
@@ -41,6 +41,15 @@
 
 } // namespace
 
+bool isStopAskedAgain() {
+  sigset_t Signals{};
+  sigemptyset(&Signals);
+  sigaddset(&Signals, SIGTERM);
+  sigaddset(&Signals, SIGINT);
+  constexpr timespec NoWait{};
+  return sigtimedwait(&Signals, nullptr, &NoWait) > 0;
+}
+
 int runDaemon(int ArgCount, char **Args, const daemon_program &Program) {
   gflags::SetUsageMessage(std::string(Program.Name) +
                           " --config FILE [--check]");
--- a/src/daemon.h
+++ b/src/daemon.h
@@ -17,6 +17,9 @@
       Run;
 };
 
+/// Whether a signal to stop came after the one that ended `WaitForStop`.
+bool isStopAskedAgain();
+
 /// Parses --config and --check and runs `Program`. Returns the exit status: 0
 /// stopped or valid, 1 failed, 2 bad settings or flags.
 int runDaemon(int ArgCount, char **Args, const daemon_program &Program);
--- a/src/entry.cpp
+++ b/src/entry.cpp
@@ -10,8 +10,6 @@
 
 namespace {
 
-constexpr auto DrainPoll = std::chrono::milliseconds(20);
-
 header_lookup headersOf(const std::shared_ptr<http_call> &Call) {
   return [Call](std::string_view Name) { return Call->header(Name); };
 }
@@ -30,7 +28,7 @@
              routes()) {}
 
 entry::~entry() {
-  Draining = true;
+  Leaving = true;
   if (Follower.joinable())
     Follower.join();
 }
@@ -40,11 +38,26 @@
   Follower = std::thread([this] { followControl(); });
 }
 
-void entry::drain() {
-  Draining = true;
+stop_phase entry::advanceStop(bool IsAsked) {
+  const std::scoped_lock Lock(StopMutex);
+  const mono_time Now = Clock.now();
+  if (IsAsked)
+    Stop.ask(Now);
+  Stop.advance(Open + Server.unanswered(), Now);
+  return Phase = Stop.phase();
+}
+
+void entry::drain(const std::function<bool()> &IsAskedAgain) {
   logs::info("drain", {{"open", std::to_string(Open.load())}});
-  while (Open.load() > 0)
-    std::this_thread::sleep_for(DrainPoll);
+  stop_phase Now = advanceStop(true);
+  Server.announceClose();
+  while (Now != stop_phase::Ended && Now != stop_phase::Forced) {
+    std::this_thread::sleep_for(config::StopPoll);
+    Now = advanceStop(IsAskedAgain());
+  }
+  if (Now == stop_phase::Forced)
+    logs::warning("stop_forced", {{"open", std::to_string(Open.load())}});
+  Leaving = true;
   Server.close();
 }
 
@@ -70,7 +83,11 @@
 void entry::run(const std::shared_ptr<http_call> &Call,
                 result<caller_request> Request) {
   ++Taken;
-  if (Draining)
+  if (Phase != stop_phase::Serving) {
+    const std::scoped_lock Lock(StopMutex);
+    Stop.requestCame(Clock.now());
+  }
+  if (Phase == stop_phase::Refusing)
     return Call->fail(error_kind::Draining);
   if (!Request)
     return Call->fail(kindOf(Request.error()));
@@ -130,7 +147,7 @@
   const configuration_ptr Current = Config.get();
   if (!Current)
     return Call->fail(error_kind::NotReady);
-  if (Draining)
+  if (Phase != stop_phase::Serving)
     return Call->fail(error_kind::Draining);
   Call->text("ready offset=" + std::to_string(Current->Offset) + "\n");
 }
@@ -147,7 +164,7 @@
   const std::string Control =
       Settings.Address + ":" + std::to_string(Settings.LinkPort);
   std::uint64_t Known = 0;
-  while (!Draining) {
+  while (!Leaving) {
     const auto Reply = Link.callSync(Control, "/state", std::to_string(Known),
                                      config::LinkCallTimeout);
     const auto State = Reply ? decodeState(Reply.value())
--- a/src/entry.h
+++ b/src/entry.h
@@ -9,8 +9,11 @@
 #include "log_usage.h"
 #include "request_runner.h"
 #include "settings.h"
+#include "stop_sequence.h"
 
 #include <atomic>
+#include <functional>
+#include <mutex>
 #include <thread>
 
 namespace clementinelane {
@@ -24,8 +27,9 @@
   entry &operator=(const entry &) = delete;
 
   void open();
-  /// Takes no new requests, waits for those under way, then closes.
-  void drain();
+  /// A planned stop: not ready at once, refuses after a grace, ends what is
+  /// open, closes. `IsAskedAgain` is looked at meanwhile; true forces the end.
+  void drain(const std::function<bool()> &IsAskedAgain);
 
 private:
   std::vector<http_route> routes();
@@ -37,6 +41,7 @@
   void run(const std::shared_ptr<http_call> &Call,
            result<caller_request> Request);
   void followControl();
+  stop_phase advanceStop(bool IsAsked);
 
   settings Settings;
   const runtime_clock &Clock;
@@ -52,7 +57,10 @@
   http_endpoint_transport Transport;
   std::atomic<std::uint64_t> Open{0};
   std::atomic<std::uint64_t> Taken{0};
-  std::atomic<bool> Draining{false};
+  std::mutex StopMutex;
+  stop_sequence Stop;
+  std::atomic<stop_phase> Phase{stop_phase::Serving};
+  std::atomic<bool> Leaving{false}; ///< the follower ends
   link_client Link;
   http_server Server;
   std::thread Follower;
--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -19,8 +19,13 @@
     : public answer_writer,
       public std::enable_shared_from_this<cpprest_writer> {
 public:
-  explicit cpprest_writer(const http::http_request &Request)
-      : Request(Request) {}
+  cpprest_writer(const http::http_request &Request,
+                 std::shared_ptr<std::atomic<std::size_t>> Unanswered,
+                 std::shared_ptr<std::atomic<bool>> IsClosing)
+      : Request(Request), Unanswered(std::move(Unanswered)),
+        IsClosing(std::move(IsClosing)) {
+    ++*this->Unanswered;
+  }
 
   void whole(std::uint32_t Status, std::span<const answer_header> Headers,
              std::string Body) override {
@@ -55,9 +60,15 @@
       Response.headers()[Name] = Value;
   }
 
-  void send(const http::http_response &Response) {
+  // Guard: closing the listener closes connections whose last bytes have not
+  // gone out yet, which shows as an answer cut at its end. An answer counts as
+  // open until the library has handed all of it to the connection.
+  void send(http::http_response Response) {
+    if (*IsClosing)
+      Response.headers()["Connection"] = "close";
     Request.reply(Response).then(
         [Self = shared_from_this()](const pplx::task<void> &Task) {
+          --*Self->Unanswered;
           try {
             Task.get();
           } catch (const std::exception &) {
@@ -68,6 +79,8 @@
   }
 
   http::http_request Request;
+  std::shared_ptr<std::atomic<std::size_t>> Unanswered;
+  std::shared_ptr<std::atomic<bool>> IsClosing;
   stream_buffer Stream;
   std::function<void()> Gone;
 };
@@ -135,7 +148,8 @@
 void http_server::take(const http::http_request &Request) {
   auto Call = std::make_shared<http_call>();
   Call->Request = Request;
-  Call->Writer = std::make_shared<cpprest_writer>(Request);
+  Call->Writer =
+      std::make_shared<cpprest_writer>(Request, Unanswered, IsClosing);
   try {
     Call->Path =
         web::uri::split_path(web::uri::decode(Request.relative_uri().path()));
--- a/src/http_server.h
+++ b/src/http_server.h
@@ -48,14 +48,23 @@
 
   /// Throws if the address can't be bound.
   void open();
-  /// Stops listening; answers under way go on.
+  /// Stops listening and closes all connections, also those with an answer
+  /// under way.
   void close();
+  /// Requests whose answer's last byte has not been handed to the connection.
+  std::size_t unanswered() const { return *Unanswered; }
+  /// Answers from now on ask callers to close their connections.
+  void announceClose() { *IsClosing = true; }
 
 private:
   void take(const web::http::http_request &Request);
   void route(const std::shared_ptr<http_call> &Call) const;
 
   std::vector<http_route> Routes;
+  std::shared_ptr<std::atomic<std::size_t>> Unanswered =
+      std::make_shared<std::atomic<std::size_t>>(0);
+  std::shared_ptr<std::atomic<bool>> IsClosing =
+      std::make_shared<std::atomic<bool>>(false);
   web::http::experimental::listener::http_listener Listener;
 };
 
--- /dev/null
+++ b/tests/standin/caller.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include <atomic>
+#include <cpprest/http_client.h>
+#include <cpprest/json.h>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace clementinelane::standin {
+
+/// Callers behind a balancer: sends plain, streamed and booking requests to
+/// the entries that say they are ready, and checks that each answer is whole.
+/// A refusal that says "not run" goes on to another entry, as callers do.
+class caller {
+public:
+  caller(std::vector<std::string> Entries, std::string Key);
+  ~caller();
+  caller(const caller &) = delete;
+  caller &operator=(const caller &) = delete;
+
+  /// Ends after the requests under way; what was asked and what went wrong.
+  web::json::value stop();
+
+private:
+  struct target {
+    std::string Address;
+    std::atomic<bool> Ready{false};
+  };
+  using body_check = bool (*)(const std::string &Body);
+  struct request_kind {
+    std::string Name;
+    std::string Path;
+    std::string Body;
+    bool IsBooking;
+    body_check IsWhole;
+  };
+
+  void probe();
+  void work(const request_kind &Kind, unsigned Worker);
+  bool ask(const request_kind &Kind, unsigned &Next, const std::string &Key);
+  void count(const std::string &Name);
+  void fault(const std::string &Name, std::string What);
+
+  std::vector<std::unique_ptr<target>> Targets;
+  std::string Key;
+  std::vector<request_kind> Kinds;
+  std::atomic<bool> Stopping{false};
+  std::mutex Mutex;
+  std::map<std::string, std::uint64_t> Counts;
+  std::vector<std::string> Faults;
+  std::vector<std::thread> Threads;
+};
+
+} // namespace clementinelane::standin
--- a/tests/standin/main.cpp
+++ b/tests/standin/main.cpp
@@ -1,13 +1,17 @@
+#include "caller.h"
 #include "log_stream.h"
 #include "model_engine.h"
 #include "plain_service.h"
 
+#include <boost/algorithm/string/split.hpp>
 #include <csignal>
 #include <gflags/gflags.h>
 #include <iostream>
 
 DEFINE_string(listen, "127.0.0.1:7000", "IP number and port");
-DEFINE_string(role, "log", "log, engine or service");
+DEFINE_string(role, "log", "log, engine, service or caller");
+DEFINE_string(entries, "", "caller: addresses of entries, by comma");
+DEFINE_string(key, "kasbalans-demo-key", "caller: the customer key");
 DEFINE_uint64(retention, 100000, "log: records kept of each stream");
 DEFINE_uint64(token_delay_us, 2000, "engine: time between tokens");
 
@@ -21,6 +25,16 @@
   std::signal(SIGPIPE, SIG_IGN);
 
   namespace standin = clementinelane::standin;
+  if (FLAGS_role == "caller") {
+    std::vector<std::string> Entries;
+    boost::algorithm::split(Entries, FLAGS_entries,
+                            [](char Each) { return Each == ','; });
+    standin::caller Caller(Entries, FLAGS_key);
+    int Signal = 0;
+    sigwait(&Signals, &Signal);
+    std::cout << Caller.stop().serialize() << '\n';
+    return 0;
+  }
   std::vector<clementinelane::http_route> Routes;
   standin::log_stream Log(FLAGS_retention);
   standin::model_engine Engine{std::chrono::microseconds(FLAGS_token_delay_us)};
