--- a/src/config.h
+++ b/src/config.h
@@ -62,6 +62,75 @@
 /// Wait between tries when a peer or the log does not answer.
 constexpr auto ReconnectDelay = 200ms;
 
+// --- membership and gossip -------------------------------------------------
+
+/// One probe of each member a period. Shorter finds a dead VM sooner and costs
+/// messages in proportion.
+constexpr auto GossipPeriod = 1s;
+/// Reply to a direct probe. 1.5 ms between data centres is usual; half a second
+/// rides out a pause of the other process.
+constexpr auto ProbeTimeout = 500ms;
+/// Time for the members asked to probe in our place to vouch for the target.
+constexpr auto IndirectProbeTimeout = 1500ms;
+/// Members asked to probe in our place; three paths seldom fail together.
+constexpr std::size_t IndirectProbes = 3;
+/// Time in which a suspect may refute. Below it lies a lost second of a VM
+/// that is moved; above it the 8 s in which callers notice a dead peer.
+constexpr auto SuspicionTimeout = 5s;
+/// Suspects that one member asks itself in a period; bounds the burst when a
+/// whole rack is suspected at once.
+constexpr std::size_t MaxSuspectsAsked = 4;
+/// Dead members, seeds and listed VMs that are tried again, one each time.
+constexpr auto RecontactEvery = 5s;
+/// Full exchange of what differs; repairs what lost messages left behind.
+constexpr auto SyncEvery = 10s;
+/// Members of each data centre that talk to the others. Two, so that one may
+/// die; more would multiply the traffic between data centres.
+constexpr std::size_t RelaysPerDataCentre = 2;
+/// Other data centres that a relay talks to in each period.
+constexpr std::size_t RelayFanout = 2;
+/// A data centre with no contact for this long is unreachable from here. Both
+/// relays may die (about 10 s to replace them) without a false alarm.
+constexpr auto DataCentreLostAfter = 30s;
+/// Least time between two signs of contact that a relay passes on.
+constexpr auto ReachReportEvery = 5s;
+/// Least time between two reports of a member's own offset: at 25,000 changes
+/// a day and 110 members of a data centre, each change reported at once would
+/// be 32 entries a second.
+constexpr auto OffsetReportEvery = 4s;
+/// A dead member is forgotten after a day: longer than any cut we expect, so
+/// that a data centre that comes back can't bring it back as alive. For the
+/// second half of that time it is no longer told to others.
+constexpr auto ForgetDeadAfter = 24h;
+/// A leaving endpoint is told for an hour; by then it is gone or configured
+/// out.
+constexpr auto LeavingEndpointFor = 1h;
+/// A load digest older than this says nothing about now.
+constexpr auto LoadDigestFor = 60s;
+/// Bytes a second that one member may send; as much comes in, which together
+/// is the 8 KB a second that a node may spend on control.
+constexpr std::size_t GossipBytesPerSecond = 4096;
+/// Bytes that may go out at once after a quiet time: a few replies to members
+/// that join.
+constexpr std::size_t GossipBurstBytes = 32U << 10U;
+/// Bytes of entries in one probe or reply; one packet.
+constexpr std::size_t GossipEntryBytes = 1200;
+/// Bytes of entries in the reply to one exchange.
+constexpr std::size_t SyncReplyBytes = 16U << 10U;
+/// Bytes of fast-changing entries, chosen at random, in that reply.
+constexpr std::size_t SyncSliceBytes = 1024;
+/// Groups of entries whose hashes are compared in an exchange; at 1,100 members
+/// one difference then costs about 35 entries.
+constexpr std::size_t SyncBuckets = 32;
+/// Times that a member passes on one entry; each misses e^-n of the members.
+constexpr unsigned GossipTransmits = 4;
+/// How long a stopping control keeps telling that it leaves.
+constexpr auto LeaveNotice = 1500ms;
+/// Between two reads of the platform's list of VMs, which lags anyway.
+constexpr auto VmListEvery = 10s;
+/// Version of the messages between control processes.
+constexpr std::uint32_t GossipProtocol = 1;
+
 // --- sessions --------------------------------------------------------------
 
 /// Age at which a session token is no longer taken. A working day and a night.
--- /dev/null
+++ b/src/gossip_store.cpp
@@ -0,0 +1,212 @@
+#include "gossip_store.h"
+
+#include "membership_p.h"
+
+#include <algorithm>
+#include <xxhash.h>
+
+namespace clementinelane {
+
+namespace {
+
+using std::chrono::duration_cast;
+using std::chrono::seconds;
+
+bool isNewer(const gossip_entry &Entry, const gossip_entry &Known) {
+  return std::tie(Entry.Version, Entry.Value) >
+         std::tie(Known.Version, Known.Value);
+}
+
+/// Whether the age of `Entry` travels with it.
+bool hasAge(const gossip_entry &Entry) {
+  return traitsOf(Entry.Kind)->KeepFor != duration{0} ||
+         (Entry.Kind == static_cast<std::uint8_t>(entry_kind::Member) &&
+          isDead(Entry.Version));
+}
+
+} // namespace
+
+std::string gossip_store::idOf(std::uint8_t Kind, std::string_view Source,
+                               std::string_view Key) {
+  std::string Id(1, static_cast<char>(Kind));
+  Id.append(Source).append(1, '\0').append(Key);
+  return Id;
+}
+
+gossip_entry gossip_store::aged(const stored &Stored, mono_time Now) {
+  gossip_entry Entry = Stored.Entry;
+  Entry.AgeSeconds =
+      hasAge(Entry) ? static_cast<std::uint32_t>(
+                          duration_cast<seconds>(Now - Stored.Born).count())
+                    : 0;
+  return Entry;
+}
+
+// Guard: a dead member that one VM forgot would come back from another that
+// had not, for ever. It shows as a table that only grows. Its age travels with
+// it, and for the second half of its time it is kept but not told.
+bool gossip_store::isShared(const stored &Stored, mono_time Now) {
+  const bool IsDeadMember =
+      Stored.Entry.Kind == static_cast<std::uint8_t>(entry_kind::Member) &&
+      isDead(Stored.Entry.Version);
+  return !IsDeadMember || Now - Stored.Born < config::ForgetDeadAfter / 2;
+}
+
+bool gossip_store::merge(const gossip_entry &Entry, mono_time Now) {
+  const kind_traits *Traits = traitsOf(Entry.Kind);
+  if (!Traits)
+    return false;
+  std::string Id = idOf(Entry.Kind, Entry.Source, Entry.Key);
+  const auto Found = Entries.find(Id);
+  // Guard: messages come late, twice and in any order. An older one taken
+  // would show as an offset or a counter that goes back; only newer ones are.
+  if (Found != Entries.end() && !isNewer(Entry, Found->second.Entry))
+    return false;
+  const duration Age = seconds(Entry.AgeSeconds);
+  if (Traits->KeepFor != duration{0} && Age >= Traits->KeepFor)
+    return false;
+  stored Stored{Entry, Now - Age};
+  if (Found == Entries.end() && !isShared(Stored, Now))
+    return false;
+  Entries[Id] = std::move(Stored);
+  std::erase_if(Queue, [&](const auto &Each) { return Each.Id == Id; });
+  Queue.push_back({std::move(Id), 0, 0});
+  return true;
+}
+
+const gossip_entry *gossip_store::find(entry_kind Kind, std::string_view Source,
+                                       std::string_view Key) const {
+  const auto Found =
+      Entries.find(idOf(static_cast<std::uint8_t>(Kind), Source, Key));
+  return Found == Entries.end() ? nullptr : &Found->second.Entry;
+}
+
+void gossip_store::forEach(
+    entry_kind Kind,
+    const std::function<void(const gossip_entry &)> &Visit) const {
+  for (const auto &[Id, Stored] : Entries)
+    if (Stored.Entry.Kind == static_cast<std::uint8_t>(Kind))
+      Visit(Stored.Entry);
+}
+
+bool gossip_store::isSpent(const queued_entry &Queued, bool MayRelay) const {
+  const auto Found = Entries.find(Queued.Id);
+  if (Found == Entries.end())
+    return true;
+  const bool ForOthers =
+      MayRelay &&
+      traitsOf(Found->second.Entry.Kind)->Scope == entry_scope::Everywhere;
+  return Queued.LocalSent >= config::GossipTransmits &&
+         (!ForOthers || Queued.RemoteSent >= config::GossipTransmits);
+}
+
+bool gossip_store::take(queued_entry &Queued, bool IsLocal, bool IsUrgent,
+                        std::size_t &Bytes, mono_time Now,
+                        std::vector<gossip_entry> &Out) {
+  const auto Found = Entries.find(Queued.Id);
+  if (Found == Entries.end())
+    return true;
+  const kind_traits &Traits = *traitsOf(Found->second.Entry.Kind);
+  unsigned &Sent = IsLocal ? Queued.LocalSent : Queued.RemoteSent;
+  if (Traits.IsUrgent != IsUrgent || Sent >= config::GossipTransmits ||
+      (!IsLocal && Traits.Scope == entry_scope::DataCentre))
+    return true;
+  const std::size_t Size = wireBytes(Found->second.Entry);
+  if (Size > Bytes)
+    return false;
+  Bytes -= Size;
+  ++Sent;
+  Out.push_back(aged(Found->second, Now));
+  return true;
+}
+
+// Load: a roll-out moves 1,100 offsets while a rack dies. The harm would be
+// that old news delays the death of a VM, to which callers are still sent. So
+// members and offsets go before digests, and of each the newest first; what
+// does not fit is repaired by the next exchange.
+std::vector<gossip_entry> gossip_store::takeQueued(std::size_t Bytes,
+                                                   bool IsLocal, bool MayRelay,
+                                                   mono_time Now) {
+  std::vector<gossip_entry> Out;
+  for (const bool IsUrgent : {true, false})
+    for (auto Each = Queue.rbegin(); Each != Queue.rend(); ++Each)
+      if (!take(*Each, IsLocal, IsUrgent, Bytes, Now, Out))
+        break;
+  std::erase_if(Queue,
+                [&](const auto &Each) { return isSpent(Each, MayRelay); });
+  return Out;
+}
+
+sync_buckets gossip_store::buckets(mono_time Now) const {
+  sync_buckets Hashes{};
+  for (const auto &[Id, Stored] : Entries) {
+    if (!traitsOf(Stored.Entry.Kind)->IsHashed || !isShared(Stored, Now))
+      continue;
+    const std::uint64_t Place = XXH64(Id.data(), Id.size(), 0);
+    Hashes[Place % Hashes.size()] ^=
+        XXH64(Id.data(), Id.size(), Stored.Entry.Version);
+  }
+  return Hashes;
+}
+
+std::vector<gossip_entry>
+gossip_store::differing(const std::vector<std::uint64_t> &Theirs,
+                        std::size_t First, std::size_t Bytes,
+                        mono_time Now) const {
+  const sync_buckets Ours = buckets(Now);
+  std::array<std::vector<const stored *>, config::SyncBuckets> Groups;
+  for (const auto &[Id, Stored] : Entries) {
+    const std::size_t Place = XXH64(Id.data(), Id.size(), 0) % Ours.size();
+    const bool Differs = Place >= Theirs.size() || Theirs[Place] != Ours[Place];
+    if (Differs && traitsOf(Stored.Entry.Kind)->IsHashed &&
+        isShared(Stored, Now))
+      Groups[Place].push_back(&Stored);
+  }
+  std::vector<gossip_entry> Out;
+  for (std::size_t Index = 0; Index < Groups.size(); ++Index)
+    for (const stored *Each : Groups[(First + Index) % Groups.size()]) {
+      const std::size_t Size = wireBytes(Each->Entry);
+      if (Size > Bytes)
+        return Out;
+      Bytes -= Size;
+      Out.push_back(aged(*Each, Now));
+    }
+  return Out;
+}
+
+std::vector<gossip_entry> gossip_store::slice(std::size_t Bytes, bool IsLocal,
+                                              std::mt19937_64 &Random,
+                                              mono_time Now) const {
+  std::vector<const stored *> Fast;
+  for (const auto &[Id, Stored] : Entries) {
+    const kind_traits &Traits = *traitsOf(Stored.Entry.Kind);
+    if (!Traits.IsHashed &&
+        (IsLocal || Traits.Scope == entry_scope::Everywhere))
+      Fast.push_back(&Stored);
+  }
+  std::shuffle(Fast.begin(), Fast.end(), Random);
+  std::vector<gossip_entry> Out;
+  for (const stored *Each : Fast) {
+    const std::size_t Size = wireBytes(Each->Entry);
+    if (Size > Bytes)
+      break;
+    Bytes -= Size;
+    Out.push_back(aged(*Each, Now));
+  }
+  return Out;
+}
+
+void gossip_store::expire(mono_time Now) {
+  std::erase_if(Entries, [&](const auto &Item) {
+    const duration KeepFor = traitsOf(Item.second.Entry.Kind)->KeepFor;
+    return KeepFor != duration{0} && Now - Item.second.Born >= KeepFor;
+  });
+}
+
+void gossip_store::forget(std::string_view Source) {
+  std::erase_if(Entries, [&](const auto &Item) {
+    return Item.second.Entry.Source == Source;
+  });
+}
+
+} // namespace clementinelane
--- /dev/null
+++ b/src/membership.cpp
@@ -0,0 +1,441 @@
+#include "membership_p.h"
+
+#include <algorithm>
+
+namespace clementinelane {
+
+namespace {
+
+/// Header, type, incarnation and offset of a message, without texts.
+constexpr std::size_t MessageOverhead = 48;
+constexpr std::size_t BucketBytes = 9;
+/// Members told at once of a planned stop; the rest hear it from them.
+constexpr std::size_t LeaveFanout = 8;
+
+std::size_t wireBytes(const gossip_message &Message) {
+  std::size_t Bytes = MessageOverhead + Message.From.size() +
+                      Message.DataCentre.size() + Message.Target.size() +
+                      BucketBytes * Message.Buckets.size();
+  for (const gossip_entry &Entry : Message.Entries)
+    Bytes += clementinelane::wireBytes(Entry);
+  return Bytes;
+}
+
+} // namespace
+
+std::string encodeProfile(const member_profile &Profile) {
+  msgpack::sbuffer Buffer;
+  msgpack::pack(Buffer, Profile);
+  return {Buffer.data(), Buffer.size()};
+}
+
+member_profile decodeProfile(std::string_view Bytes) {
+  try {
+    return msgpack::unpack(Bytes.data(), Bytes.size())
+        .get()
+        .as<member_profile>();
+  } catch (const std::exception &) {
+    return {};
+  }
+}
+
+membership::membership(member_self Given, std::uint64_t Seed, mono_time Now)
+    : Self(std::move(Given)), Random(Seed), Incarnation(Self.Incarnation),
+      Tokens(config::GossipBurstBytes), RefilledAt(Now),
+      OffsetReportedAt(Now - config::OffsetReportEvery), NextSync(Now),
+      NextRecontact(Now) {
+  announceSelf(Now);
+}
+
+// --- messages --------------------------------------------------------------
+
+std::size_t membership::allowance(std::size_t Wanted) const {
+  return Tokens <= 0 ? 0 : std::min(Wanted, static_cast<std::size_t>(Tokens));
+}
+
+void membership::spend(const gossip_message &Message) {
+  Tokens -= static_cast<double>(wireBytes(Message));
+}
+
+void membership::addEntry(gossip_message &Message, const gossip_entry *Entry) {
+  if (Entry)
+    Message.Entries.push_back(*Entry);
+}
+
+gossip_message membership::makeMessage(gossip_type Type, const std::string &To,
+                                       bool IsLocal, mono_time Now) {
+  gossip_message Message;
+  Message.Protocol = config::GossipProtocol;
+  Message.Type = static_cast<std::uint8_t>(Type);
+  Message.From = Self.Link;
+  Message.Incarnation = Incarnation;
+  Message.DataCentre = Self.DataCentre;
+  Message.Offset = Offset;
+  Message.Entries = Store.takeQueued(allowance(config::GossipEntryBytes),
+                                     IsLocal, isRelay(), Now);
+  // Guard: a live member that is held dead would stay so if nobody told it. It
+  // shows as a VM without peers; so each message to it says what is said of it.
+  const auto Known = Members.find(To);
+  if (Known != Members.end()) {
+    const member_rank Rank = rankOf(Known->second.Version);
+    if (Rank != member_rank::Alive && Rank != member_rank::Leaving)
+      addEntry(Message, Store.find(entry_kind::Member, To));
+  }
+  return Message;
+}
+
+gossip_call &membership::call(const std::string &To, gossip_type Type,
+                              purpose Purpose, mono_time Now,
+                              membership_output &Out) {
+  const auto Known = Members.find(To);
+  const bool IsLocal =
+      Known != Members.end() && Known->second.DataCentre == Self.DataCentre;
+  Out.Calls.push_back({To, makeMessage(Type, To, IsLocal, Now), NextToken++});
+  Pending[Out.Calls.back().Token] = {To, Purpose, ""};
+  spend(Out.Calls.back().Message);
+  return Out.Calls.back();
+}
+
+void membership::syncWith(const std::string &To, mono_time Now,
+                          membership_output &Out) {
+  gossip_message &Message =
+      call(To, gossip_type::Sync, purpose::Sync, Now, Out).Message;
+  const sync_buckets Hashes = Store.buckets(Now);
+  Message.Buckets.assign(Hashes.begin(), Hashes.end());
+  addEntry(Message, Store.find(entry_kind::Member, Self.Link));
+}
+
+/// Takes what a peer said of itself and others; the number of new entries of
+/// kinds that change seldom.
+std::size_t membership::take(const gossip_message &Message, mono_time Now,
+                             membership_output &Out) {
+  std::size_t Fresh = 0;
+  for (const gossip_entry &Entry : Message.Entries)
+    if (mergeEntry(Entry, Now, Out) && traitsOf(Entry.Kind)->IsHashed)
+      ++Fresh;
+  ContactedAt[Message.DataCentre] = Now;
+  ReachedAt[Message.DataCentre] = Now;
+  Unanswered.erase(Message.From);
+  if (Message.Offset > Newest.second)
+    Newest = {Message.From, Message.Offset};
+  return Fresh;
+}
+
+membership_output membership::received(const gossip_message &Message,
+                                       mono_time Now, gossip_message &Reply) {
+  membership_output Out;
+  take(Message, Now, Out);
+  const auto Type = static_cast<gossip_type>(Message.Type);
+  const bool IsLocal = Message.DataCentre == Self.DataCentre;
+  Reply = makeMessage(gossip_type::Reply, Message.From, IsLocal, Now);
+  if (const auto Known = Members.find(Message.From);
+      Known != Members.end() &&
+      Message.Incarnation < incarnationOf(Known->second.Version))
+    addEntry(Reply, Store.find(entry_kind::Member, Message.From));
+  if (Type == gossip_type::Sync) {
+    for (gossip_entry &Entry :
+         Store.differing(Message.Buckets, Random() % config::SyncBuckets,
+                         allowance(config::SyncReplyBytes), Now))
+      Reply.Entries.push_back(std::move(Entry));
+    for (gossip_entry &Entry :
+         Store.slice(allowance(config::SyncSliceBytes), IsLocal, Random, Now))
+      Reply.Entries.push_back(std::move(Entry));
+  }
+  const auto IsAboutUs = [this](const gossip_entry &Entry) {
+    return Entry.Source == Self.Link;
+  };
+  if (std::any_of(Message.Entries.begin(), Message.Entries.end(), IsAboutUs))
+    addEntry(Reply, Store.find(entry_kind::Member, Self.Link));
+  spend(Reply);
+  if (Type == gossip_type::Vouch)
+    Unanswered.erase(Message.Target);
+  if (Type == gossip_type::ProbeFor) {
+    const gossip_call &Call =
+        call(Message.Target, gossip_type::Probe, purpose::Indirect, Now, Out);
+    Pending[Call.Token].For = Message.From;
+  }
+  return Out;
+}
+
+membership_output membership::replied(std::uint64_t Token,
+                                      const gossip_message &Message,
+                                      mono_time Now) {
+  membership_output Out;
+  const auto Found = Pending.find(Token);
+  if (Found == Pending.end())
+    return Out;
+  const pending_call Call = std::move(Found->second);
+  Pending.erase(Found);
+  const std::size_t Fresh = take(Message, Now, Out);
+  if (Call.Purpose == purpose::Sync && Fresh == 0)
+    IsJoining = false;
+  if (Call.Purpose == purpose::Indirect)
+    call(Call.For, gossip_type::Vouch, purpose::Contact, Now, Out)
+        .Message.Target = Call.To;
+  return Out;
+}
+
+// Load: 1,100 VMs, 74 of which die on a day, while far more calls fail because
+// a process paused. The harm of a false death is sessions and intents moved
+// for nothing; so a failed probe is first checked over other paths, and then
+// the target has time to say no.
+membership_output membership::failed(std::uint64_t Token, mono_time Now) {
+  membership_output Out;
+  const auto Found = Pending.find(Token);
+  if (Found == Pending.end())
+    return Out;
+  const pending_call Call = std::move(Found->second);
+  Pending.erase(Found);
+  if (Call.Purpose != purpose::Probe || !isAlive(Call.To) ||
+      !Unanswered.emplace(Call.To, Now).second)
+    return Out;
+  for (const std::string &Helper : pickHelpers(Call.To, config::IndirectProbes))
+    call(Helper, gossip_type::ProbeFor, purpose::Contact, Now, Out)
+        .Message.Target = Call.To;
+  return Out;
+}
+
+void membership::listRead(std::span<const listed_vm> List) {
+  Listed.clear();
+  for (const listed_vm &Each : List)
+    if (!Each.IsLeaving && Each.Link != Self.Link)
+      Listed.insert(Each.Link);
+}
+
+membership_output membership::leave(mono_time Now) {
+  membership_output Out;
+  IsLeaving = true;
+  announceSelf(Now);
+  for (const std::string &To : pickHelpers(Self.Link, LeaveFanout))
+    call(To, gossip_type::Probe, purpose::Contact, Now, Out);
+  relay(Now, Out);
+  return Out;
+}
+
+void membership::setOffset(std::uint64_t Newer) {
+  Offset = std::max(Offset, Newer);
+}
+
+bool membership::publish(entry_kind Kind, std::string Key,
+                         std::uint64_t Version, std::string Value,
+                         mono_time Now) {
+  return Store.merge({static_cast<std::uint8_t>(Kind), Self.Link,
+                      std::move(Key), Version, std::move(Value), 0},
+                     Now);
+}
+
+std::pair<std::string, std::uint64_t> membership::newerOffset() const {
+  return Newest.second > Offset ? Newest : std::pair(std::string(), Offset);
+}
+
+// --- what a tick does ------------------------------------------------------
+
+membership_output membership::tick(mono_time Now) {
+  membership_output Out;
+  Tokens = std::min<double>(
+      config::GossipBurstBytes,
+      Tokens + static_cast<double>(config::GossipBytesPerSecond) *
+                   std::chrono::duration<double>(Now - RefilledAt).count());
+  RefilledAt = Now;
+  rebuildCentres();
+  judgeProbes(Now, Out);
+  judgeSuspects(Now, Out);
+  reportOffset(Now);
+  if (isRelay()) {
+    reportReach(Now);
+    reportCentreOffset(Now);
+    relay(Now, Out);
+  }
+  probeNext(Now, Out);
+  exchange(Now, Out);
+  recontact(Now, Out);
+  watchCentres(Now, Out);
+  return Out;
+}
+
+void membership::probeNext(mono_time Now, membership_output &Out) {
+  for (bool MayRefill = true;;) {
+    if (ProbeOrder.empty()) {
+      const auto Own = Centres.find(Self.DataCentre);
+      if (!MayRefill || Own == Centres.end())
+        return;
+      MayRefill = false;
+      ProbeOrder = Own->second.Members;
+      std::erase(ProbeOrder, Self.Link);
+      std::shuffle(ProbeOrder.begin(), ProbeOrder.end(), Random);
+      continue;
+    }
+    const std::string To = std::move(ProbeOrder.back());
+    ProbeOrder.pop_back();
+    if (!isAlive(To))
+      continue;
+    call(To, gossip_type::Probe, purpose::Probe, Now, Out);
+    return;
+  }
+}
+
+void membership::judgeProbes(mono_time Now, membership_output &Out) {
+  std::vector<std::string> Late;
+  for (const auto &[Link, Since] : Unanswered)
+    if (Now - Since >= config::IndirectProbeTimeout)
+      Late.push_back(Link);
+  for (const std::string &Link : Late) {
+    Unanswered.erase(Link);
+    suspect(Link, Now, Out);
+  }
+}
+
+// Guard: a refutation reaches all but a few members, and one that missed it
+// would give up a live VM. It shows as a VM that dies and returns at once. So
+// each asks the suspect itself before its time is up; it answers with its new
+// incarnation.
+void membership::judgeSuspects(mono_time Now, membership_output &Out) {
+  std::size_t Asked = 0;
+  const std::set<std::string> Each = Suspects;
+  for (const std::string &Link : Each) {
+    const known_member &Member = Members.at(Link);
+    if (Member.DataCentre != Self.DataCentre)
+      continue;
+    if (Now - Member.Since < config::SuspicionTimeout) {
+      if (++Asked <= config::MaxSuspectsAsked)
+        call(Link, gossip_type::Probe, purpose::Contact, Now, Out);
+      continue;
+    }
+    const member_rank Rank =
+        rankOf(Member.Version) == member_rank::LeavingSuspect
+            ? member_rank::Left
+            : member_rank::Dead;
+    setRank(Link, versionOf(incarnationOf(Member.Version), Rank), Now, Out);
+  }
+}
+
+/// Talks to the relays of some other data centres; to any member of one that
+/// has not been reached, because its relays may have changed meanwhile.
+void membership::relay(mono_time Now, membership_output &Out) {
+  if (Centres.size() < 2 || !isRelay())
+    return;
+  for (std::size_t Count = 0; Count < config::RelayFanout; ++Count) {
+    auto Each =
+        std::next(Centres.begin(),
+                  static_cast<std::ptrdiff_t>(NextCentre++ % Centres.size()));
+    if (Each->first == Self.DataCentre)
+      Each =
+          std::next(Centres.begin(),
+                    static_cast<std::ptrdiff_t>(NextCentre++ % Centres.size()));
+    const centre &Centre = Each->second;
+    const std::size_t Choices =
+        isReachable(Each->first, Now) ? Centre.Relays : Centre.Members.size();
+    if (Each->first != Self.DataCentre && Choices > 0)
+      call(Centre.Members[Random() % Choices], gossip_type::Probe,
+           purpose::Contact, Now, Out);
+  }
+}
+
+/// Tells this data centre which others a relay has reached.
+void membership::reportReach(mono_time Now) {
+  for (const auto &[Name, At] : ContactedAt) {
+    mono_time &Reported = ReachReportedAt[Name];
+    if (Name == Self.DataCentre || At <= Reported ||
+        (Reported != mono_time{} && Now - Reported < config::ReachReportEvery))
+      continue;
+    Reported = Now;
+    const gossip_entry *Known = Store.find(entry_kind::Reach, Name);
+    Store.merge({static_cast<std::uint8_t>(entry_kind::Reach), Name, "",
+                 Known ? Known->Version + 1 : 1, "", 0},
+                Now);
+  }
+}
+
+/// The least offset of this data centre. 1,100 offsets told to all would cost
+/// each member thousands of bytes a second; ten of these cost some dozens.
+void membership::reportCentreOffset(mono_time Now) {
+  std::uint64_t Least = Offset;
+  for (const std::string &Link : Centres[Self.DataCentre].Members)
+    if (const gossip_entry *Known = Store.find(entry_kind::Offset, Link))
+      Least = std::min(Least, Known->Version);
+  if (Least > 0)
+    Store.merge({static_cast<std::uint8_t>(entry_kind::CentreOffset),
+                 Self.DataCentre, "", Least, "", 0},
+                Now);
+}
+
+void membership::reportOffset(mono_time Now) {
+  if (Offset == 0 || Now - OffsetReportedAt < config::OffsetReportEvery)
+    return;
+  if (publish(entry_kind::Offset, "", Offset, "", Now))
+    OffsetReportedAt = Now;
+}
+
+void membership::exchange(mono_time Now, membership_output &Out) {
+  if (!IsJoining && Now < NextSync)
+    return;
+  NextSync = Now + config::SyncEvery;
+  Store.expire(Now);
+  forgetOld(Now, Out);
+  for (const std::string &To : pickHelpers(Self.Link, 1))
+    syncWith(To, Now, Out);
+  if (!isRelay() || Centres.size() < 2)
+    return;
+  const auto Each = std::next(
+      Centres.begin(), static_cast<std::ptrdiff_t>(Random() % Centres.size()));
+  if (Each->first != Self.DataCentre && !Each->second.Members.empty())
+    syncWith(Each->second.Members[Random() % Each->second.Members.size()], Now,
+             Out);
+}
+
+// Guard: two parts that hold each other dead, or started apart, would never
+// speak again. It shows as two fleets in one. So every place where a member
+// has been or may be is tried from time to time, for as long as it is known.
+void membership::recontact(mono_time Now, membership_output &Out) {
+  if (!IsJoining && Now < NextRecontact)
+    return;
+  NextRecontact = Now + config::RecontactEvery;
+  std::vector<std::string> Places;
+  const auto Add = [&](const std::string &Link) {
+    if (Link != Self.Link && !isAlive(Link))
+      Places.push_back(Link);
+  };
+  for (const std::string &Link : Self.Seeds)
+    Add(Link);
+  for (const std::string &Link : Listed)
+    Add(Link);
+  for (const std::string &Link : Dead)
+    if (const known_member &Member = Members.at(Link);
+        rankOf(Member.Version) != member_rank::Left &&
+        (Member.DataCentre == Self.DataCentre || isRelay()))
+      Add(Link);
+  if (!Places.empty())
+    syncWith(Places[NextContact++ % Places.size()], Now, Out);
+}
+
+void membership::forgetOld(mono_time Now, membership_output &Out) {
+  const std::set<std::string> Candidates = Dead;
+  for (const std::string &Link : Candidates) {
+    const known_member &Member = Members.at(Link);
+    if (Now - Member.Since < config::ForgetDeadAfter)
+      continue;
+    Out.Notices.push_back({"member_forgotten", Link, Member.Vm,
+                           Member.DataCentre, incarnationOf(Member.Version)});
+    Store.forget(Link);
+    Dead.erase(Link);
+    Members.erase(Link);
+  }
+}
+
+void membership::watchCentres(mono_time Now, membership_output &Out) {
+  for (const auto &[Name, Centre] : Centres) {
+    ReachedAt.emplace(Name, Now); // known from now on
+    const bool IsReached = isReachable(Name, Now);
+    if (IsReached == !LostCentres.contains(Name))
+      continue;
+    if (IsReached)
+      LostCentres.erase(Name);
+    else
+      LostCentres.insert(Name);
+    Out.Notices.push_back(
+        {IsReached ? "data_centre_reached" : "data_centre_lost", Name, "", Name,
+         0});
+  }
+}
+
+} // namespace clementinelane
--- /dev/null
+++ b/src/membership.h
@@ -0,0 +1,202 @@
+#pragma once
+
+#include "gossip_store.h"
+#include "peers.h"
+
+#include <map>
+#include <random>
+#include <set>
+#include <span>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace clementinelane {
+
+/// What a VM knows of itself when its control starts.
+struct member_self {
+  std::string Link; ///< control link, IP number and port; names the member
+  std::string Vm;
+  std::string DataCentre;
+  std::string Region;
+  std::string EntryLink;
+  /// Must grow with each start; the wall clock in ms does. If it ran back, the
+  /// first peer says so and the member goes above what is known.
+  std::uint64_t Incarnation = 0;
+  std::vector<std::string> Seeds; ///< control links
+};
+
+/// One line of the platform's list of VMs. The list lags: a line is a place to
+/// try, and never by itself revives or kills a member.
+struct listed_vm {
+  std::string Link;
+  bool IsLeaving = false;
+};
+
+/// A message to send; its reply or its failure comes back under `Token`.
+struct gossip_call {
+  std::string To;
+  gossip_message Message;
+  std::uint64_t Token = 0;
+};
+
+/// A change that an operator may want to read.
+struct membership_notice {
+  std::string_view Event;
+  std::string Link; ///< or the data centre
+  std::string Vm;
+  std::string DataCentre;
+  std::uint64_t Incarnation = 0;
+};
+
+/// What is to be done after an event.
+struct membership_output {
+  std::vector<gossip_call> Calls;
+  std::vector<membership_notice> Notices;
+};
+
+/// One row of the member table.
+struct member_info {
+  peer_info Peer;
+  std::string_view State;
+  bool IsDead = false;
+  bool IsSuspect = false;
+  bool IsReachable = false;
+  std::uint64_t Offset = 0; ///< 0: not known here
+};
+
+/// Who is a member, by SWIM-like probes within each data centre, and what they
+/// tell each other on the way. Members of one data centre probe each other;
+/// two relays of each, the same for all by hash of their names, talk to the
+/// relays of the others. So a cut between data centres kills nobody: a centre
+/// that can't be reached is one fact, not a hundred deaths, and when it is
+/// reached again there is nothing to take back.
+///
+/// No I/O, thread or clock; randomness comes from the seed. Not thread-safe.
+class membership {
+public:
+  membership(member_self Self, std::uint64_t Seed, mono_time Now);
+
+  /// To be called each GossipPeriod.
+  membership_output tick(mono_time Now);
+  /// A peer called; `Reply` is the answer.
+  membership_output received(const gossip_message &Message, mono_time Now,
+                             gossip_message &Reply);
+  /// The call of `Token` was answered.
+  membership_output replied(std::uint64_t Token, const gossip_message &Message,
+                            mono_time Now);
+  /// The call of `Token` got no answer.
+  membership_output failed(std::uint64_t Token, mono_time Now);
+  /// Replaces what the platform's list said before.
+  void listRead(std::span<const listed_vm> List);
+  /// A planned stop: tells peers; from now on this member says that it leaves.
+  membership_output leave(mono_time Now);
+
+  /// The configuration in force here; never goes back.
+  void setOffset(std::uint64_t Offset);
+  /// Says something under this member's name. Not newer: ignored.
+  bool publish(entry_kind Kind, std::string Key, std::uint64_t Version,
+               std::string Value, mono_time Now);
+
+  const gossip_store &store() const { return Store; }
+  std::vector<member_info> members(mono_time Now) const;
+  std::vector<peer_info> peers(mono_time Now) const;
+  /// A member with a newer configuration than ours, and its offset.
+  std::pair<std::string, std::uint64_t> newerOffset() const;
+  bool isRelay() const;
+  bool isReachable(std::string_view DataCentre, mono_time Now) const;
+  std::uint64_t incarnation() const { return Incarnation; }
+
+private:
+  struct known_member {
+    std::string Vm;
+    std::string DataCentre;
+    std::string Region;
+    std::string EntryLink;
+    std::uint64_t Version = 0;
+    mono_time Since; ///< of this version; of a dead one: when it died
+  };
+  enum class purpose : std::uint8_t { Probe, Contact, Sync, Indirect };
+  struct pending_call {
+    std::string To;
+    purpose Purpose;
+    std::string For; ///< of Indirect: who asked
+  };
+  struct centre {
+    std::vector<std::string> Members; ///< not dead, relays first
+    std::size_t Relays = 0;
+  };
+
+  // Messages.
+  gossip_message makeMessage(gossip_type Type, const std::string &To,
+                             bool IsLocal, mono_time Now);
+  gossip_call &call(const std::string &To, gossip_type Type, purpose Purpose,
+                    mono_time Now, membership_output &Out);
+  void addEntry(gossip_message &Message, const gossip_entry *Entry);
+  void spend(const gossip_message &Message);
+  std::size_t allowance(std::size_t Wanted) const;
+  void syncWith(const std::string &To, mono_time Now, membership_output &Out);
+  std::size_t take(const gossip_message &Message, mono_time Now,
+                   membership_output &Out);
+
+  // Members.
+  bool mergeEntry(const gossip_entry &Entry, mono_time Now,
+                  membership_output &Out);
+  void refute(std::uint64_t Version, mono_time Now);
+  void announceSelf(mono_time Now);
+  void setRank(const std::string &Link, std::uint64_t Version, mono_time Now,
+               membership_output &Out);
+  void suspect(const std::string &Link, mono_time Now, membership_output &Out);
+  bool isAlive(const std::string &Link) const;
+  void rebuildCentres();
+  /// Up to `Count` live members of this data centre, from a random one on.
+  std::vector<std::string> pickHelpers(const std::string &Except,
+                                       std::size_t Count);
+
+  // What a tick does.
+  void probeNext(mono_time Now, membership_output &Out);
+  void judgeProbes(mono_time Now, membership_output &Out);
+  void judgeSuspects(mono_time Now, membership_output &Out);
+  void relay(mono_time Now, membership_output &Out);
+  void reportReach(mono_time Now);
+  void reportCentreOffset(mono_time Now);
+  void reportOffset(mono_time Now);
+  void exchange(mono_time Now, membership_output &Out);
+  void recontact(mono_time Now, membership_output &Out);
+  void forgetOld(mono_time Now, membership_output &Out);
+  void watchCentres(mono_time Now, membership_output &Out);
+
+  member_self Self;
+  std::mt19937_64 Random;
+  gossip_store Store;
+  std::uint64_t Incarnation;
+  bool IsLeaving = false;
+  bool IsJoining = true;
+  std::uint64_t Offset = 0;
+  std::pair<std::string, std::uint64_t> Newest; ///< highest offset heard of
+
+  std::unordered_map<std::string, known_member> Members; ///< others, by link
+  std::set<std::string> Suspects;
+  std::set<std::string> Dead;
+  std::set<std::string> Listed;
+  std::map<std::string, centre, std::less<>> Centres;
+  bool CentresStale = true;
+  std::map<std::string, mono_time, std::less<>> ReachedAt;
+  std::map<std::string, mono_time, std::less<>> ContactedAt; ///< by ourselves
+  std::map<std::string, mono_time, std::less<>> ReachReportedAt;
+  std::set<std::string, std::less<>> LostCentres;
+
+  std::uint64_t NextToken = 1;
+  std::unordered_map<std::uint64_t, pending_call> Pending;
+  std::map<std::string, mono_time> Unanswered; ///< probed in our place since
+  std::vector<std::string> ProbeOrder;
+  std::size_t NextCentre = 0;
+  std::size_t NextContact = 0;
+  double Tokens;
+  mono_time RefilledAt;
+  mono_time OffsetReportedAt;
+  mono_time NextSync;
+  mono_time NextRecontact;
+};
+
+} // namespace clementinelane
--- /dev/null
+++ b/src/membership_p.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include "membership.h"
+
+namespace clementinelane {
+
+/// States of one incarnation in the order in which they replace each other;
+/// the odd ones are those of a member that leaves.
+enum class member_rank : std::uint8_t {
+  Alive,
+  Suspect,
+  Leaving,
+  LeavingSuspect,
+  Dead,
+  Left,
+  Count
+};
+
+/// A member's version: its incarnation, then its state. Only the member itself
+/// starts a new incarnation, which overrides whatever was said of the last.
+constexpr std::uint64_t RanksPerIncarnation = 8;
+
+constexpr std::uint64_t versionOf(std::uint64_t Incarnation, member_rank Rank) {
+  return Incarnation * RanksPerIncarnation + static_cast<std::uint64_t>(Rank);
+}
+constexpr std::uint64_t incarnationOf(std::uint64_t Version) {
+  return Version / RanksPerIncarnation;
+}
+constexpr member_rank rankOf(std::uint64_t Version) {
+  return static_cast<member_rank>(Version % RanksPerIncarnation);
+}
+constexpr bool isDead(std::uint64_t Version) {
+  return rankOf(Version) >= member_rank::Dead;
+}
+
+/// What a member says of itself once an incarnation.
+struct member_profile {
+  std::string Vm;
+  std::string DataCentre;
+  std::string Region;
+  std::string EntryLink;
+  MSGPACK_DEFINE(Vm, DataCentre, Region, EntryLink)
+};
+
+std::string encodeProfile(const member_profile &Profile);
+/// Empty if unreadable.
+member_profile decodeProfile(std::string_view Bytes);
+
+} // namespace clementinelane
--- /dev/null
+++ b/src/membership_table.cpp
@@ -0,0 +1,223 @@
+#include "membership_p.h"
+
+#include <algorithm>
+#include <array>
+#include <xxhash.h>
+
+/// The member table of `membership`: what is known of each and how it changes.
+namespace clementinelane {
+
+namespace {
+
+struct rank_row {
+  std::string_view Event; ///< log line when a member gets there
+  std::string_view State; ///< in the member table
+};
+
+constexpr std::array<rank_row, static_cast<std::size_t>(member_rank::Count)>
+    Ranks{{{"member_alive", "alive"},
+           {"member_suspected", "suspect"},
+           {"member_leaving", "leaving"},
+           {"member_suspected", "leaving_suspect"},
+           {"member_dead", "dead"},
+           {"member_left", "left"}}};
+
+const rank_row &rowOf(std::uint64_t Version) {
+  const auto Index = static_cast<std::size_t>(rankOf(Version));
+  return Ranks[std::min(Index, Ranks.size() - 1)];
+}
+
+bool isSuspected(std::uint64_t Version) {
+  return rankOf(Version) == member_rank::Suspect ||
+         rankOf(Version) == member_rank::LeavingSuspect;
+}
+
+std::uint64_t placeOf(const std::string &Link) {
+  return XXH64(Link.data(), Link.size(), 0);
+}
+
+} // namespace
+
+void membership::announceSelf(mono_time Now) {
+  const member_rank Rank =
+      IsLeaving ? member_rank::Leaving : member_rank::Alive;
+  publish(
+      entry_kind::Member, "", versionOf(Incarnation, Rank),
+      encodeProfile({Self.Vm, Self.DataCentre, Self.Region, Self.EntryLink}),
+      Now);
+}
+
+// Guard: a live member is suspected, held dead, or was known under a higher
+// incarnation before a restart. It shows as a VM that peers don't ask. Only it
+// may go above that incarnation, and merging lets the higher one win.
+void membership::refute(std::uint64_t Version, mono_time Now) {
+  const gossip_entry *Own = Store.find(entry_kind::Member, Self.Link);
+  if (Own && Version <= Own->Version)
+    return;
+  Incarnation = std::max(Incarnation, incarnationOf(Version)) + 1;
+  announceSelf(Now);
+}
+
+bool membership::mergeEntry(const gossip_entry &Entry, mono_time Now,
+                            membership_output &Out) {
+  const bool IsMember =
+      Entry.Kind == static_cast<std::uint8_t>(entry_kind::Member);
+  if (IsMember && Entry.Source == Self.Link) {
+    refute(Entry.Version, Now);
+    return false;
+  }
+  if (!Store.merge(Entry, Now))
+    return false;
+  if (Entry.Kind == static_cast<std::uint8_t>(entry_kind::Reach))
+    ReachedAt[Entry.Source] = Now;
+  if (!IsMember)
+    return true;
+  member_profile Profile = decodeProfile(Entry.Value);
+  Members[Entry.Source] = {std::move(Profile.Vm),
+                           std::move(Profile.DataCentre),
+                           std::move(Profile.Region),
+                           std::move(Profile.EntryLink),
+                           Entry.Version,
+                           Now - std::chrono::seconds(Entry.AgeSeconds)};
+  Suspects.erase(Entry.Source);
+  Dead.erase(Entry.Source);
+  if (isSuspected(Entry.Version))
+    Suspects.insert(Entry.Source);
+  if (isDead(Entry.Version))
+    Dead.insert(Entry.Source);
+  CentresStale = true;
+  const known_member &Member = Members[Entry.Source];
+  Out.Notices.push_back({rowOf(Entry.Version).Event, Entry.Source, Member.Vm,
+                         Member.DataCentre, incarnationOf(Entry.Version)});
+  return true;
+}
+
+void membership::setRank(const std::string &Link, std::uint64_t Version,
+                         mono_time Now, membership_output &Out) {
+  const gossip_entry *Known = Store.find(entry_kind::Member, Link);
+  if (!Known)
+    return;
+  gossip_entry Entry = *Known;
+  Entry.Version = Version;
+  Entry.AgeSeconds = 0;
+  mergeEntry(Entry, Now, Out);
+}
+
+void membership::suspect(const std::string &Link, mono_time Now,
+                         membership_output &Out) {
+  const auto Found = Members.find(Link);
+  if (Found == Members.end() || isDead(Found->second.Version) ||
+      isSuspected(Found->second.Version))
+    return;
+  const std::uint64_t Version = Found->second.Version;
+  const member_rank Rank = rankOf(Version) == member_rank::Leaving
+                               ? member_rank::LeavingSuspect
+                               : member_rank::Suspect;
+  setRank(Link, versionOf(incarnationOf(Version), Rank), Now, Out);
+}
+
+bool membership::isAlive(const std::string &Link) const {
+  const auto Found = Members.find(Link);
+  return Found != Members.end() && !isDead(Found->second.Version);
+}
+
+bool membership::isRelay() const {
+  const auto Own = Centres.find(Self.DataCentre);
+  if (Own == Centres.end())
+    return true; // alone, as far as is known
+  const auto End = Own->second.Members.begin() +
+                   static_cast<std::ptrdiff_t>(Own->second.Relays);
+  return std::find(Own->second.Members.begin(), End, Self.Link) != End;
+}
+
+bool membership::isReachable(std::string_view DataCentre, mono_time Now) const {
+  if (DataCentre == Self.DataCentre)
+    return true;
+  const auto Found = ReachedAt.find(DataCentre);
+  return Found != ReachedAt.end() &&
+         Now - Found->second < config::DataCentreLostAfter;
+}
+
+/// Sorts the live members by data centre. The relays are the first by hash, so
+/// that all who know the same members choose the same, without a vote.
+void membership::rebuildCentres() {
+  if (!CentresStale)
+    return;
+  CentresStale = false;
+  Centres.clear();
+  Centres[Self.DataCentre].Members.push_back(Self.Link);
+  for (const auto &[Link, Member] : Members)
+    if (!isDead(Member.Version))
+      Centres[Member.DataCentre].Members.push_back(Link);
+  for (auto &[Name, Centre] : Centres) {
+    const auto Rank = [this](const std::string &Link) {
+      const auto Found = Members.find(Link);
+      const bool Leaves =
+          Found == Members.end()
+              ? IsLeaving
+              : rankOf(Found->second.Version) >= member_rank::Leaving;
+      return std::pair(Leaves, placeOf(Link));
+    };
+    std::sort(Centre.Members.begin(), Centre.Members.end(),
+              [&](const auto &A, const auto &B) { return Rank(A) < Rank(B); });
+    Centre.Relays =
+        std::min(Centre.Members.size(), config::RelaysPerDataCentre);
+  }
+}
+
+std::vector<std::string> membership::pickHelpers(const std::string &Except,
+                                                 std::size_t Count) {
+  std::vector<std::string> Picked;
+  const auto Own = Centres.find(Self.DataCentre);
+  if (Own == Centres.end())
+    return Picked;
+  const auto &Choices = Own->second.Members;
+  const std::size_t First = Random() % Choices.size();
+  for (std::size_t Index = 0; Index < Choices.size(); ++Index) {
+    const std::string &Each = Choices[(First + Index) % Choices.size()];
+    if (Picked.size() < Count && Each != Self.Link && Each != Except)
+      Picked.push_back(Each);
+  }
+  return Picked;
+}
+
+std::vector<member_info> membership::members(mono_time Now) const {
+  std::vector<member_info> Out;
+  const member_rank Rank =
+      IsLeaving ? member_rank::Leaving : member_rank::Alive;
+  Out.push_back({{Self.Vm, Self.DataCentre, Self.Region, Self.Link,
+                  Self.EntryLink, Incarnation, IsLeaving},
+                 rowOf(versionOf(0, Rank)).State,
+                 false,
+                 false,
+                 true,
+                 Offset});
+  for (const auto &[Link, Member] : Members) {
+    const gossip_entry *Known = Store.find(entry_kind::Offset, Link);
+    const member_rank Theirs = rankOf(Member.Version);
+    Out.push_back({{Member.Vm, Member.DataCentre, Member.Region, Link,
+                    Member.EntryLink, incarnationOf(Member.Version),
+                    Theirs == member_rank::Leaving ||
+                        Theirs == member_rank::LeavingSuspect},
+                   rowOf(Member.Version).State,
+                   isDead(Member.Version),
+                   isSuspected(Member.Version),
+                   isReachable(Member.DataCentre, Now),
+                   Known ? Known->Version : 0});
+  }
+  std::sort(Out.begin(), Out.end(), [](const auto &A, const auto &B) {
+    return A.Peer.ControlLink < B.Peer.ControlLink;
+  });
+  return Out;
+}
+
+std::vector<peer_info> membership::peers(mono_time Now) const {
+  std::vector<peer_info> Out;
+  for (member_info &Each : members(Now))
+    if (Each.Peer.ControlLink != Self.Link && !Each.IsDead && !Each.IsSuspect &&
+        Each.IsReachable)
+      Out.push_back(std::move(Each.Peer));
+  return Out;
+}
+
+} // namespace clementinelane
--- /dev/null
+++ b/tests/gossip_network.h
@@ -0,0 +1,195 @@
+#pragma once
+
+#include "membership.h"
+
+#include <ctime>
+#include <functional>
+#include <memory>
+#include <type_traits>
+
+namespace clementinelane::testing {
+
+/// Members in one process under virtual time: each message is encoded, may be
+/// lost or cut, and is decoded at the other side.
+class gossip_network {
+public:
+  struct node {
+    member_self Self;
+    std::unique_ptr<membership> Machine;
+    bool IsUp = false;
+    std::uint64_t Starts = 0;
+    std::uint64_t BytesOut = 0;
+    std::uint64_t BytesIn = 0;
+    std::uint64_t Messages = 0; ///< sent
+    std::uint64_t CpuNs = 0;    ///< of machine, encoding and decoding
+  };
+
+  explicit gossip_network(std::uint64_t Seed) : Random(Seed) {}
+
+  node &add(std::string Link, std::string DataCentre, std::string Region,
+            std::vector<std::string> Seeds) {
+    node &Node = Nodes[Link];
+    Node.Self = {
+        Link, "vm-" + Link,    std::move(DataCentre), std::move(Region), Link,
+        0,    std::move(Seeds)};
+    start(Link);
+    return Node;
+  }
+
+  /// Starts a VM, again with an empty table.
+  void start(const std::string &Link, bool ClockRanBack = false) {
+    node &Node = Nodes.at(Link);
+    Node.IsUp = true;
+    const std::uint64_t Epoch = ++Node.Starts;
+    Node.Self.Incarnation =
+        ClockRanBack
+            ? 1
+            : 1000 + static_cast<std::uint64_t>(Now.time_since_epoch() /
+                                                std::chrono::milliseconds(1));
+    Node.Machine = std::make_unique<membership>(Node.Self, Random(), Now);
+    const auto Phase = std::chrono::milliseconds(Random() % 1000);
+    at(Now + Phase, [this, Link, Epoch] { tick(Link, Epoch); });
+  }
+  void stop(const std::string &Link) { Nodes.at(Link).IsUp = false; }
+
+  void leave(const std::string &Link) {
+    node &Node = Nodes.at(Link);
+    send(Node, measured(Node, [&] { return Node.Machine->leave(Now); }));
+  }
+
+  void run(duration For) {
+    const mono_time End = Now + For;
+    while (!Events.empty() && Events.begin()->first.first <= End) {
+      const auto Event = Events.extract(Events.begin());
+      Now = Event.key().first;
+      Event.mapped()();
+    }
+    Now = End;
+  }
+
+  void resetCounters() {
+    for (auto &[Link, Node] : Nodes)
+      Node.BytesOut = Node.BytesIn = Node.Messages = Node.CpuNs = 0;
+  }
+
+  std::map<std::string, node> Nodes;
+  mono_time Now{std::chrono::hours(1)};
+  double Loss = 0;
+  /// Whether two members can't talk.
+  std::function<bool(const node &, const node &)> IsCut =
+      [](const node &, const node &) { return false; };
+  std::function<void(const node &, const membership_notice &)> OnNotice =
+      [](const node &, const membership_notice &) {};
+  std::function<void(node &)> BeforeTick = [](node &) {};
+
+private:
+  void at(mono_time When, std::function<void()> Run) {
+    Events.emplace(std::pair(When, NextOrder++), std::move(Run));
+  }
+
+  template <typename F> std::invoke_result_t<F> measured(node &Node, F Run) {
+    const std::uint64_t Before = cpuNs();
+    auto Result = Run();
+    Node.CpuNs += cpuNs() - Before;
+    return Result;
+  }
+  static std::uint64_t cpuNs() {
+    timespec Time{};
+    clock_gettime(CLOCK_THREAD_CPUTIME_ID, &Time);
+    return static_cast<std::uint64_t>(Time.tv_sec) * 1'000'000'000U +
+           static_cast<std::uint64_t>(Time.tv_nsec);
+  }
+
+  void tick(const std::string &Link, std::uint64_t Epoch) {
+    node &Node = Nodes.at(Link);
+    if (!Node.IsUp || Node.Starts != Epoch)
+      return;
+    BeforeTick(Node);
+    send(Node, measured(Node, [&] { return Node.Machine->tick(Now); }));
+    at(Now + config::GossipPeriod, [this, Link, Epoch] { tick(Link, Epoch); });
+  }
+
+  bool isLost(const node &A, const node &B) {
+    return !B.IsUp || IsCut(A, B) ||
+           std::uniform_real_distribution<>()(Random) < Loss;
+  }
+  duration delay(const node &A, const node &B) const {
+    return A.Self.DataCentre == B.Self.DataCentre
+               ? std::chrono::microseconds(300)
+               : std::chrono::milliseconds(A.Self.Region == B.Self.Region ? 2
+                                                                          : 30);
+  }
+
+  std::string encode(node &Node, const gossip_message &Message) {
+    std::string Bytes = measured(Node, [&] { return encodeGossip(Message); });
+    ++Node.Messages;
+    Node.BytesOut += Bytes.size();
+    return Bytes;
+  }
+  gossip_message decode(node &Node, const std::string &Bytes) {
+    Node.BytesIn += Bytes.size();
+    return measured(Node, [&] { return decodeGossip(Bytes).value(); });
+  }
+
+  void send(node &From, const membership_output &Out) {
+    for (const membership_notice &Notice : Out.Notices)
+      OnNotice(From, Notice);
+    for (const gossip_call &Call : Out.Calls) {
+      std::string Bytes = encode(From, Call.Message);
+      const auto To = Nodes.find(Call.To);
+      const std::string Link = From.Self.Link;
+      const std::uint64_t Epoch = From.Starts;
+      if (To == Nodes.end() || isLost(From, To->second)) {
+        fail(Link, Epoch, Call.Token);
+        continue;
+      }
+      at(Now + delay(From, To->second),
+         [this, Link, Epoch, Peer = Call.To, Token = Call.Token,
+          Bytes = std::move(Bytes)] {
+           deliver(Link, Epoch, Peer, Token, Bytes);
+         });
+    }
+  }
+
+  void deliver(const std::string &Link, std::uint64_t Epoch,
+               const std::string &Peer, std::uint64_t Token,
+               const std::string &Bytes) {
+    node &To = Nodes.at(Peer);
+    if (!To.IsUp)
+      return fail(Link, Epoch, Token);
+    const gossip_message Message = decode(To, Bytes);
+    gossip_message Reply;
+    const membership_output Out =
+        measured(To, [&] { return To.Machine->received(Message, Now, Reply); });
+    std::string Answer = encode(To, Reply);
+    send(To, Out);
+    node &From = Nodes.at(Link);
+    if (isLost(To, From))
+      return fail(Link, Epoch, Token);
+    at(Now + delay(To, From),
+       [this, Link, Epoch, Token, Answer = std::move(Answer)] {
+         node &Node = Nodes.at(Link);
+         if (!Node.IsUp || Node.Starts != Epoch)
+           return;
+         const gossip_message Got = decode(Node, Answer);
+         send(Node, measured(Node, [&] {
+                return Node.Machine->replied(Token, Got, Now);
+              }));
+       });
+  }
+
+  void fail(const std::string &Link, std::uint64_t Epoch, std::uint64_t Token) {
+    at(Now + config::ProbeTimeout, [this, Link, Epoch, Token] {
+      node &Node = Nodes.at(Link);
+      if (Node.IsUp && Node.Starts == Epoch)
+        send(Node,
+             measured(Node, [&] { return Node.Machine->failed(Token, Now); }));
+    });
+  }
+
+  std::mt19937_64 Random;
+  std::map<std::pair<mono_time, std::uint64_t>, std::function<void()>> Events;
+  std::uint64_t NextOrder = 0;
+};
+
+} // namespace clementinelane::testing
--- /dev/null
+++ b/tests/membership_test.cpp
@@ -0,0 +1,367 @@
+#define BOOST_TEST_MODULE membership
+#include "gossip_network.h"
+#include "membership_p.h"
+
+#include <boost/test/unit_test.hpp>
+#include <rapidcheck.h>
+
+using namespace clementinelane;
+using namespace std::chrono_literals;
+using testing::gossip_network;
+
+namespace {
+
+std::string linkOf(int DataCentre, int Vm) {
+  return "10." + std::to_string(DataCentre) + ".0." + std::to_string(Vm) +
+         ":9090";
+}
+
+/// `Vms` in each of `DataCentres`; the seeds are the first VM of each.
+void addFleet(gossip_network &Net, int DataCentres, int Vms) {
+  std::vector<std::string> Seeds;
+  Seeds.reserve(static_cast<std::size_t>(DataCentres));
+  for (int Centre = 0; Centre < DataCentres; ++Centre)
+    Seeds.push_back(linkOf(Centre, 0));
+  for (int Centre = 0; Centre < DataCentres; ++Centre)
+    for (int Vm = 0; Vm < Vms; ++Vm)
+      Net.add(linkOf(Centre, Vm), "hall-" + std::to_string(Centre), "r", Seeds);
+}
+
+member_info viewOf(const gossip_network &Net, const std::string &At,
+                   const std::string &Of) {
+  for (member_info &Each : Net.Nodes.at(At).Machine->members(Net.Now))
+    if (Each.Peer.ControlLink == Of)
+      return Each;
+  return {};
+}
+
+/// Members that are up and hold another that is up for suspect or dead, or
+/// don't know it, or the other way round; the oracle of quiet times.
+std::size_t wrongViews(const gossip_network &Net) {
+  std::size_t Wrong = 0;
+  for (const auto &[Link, Node] : Net.Nodes) {
+    if (!Node.IsUp)
+      continue;
+    std::map<std::string, member_info> Views;
+    for (member_info &Each : Node.Machine->members(Net.Now))
+      Views[Each.Peer.ControlLink] = Each;
+    for (const auto &[Other, Peer] : Net.Nodes) {
+      const auto Found = Views.find(Other);
+      const bool IsAlive = Found != Views.end() && !Found->second.IsDead &&
+                           !Found->second.IsSuspect &&
+                           Found->second.IsReachable;
+      const bool IsRight =
+          IsAlive == Peer.IsUp && (!IsAlive || Found->second.Peer.Incarnation ==
+                                                   Peer.Machine->incarnation());
+      Wrong += IsRight ? 0 : 1;
+    }
+  }
+  return Wrong;
+}
+
+struct counted_notices {
+  explicit counted_notices(gossip_network &Net) {
+    Net.OnNotice = [this](const auto &, const membership_notice &Notice) {
+      ++Counts[std::string(Notice.Event)];
+    };
+  }
+  std::map<std::string, int> Counts;
+};
+
+gossip_entry entryOf(entry_kind Kind, std::string Source, std::uint64_t Version,
+                     std::string Value = "") {
+  return {static_cast<std::uint8_t>(Kind),
+          std::move(Source),
+          "k",
+          Version,
+          std::move(Value),
+          0};
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(all_find_each_other_from_few_seeds) {
+  gossip_network Net(1);
+  addFleet(Net, 3, 6);
+  Net.run(60s);
+  BOOST_TEST(wrongViews(Net) == 0U);
+}
+
+// A VM dies without a word. Its peers' probes fail over every path, nobody
+// refutes, and within seconds it is dead for all, also in other data centres.
+BOOST_AUTO_TEST_CASE(a_dead_vm_is_known_everywhere) {
+  gossip_network Net(2);
+  addFleet(Net, 2, 6);
+  Net.run(60s);
+  Net.stop(linkOf(0, 3));
+  Net.run(40s);
+  BOOST_TEST(wrongViews(Net) == 0U);
+  BOOST_TEST(viewOf(Net, linkOf(1, 1), linkOf(0, 3)).State == "dead");
+}
+
+// One member can't reach another, though all others can. If its word alone
+// counted, a healthy VM would be given up; the others vouch for it.
+BOOST_AUTO_TEST_CASE(one_broken_path_makes_no_suspect) {
+  gossip_network Net(3);
+  addFleet(Net, 1, 8);
+  Net.run(60s);
+  const std::string A = linkOf(0, 1);
+  const std::string B = linkOf(0, 2);
+  Net.IsCut = [&](const auto &From, const auto &To) {
+    return (From.Self.Link == A && To.Self.Link == B) ||
+           (From.Self.Link == B && To.Self.Link == A);
+  };
+  counted_notices Notices(Net);
+  Net.run(10min);
+  BOOST_TEST(Notices.Counts["member_suspected"] == 0);
+}
+
+// The network loses every fifth message for an hour. Probes fail and healthy
+// VMs are suspected; each says so in time with a new incarnation, and none is
+// given up.
+BOOST_AUTO_TEST_CASE(suspects_refute_under_loss) {
+  gossip_network Net(4);
+  addFleet(Net, 1, 12);
+  Net.run(60s);
+  counted_notices Notices(Net);
+  Net.Loss = 0.2;
+  Net.run(1h);
+  Net.Loss = 0;
+  Net.run(60s);
+  BOOST_TEST(Notices.Counts["member_suspected"] > 0);
+  BOOST_TEST(Notices.Counts["member_dead"] == 0);
+  BOOST_TEST(wrongViews(Net) == 0U);
+}
+
+// A VM is replaced under the same address, and the new one's clock is behind.
+// Its first words look older than what all know; it must not stay unheard.
+BOOST_AUTO_TEST_CASE(same_address_comes_back_with_a_clock_behind) {
+  gossip_network Net(5);
+  addFleet(Net, 2, 5);
+  Net.run(60s);
+  const std::uint64_t Before =
+      viewOf(Net, linkOf(1, 2), linkOf(0, 2)).Peer.Incarnation;
+  Net.stop(linkOf(0, 2));
+  Net.run(3s);
+  Net.start(linkOf(0, 2), true);
+  Net.run(60s);
+  BOOST_TEST(wrongViews(Net) == 0U);
+  BOOST_TEST(viewOf(Net, linkOf(1, 2), linkOf(0, 2)).Peer.Incarnation > Before);
+}
+
+// A data centre is cut off for an hour. On both sides a VM dies, one leaves,
+// an endpoint leaves, offsets move and ratings come in. Nobody is given up for
+// the cut; after it both sides know all of it, and nothing has gone back.
+BOOST_AUTO_TEST_CASE(an_hour_apart_then_nothing_reverts) {
+  gossip_network Net(6);
+  addFleet(Net, 3, 5);
+  for (auto &[Link, Node] : Net.Nodes)
+    Node.Machine->setOffset(7);
+  Net.run(60s);
+  const auto IsFar = [](const auto &Node) {
+    return Node.Self.DataCentre == "hall-2";
+  };
+  Net.IsCut = [&](const auto &A, const auto &B) {
+    return IsFar(A) != IsFar(B);
+  };
+  Net.stop(linkOf(2, 4));
+  Net.stop(linkOf(0, 4));
+  membership &Near = *Net.Nodes.at(linkOf(0, 1)).Machine;
+  membership &Far = *Net.Nodes.at(linkOf(2, 1)).Machine;
+  Near.publish(entry_kind::Leaving, "runner-a1", 5, "", Net.Now);
+  Far.publish(entry_kind::Rating, "m@1", 30, "sum", Net.Now);
+  for (auto &[Link, Node] : Net.Nodes)
+    if (!IsFar(Node))
+      Node.Machine->setOffset(9);
+  counted_notices Notices(Net);
+  // Less than the hour that a leaving endpoint is told.
+  Net.run(59min);
+  BOOST_TEST(Notices.Counts["member_dead"] == 9 + 4);
+  BOOST_TEST(!Near.isReachable("hall-2", Net.Now));
+  BOOST_TEST(Near.peers(Net.Now).size() == 8U);
+  BOOST_TEST(Far.store().find(entry_kind::CentreOffset, "hall-0")->Version ==
+             7U);
+  Net.IsCut = [](const auto &, const auto &) { return false; };
+  Net.run(45s);
+  BOOST_TEST(wrongViews(Net) == 0U);
+  BOOST_TEST(Far.newerOffset().second == 9U);
+  for (const auto &[Link, Node] : Net.Nodes) {
+    if (!Node.IsUp)
+      continue;
+    const gossip_store &Store = Node.Machine->store();
+    BOOST_TEST(Store.find(entry_kind::Leaving, linkOf(0, 1), "runner-a1") !=
+               nullptr);
+    BOOST_REQUIRE(Store.find(entry_kind::Rating, linkOf(2, 1), "m@1"));
+    BOOST_TEST(Store.find(entry_kind::CentreOffset, "hall-0")->Version == 9U);
+    BOOST_TEST(Store.find(entry_kind::CentreOffset, "hall-2")->Version == 7U);
+  }
+}
+
+// The data centre's own network breaks in two for an hour, and each half gives
+// up the other. When it is whole again each tries the dead, who say they live.
+BOOST_AUTO_TEST_CASE(two_halves_of_a_data_centre_meet_again) {
+  gossip_network Net(7);
+  addFleet(Net, 1, 8);
+  Net.run(60s);
+  const auto IsOdd = [](const auto &Node) {
+    return (Node.Self.Link[Node.Self.Link.size() - 6] - '0') % 2 == 1;
+  };
+  Net.IsCut = [&](const auto &A, const auto &B) {
+    return IsOdd(A) != IsOdd(B);
+  };
+  Net.run(1h);
+  BOOST_TEST(viewOf(Net, linkOf(0, 1), linkOf(0, 2)).IsDead);
+  Net.IsCut = [](const auto &, const auto &) { return false; };
+  Net.run(90s);
+  BOOST_TEST(wrongViews(Net) == 0U);
+}
+
+// The platform's list still names a VM that died, as live, and one that lives
+// as leaving. The list may only suggest places to try: the dead stays dead and
+// the living stays, while a VM that only the list knows is found.
+BOOST_AUTO_TEST_CASE(the_lagging_list_neither_revives_nor_kills) {
+  gossip_network Net(8);
+  addFleet(Net, 1, 5);
+  Net.add(linkOf(0, 9), "hall-0", "r", {});
+  Net.run(60s);
+  BOOST_TEST(viewOf(Net, linkOf(0, 1), linkOf(0, 9)).State == "");
+  Net.stop(linkOf(0, 3));
+  const std::vector<listed_vm> List{
+      {linkOf(0, 3), false}, {linkOf(0, 4), true}, {linkOf(0, 9), false}};
+  Net.Nodes.at(linkOf(0, 1)).Machine->listRead(List);
+  Net.run(2min);
+  BOOST_TEST(wrongViews(Net) == 0U);
+  BOOST_TEST(viewOf(Net, linkOf(0, 1), linkOf(0, 4)).State == "alive");
+}
+
+// A VM is stopped as planned. All know that it leaves before it is gone, and
+// afterwards it counts as left; nobody is alarmed.
+BOOST_AUTO_TEST_CASE(a_planned_leave_is_no_death) {
+  gossip_network Net(9);
+  addFleet(Net, 2, 6);
+  Net.run(60s);
+  counted_notices Notices(Net);
+  Net.leave(linkOf(0, 2));
+  Net.run(10s);
+  BOOST_TEST(viewOf(Net, linkOf(1, 1), linkOf(0, 2)).Peer.IsLeaving);
+  Net.stop(linkOf(0, 2));
+  Net.run(40s);
+  BOOST_TEST(viewOf(Net, linkOf(1, 1), linkOf(0, 2)).State == "left");
+  BOOST_TEST(Notices.Counts["member_dead"] == 0);
+}
+
+// More is to be told than one message holds. A death and the newest digests go
+// first; the oldest digests wait, and the exchange brings them later.
+BOOST_AUTO_TEST_CASE(a_short_budget_sends_the_newest_first) {
+  gossip_store Store;
+  const mono_time Now{};
+  for (std::uint64_t Index = 1; Index <= 20; ++Index)
+    Store.merge(entryOf(entry_kind::Load, "s" + std::to_string(Index), Index),
+                Now);
+  Store.merge(entryOf(entry_kind::Offset, "s1", 3), Now);
+  Store.merge(entryOf(entry_kind::Load, "s21", 21), Now);
+  const auto First = Store.takeQueued(60, true, false, Now);
+  BOOST_REQUIRE(First.size() == 3U);
+  BOOST_TEST(First[0].Kind == static_cast<int>(entry_kind::Offset));
+  BOOST_TEST(First[1].Version == 21U);
+  BOOST_TEST(First[2].Version == 20U);
+}
+
+// A rolling upgrade: a message of a newer program has one more field and a kind
+// of entry not known here. Both are skipped. Another protocol is refused.
+BOOST_AUTO_TEST_CASE(a_newer_program_is_understood_or_refused) {
+  msgpack::sbuffer Buffer;
+  msgpack::packer<msgpack::sbuffer> Packer(Buffer);
+  Packer.pack(std::map<std::string, int>{
+      {"p", config::GossipProtocol}, {"o", 4}, {"newer", 1}});
+  const auto Newer = decodeGossip({Buffer.data(), Buffer.size()});
+  BOOST_REQUIRE(Newer.has_value());
+  BOOST_TEST(Newer.value().Offset == 4U);
+  gossip_entry Unknown;
+  Unknown.Kind = 200;
+  BOOST_TEST(!gossip_store().merge(Unknown, mono_time{}));
+  gossip_message Other;
+  Other.Protocol = config::GossipProtocol + 1;
+  const auto Refused = decodeGossip(encodeGossip(Other));
+  BOOST_REQUIRE(!Refused.has_value());
+  BOOST_TEST((kindOf(Refused.error()) == error_kind::PeerIncompatible));
+}
+
+// Dead members must be forgotten one day, though others still know them, or
+// tables would grow with every VM that was ever replaced.
+BOOST_AUTO_TEST_CASE(the_dead_are_forgotten_for_good) {
+  gossip_network Net(10);
+  addFleet(Net, 1, 4);
+  Net.run(60s);
+  Net.stop(linkOf(0, 3));
+  Net.run(23h);
+  Net.add(linkOf(0, 7), "hall-0", "r", {linkOf(0, 0)});
+  Net.run(1h + 2min);
+  for (const auto &[Link, Node] : Net.Nodes)
+    if (Node.IsUp)
+      BOOST_TEST(viewOf(Net, Link, linkOf(0, 3)).State == "");
+}
+
+// Any order of joins, deaths, restarts, leaves, cuts, losses and changes.
+// Oracle: no offset ever goes down anywhere; after a quiet time all agree on
+// who is up, and no live VM is held dead.
+BOOST_AUTO_TEST_CASE(any_history_ends_in_agreement) {
+  BOOST_TEST(rc::check("membership history", [] {
+    gossip_network Net(*rc::gen::arbitrary<std::uint64_t>());
+    addFleet(Net, 3, 4);
+    Net.run(40s);
+    std::map<std::pair<std::string, std::string>, std::uint64_t> Seen;
+    Net.BeforeTick = [&](gossip_network::node &Node) {
+      if (Node.Starts > 1)
+        return; // a restarted VM begins with an empty table
+      Node.Machine->store().forEach(
+          entry_kind::CentreOffset, [&](const gossip_entry &Entry) {
+            std::uint64_t &Last = Seen[{Node.Self.Link, Entry.Source}];
+            RC_ASSERT(Entry.Version >= Last);
+            Last = Entry.Version;
+          });
+    };
+    std::uint64_t Offset = 1;
+    const auto Steps =
+        *rc::gen::container<std::vector<int>>(12, rc::gen::inRange(0, 7 * 12));
+    for (const int Step : Steps) {
+      const std::string Link = linkOf((Step / 7) % 3, (Step / 7) / 3);
+      gossip_network::node &Node = Net.Nodes.at(Link);
+      switch (Step % 7) {
+      case 0:
+        Net.stop(Link);
+        break;
+      case 1:
+        Net.start(Link, Step % 2 == 0);
+        break;
+      case 2:
+        if (Node.IsUp)
+          Net.leave(Link);
+        Net.run(5s);
+        Net.stop(Link);
+        break;
+      case 3:
+        Net.IsCut = [Name = Node.Self.DataCentre](const auto &A,
+                                                  const auto &B) {
+          return (A.Self.DataCentre == Name) != (B.Self.DataCentre == Name);
+        };
+        break;
+      case 4:
+        Net.IsCut = [](const auto &, const auto &) { return false; };
+        break;
+      case 5:
+        Net.Loss = Net.Loss > 0 ? 0 : 0.3;
+        break;
+      default:
+        ++Offset;
+        for (auto &[Each, Other] : Net.Nodes)
+          Other.Machine->setOffset(Offset);
+      }
+      Net.run(std::chrono::seconds(1 + Step));
+    }
+    Net.Loss = 0;
+    Net.IsCut = [](const auto &, const auto &) { return false; };
+    Net.run(4min);
+    RC_ASSERT(wrongViews(Net) == 0U);
+  }));
+}
