Wire membership into control and entry

Cause: the machine ran in tests only.

Control answers /gossip and /peers over the link, ticks on a thread of its own, reads the platform's list of VMs on another, tells peers of a planned stop before it ends, shows its table under /v1/members and its counters under /metrics. Entry asks control for the peers. While the log can't be read, a peer that has a newer configuration is asked for its state; a replica never goes back, and records that came with it are not judged twice.

--- a/src/control.cpp
+++ b/src/control.cpp
@@ -22,19 +22,30 @@
 
 control::control(const settings &Settings, const runtime_clock &Clock)
     : Settings(Settings), Clock(Clock), Log(Settings.LogAddress),
-      Operators(Settings.Address + ":" + std::to_string(Settings.OperatorPort),
-                {{"GET",
-                  {"v1", "status"},
-                  [this](const auto &Call) { answerStatus(Call); }},
-                 {"GET",
-                  {"v1", "files"},
-                  [this](const auto &Call) { answerFiles(Call); }},
-                 {"GET",
-                  {"v1", "verdicts", "*"},
-                  [this](const auto &Call) { answerVerdict(Call); }},
-                 {"GET", {"healthz"}, [](const auto &Call) {
-                    Call->text("ok\n");
-                  }}}) {}
+      Gossip(Settings, Clock,
+             [this](const std::string &Peer, std::uint64_t Offset) {
+               fetchFrom(Peer, Offset);
+             }),
+      Operators(
+          Settings.Address + ":" + std::to_string(Settings.OperatorPort),
+          {{"GET",
+            {"v1", "status"},
+            [this](const auto &Call) { answerStatus(Call); }},
+           {"GET",
+            {"v1", "files"},
+            [this](const auto &Call) { answerFiles(Call); }},
+           {"GET",
+            {"v1", "verdicts", "*"},
+            [this](const auto &Call) { answerVerdict(Call); }},
+           {"GET",
+            {"v1", "members"},
+            [this](const auto &Call) { Call->json(Gossip.membersJson()); }},
+           {"GET",
+            {"metrics"},
+            [this](const auto &Call) { Call->text(Gossip.metricsText()); }},
+           {"GET", {"healthz"}, [](const auto &Call) {
+              Call->text("ok\n");
+            }}}) {}
 
 control::~control() {
   {
@@ -42,6 +53,7 @@
     Stopping = true;
   }
   Changed.notify_all();
+  Gossip.close();
   if (Follower.joinable())
     Follower.join();
 }
@@ -52,9 +64,40 @@
       [this](std::string_view Path, const std::string &Body,
              const link_reply &Reply) { onLink(Path, Body, Reply); });
   Operators.open();
+  Gossip.open();
   Follower = std::thread([this] { followLog(); });
 }
 
+void control::leave() { Gossip.leave(); }
+
+// Guard: a VM cut off from the log, or a new one while the log is away, would
+// stay behind. It shows as an old offset in force here. Peers that read the log
+// hand over their state; the replica takes only what is further on.
+void control::fetchFrom(const std::string &Peer, std::uint64_t Offset) {
+  {
+    const std::scoped_lock Lock(Mutex);
+    if (LogReachable || Stopping || Replica.state().Accepted >= Offset)
+      return;
+  }
+  Peers.call(Peer, "/state", "0", config::LinkCallTimeout,
+             [this, Peer](const result<std::string> &Reply) {
+               if (Reply)
+                 adopt(Peer, Reply.value());
+             });
+}
+
+void control::adopt(const std::string &Peer, std::string_view Bytes) {
+  const auto Newer = decodeState(Bytes);
+  const std::scoped_lock Lock(Mutex);
+  if (!Newer || !Replica.adopt(Newer.value()))
+    return;
+  logs::info(
+      "state_from_peer",
+      {{"peer", Peer}, {"offset", std::to_string(Replica.state().Accepted)}});
+  Gossip.setOffset(Replica.state().Accepted);
+  Changed.notify_all();
+}
+
 void control::followLog() {
   for (;;) {
     std::uint64_t From = 0;
@@ -79,6 +122,8 @@
 void control::applyBatch(const log_batch &Batch) {
   for (const log_record &Record : Batch.Records) {
     const std::scoped_lock Lock(Mutex);
+    if (Record.Offset < Replica.state().Next)
+      continue; // came with a peer's state meanwhile
     change_verdict Verdict = Replica.apply(Record.Offset, Record.Bytes);
     logs::info("change", {{"offset", std::to_string(Verdict.Offset)},
                           {"id", Verdict.Id},
@@ -92,6 +137,10 @@
       VerdictOrder.pop_front();
     }
   }
+  {
+    const std::scoped_lock Lock(Mutex);
+    Gossip.setOffset(Replica.state().Accepted);
+  }
   Changed.notify_all();
 }
 
@@ -99,6 +148,10 @@
                      const link_reply &Reply) {
   if (Path == "/state")
     return replyState(toNumber(Body), Reply);
+  if (Path == "/gossip")
+    return Gossip.onMessage(Body, Reply);
+  if (Path == "/peers")
+    return Reply(encodePeers(Gossip.peers()));
   Reply(error_kind::PeerIncompatible);
 }
 
--- a/src/control.h
+++ b/src/control.h
@@ -2,6 +2,7 @@
 
 #include "change.h"
 #include "clock.h"
+#include "gossip_runner.h"
 #include "http_server.h"
 #include "link.h"
 #include "log_client.h"
@@ -25,6 +26,8 @@
   control &operator=(const control &) = delete;
 
   void open();
+  /// A planned stop: peers are told first.
+  void leave();
 
 private:
   void followLog();
@@ -32,6 +35,8 @@
   void onLink(std::string_view Path, std::string_view Body,
               const link_reply &Reply);
   void replyState(std::uint64_t Known, const link_reply &Reply);
+  void fetchFrom(const std::string &Peer, std::uint64_t Offset);
+  void adopt(const std::string &Peer, std::string_view Bytes);
   void answerStatus(const std::shared_ptr<http_call> &Call);
   void answerFiles(const std::shared_ptr<http_call> &Call);
   void answerVerdict(const std::shared_ptr<http_call> &Call);
@@ -47,6 +52,8 @@
   bool LogReachable = false;
   bool Stopping = false;
   std::thread Follower;
+  gossip_runner Gossip;
+  link_client Peers;
   http_server Operators;
   std::unique_ptr<link_server> Link;
 };
--- a/src/entry.cpp
+++ b/src/entry.cpp
@@ -137,6 +137,14 @@
              "\n");
 }
 
+void entry::followPeers(const std::string &Control) {
+  const auto Reply =
+      Link.callSync(Control, "/peers", "", config::LinkCallTimeout);
+  if (auto List = Reply ? decodePeers(Reply.value())
+                        : result<std::vector<peer_info>>(Reply.error()))
+    Peers.set(std::move(List).value());
+}
+
 // Guard: control may be away for long. It shows as failed calls here; the last
 // configuration stays in force, and the next answer of control replaces it.
 void entry::followControl() {
@@ -144,6 +152,7 @@
       Settings.Address + ":" + std::to_string(Settings.LinkPort);
   std::uint64_t Known = 0;
   while (!Draining) {
+    followPeers(Control);
     const auto Reply = Link.callSync(Control, "/state", std::to_string(Known),
                                      config::LinkCallTimeout);
     const auto State = Reply ? decodeState(Reply.value())
--- a/src/entry.h
+++ b/src/entry.h
@@ -7,6 +7,7 @@
 #include "link.h"
 #include "log_intents.h"
 #include "log_usage.h"
+#include "peers.h"
 #include "request_runner.h"
 #include "settings.h"
 
@@ -37,6 +38,7 @@
   void run(const std::shared_ptr<http_call> &Call,
            result<caller_request> Request);
   void followControl();
+  void followPeers(const std::string &Control);
 
   settings Settings;
   const runtime_clock &Clock;
@@ -53,6 +55,7 @@
   std::atomic<std::uint64_t> Open{0};
   std::atomic<std::uint64_t> Taken{0};
   std::atomic<bool> Draining{false};
+  peer_list Peers; ///< other VMs, from control
   link_client Link;
   http_server Server;
   std::thread Follower;
--- a/src/peers.h
+++ b/src/peers.h
@@ -1,8 +1,12 @@
 #pragma once
 
+#include "clementinelane/error.h"
+
 #include <cstdint>
+#include <msgpack.hpp>
 #include <mutex>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace clementinelane {
@@ -16,8 +20,14 @@
   std::string EntryLink;   ///< IP number and port
   std::uint64_t Incarnation = 0;
   bool IsLeaving = false;
+  MSGPACK_DEFINE_MAP(Vm, DataCentre, Region, ControlLink, EntryLink,
+                     Incarnation, IsLeaving)
 };
 
+/// The peers as control hands them to entry.
+std::string encodePeers(const std::vector<peer_info> &Peers);
+result<std::vector<peer_info>> decodePeers(std::string_view Bytes);
+
 /// The VMs that can be asked now, this one left out.
 class peer_source {
 public:
--- a/tools/control/main.cpp
+++ b/tools/control/main.cpp
@@ -11,5 +11,6 @@
          cl::control Control(Settings, Clock);
          Control.open();
          WaitForStop();
+         Control.leave();
        }});
 }
