--- a/src/entry.cpp
+++ b/src/entry.cpp
@@ -160,6 +160,14 @@
              "\n");
 }
 
+void entry::followPeers(const std::string &Control) {
+  const auto Reply =
+      Link.callSync(Control, "/peers", "", config::LinkCallTimeout);
+  if (auto List = Reply ? decodePeers(Reply.value())
+                        : result<std::vector<peer_info>>(Reply.error()))
+    Peers.set(std::move(List).value());
+}
+
 // Guard: control may be away for long. It shows as failed calls here; the last
 // configuration stays in force, and the next answer of control replaces it.
 void entry::followControl() {
@@ -167,6 +175,7 @@
       Settings.Address + ":" + std::to_string(Settings.LinkPort);
   std::uint64_t Known = 0;
   while (!Leaving) {
+    followPeers(Control);
     const auto Reply = Link.callSync(Control, "/state", std::to_string(Known),
                                      config::LinkCallTimeout);
     const auto State = Reply ? decodeState(Reply.value())
--- a/src/entry.h
+++ b/src/entry.h
@@ -7,6 +7,7 @@
 #include "link.h"
 #include "log_intents.h"
 #include "log_usage.h"
+#include "peers.h"
 #include "request_runner.h"
 #include "settings.h"
 #include "stop_sequence.h"
@@ -42,6 +43,7 @@
            result<caller_request> Request);
   void followControl();
   stop_phase advanceStop(bool IsAsked);
+  void followPeers(const std::string &Control);
 
   settings Settings;
   const runtime_clock &Clock;
@@ -62,6 +64,7 @@
   stop_sequence Stop;
   std::atomic<stop_phase> Phase{stop_phase::Serving};
   std::atomic<bool> Leaving{false}; ///< the follower ends
+  peer_list Peers;                  ///< other VMs, from control
   link_client Link;
   http_server Server;
   std::thread Follower;
--- a/tests/standin/main.cpp
+++ b/tests/standin/main.cpp
@@ -2,6 +2,7 @@
 #include "log_stream.h"
 #include "model_engine.h"
 #include "plain_service.h"
+#include "vm_list.h"
 
 #include <boost/algorithm/string/split.hpp>
 #include <csignal>
@@ -9,7 +10,7 @@
 #include <iostream>
 
 DEFINE_string(listen, "127.0.0.1:7000", "IP number and port");
-DEFINE_string(role, "log", "log, engine, service or caller");
+DEFINE_string(role, "log", "log, engine, service, caller or vmlist");
 DEFINE_string(entries, "", "caller: addresses of entries, by comma");
 DEFINE_string(key, "kasbalans-demo-key", "caller: the customer key");
 DEFINE_uint64(retention, 100000, "log: records kept of each stream");
@@ -39,12 +40,15 @@
   standin::log_stream Log(FLAGS_retention);
   standin::model_engine Engine{std::chrono::microseconds(FLAGS_token_delay_us)};
   standin::plain_service Service;
+  standin::vm_list VmList;
   if (FLAGS_role == "log")
     Routes = Log.routes();
   else if (FLAGS_role == "engine")
     Routes = Engine.routes();
   else if (FLAGS_role == "service")
     Routes = Service.routes();
+  else if (FLAGS_role == "vmlist")
+    Routes = VmList.routes();
   else {
     std::cerr << "clementine_standin: no role " << FLAGS_role << '\n';
     return 2;
