Place intents through group commits of few scribes

Cause: each booking was an append of its own, a lost append answer was taken for "nothing was appended", a request told "not run" could block its key for ever, and the table of keys grew without end.

The intents of a key now go to one of 16 fixed streams. intent_scribe gathers them, appends in groups with one append under way, reads back and judges by log order; intent_table folds a stream with a final judgement for each request id, void late intents, a window and limits in bytes. A VM asks the scribes of the stream over the entry link and, when none answers, is one itself. What it could not tell the log it owes, and pays when the log is back.

Ruled out: a stream for each data centre, since adding one would move keys to a stream that never heard of them; a lease for the scribe, since log order makes two at once harmless.

Answers kept for replay carry their version; one too large to keep has its own refusal, answer_not_kept.

--- a/include/clementinelane/error.h
+++ b/include/clementinelane/error.h
@@ -54,6 +54,7 @@
   IdempotencyKeyReused,
   IdempotencyInProgress,
   OutcomeUnknown,
+  AnswerNotKept,
   // The platform's log and configuration.
   LogUnavailable,
   LogExpired,
--- a/src/answer.cpp
+++ b/src/answer.cpp
@@ -140,7 +140,7 @@
 
 void answer_former::replay(const kept_answer &Answer) {
   if (!Context.IsService) {
-    head({Answer.Status, Answer.ContentType, ""});
+    head({Answer.Status, Answer.ContentType, Answer.Version});
     const answer_token Token{0, Answer.Body};
     tokens({&Token, 1});
     return end({0, 0, "stop"});
--- a/src/config.h
+++ b/src/config.h
@@ -50,6 +50,61 @@
 /// VM this is about three minutes of outage.
 constexpr std::size_t MaxUsageWaiting = 10'000;
 
+// --- at most once -----------------------------------------------------------
+
+/// Streams that hold intents. Fixed, since a key must be looked for where it
+/// was placed; above the number of data centres, so that each is home to one.
+constexpr std::uint64_t IntentStreams = 16;
+/// Appends a second for intents and outcomes of the whole fleet; the log takes
+/// several hundred, and configuration, usage and leases need theirs.
+constexpr std::uint64_t IntentAppendsPerSecond = 160;
+/// Least time between two appends of one stream, so that the budget holds
+/// whatever the number of requests.
+constexpr auto IntentAppendSpacing =
+    std::chrono::milliseconds(1000 * IntentStreams / IntentAppendsPerSecond);
+/// Wait for more intents before a group goes out on an idle stream.
+constexpr auto IntentGather = 2ms;
+/// Bytes and records of one group; one append stays small.
+constexpr std::size_t MaxIntentGroupBytes = 512U << 10U;
+constexpr std::size_t MaxIntentGroupRecords = 512;
+/// Bytes of intents that wait for one stream's append; four groups.
+constexpr std::size_t MaxIntentWaitingBytes = 2U << 20U;
+/// Longest wait of an intent that was not appended yet, then it is refused.
+constexpr auto IntentWaitLimit = 1s;
+/// Time that a key is remembered. Must stay below the log's retention. At 30
+/// non-idempotent requests a second and stream this is 216,000 keys.
+constexpr auto IntentWindow = 2h;
+/// An intent that lands later than this behind the stream's time is void:
+/// above any append under way, far below IntentWindow.
+constexpr auto IntentLandingLimit = 60s;
+/// After this a request without an outcome counts as lost with its VM; above
+/// MaxDeadline, the longest run.
+constexpr auto IntentRunLimit = MaxDeadline + 60s;
+/// Bytes of one kept answer; a booking's confirmation is a few hundred.
+constexpr std::size_t MaxKeptAnswerBytes = 64U << 10U;
+/// Bytes of all kept answers of one stream on a scribe, oldest dropped first.
+constexpr std::size_t MaxKeptAnswersBytes = 16U << 20U;
+/// Bytes of all keys of one stream on a scribe; above it new ones are refused.
+constexpr std::size_t MaxIntentTableBytes = 96U << 20U;
+/// Scribes of a stream: a second one for when the first does not answer.
+constexpr std::size_t IntentScribes = 2;
+/// Threads for calls to the log from one entry; apart from the threads of HTTP,
+/// which the calls themselves need.
+constexpr std::size_t LogCallThreads = 4;
+/// One call to a scribe: gather, spacing, one append and one read.
+constexpr auto IntentCallTimeout = 1500ms;
+/// A won intent older than this is not dispatched: a process that was paused
+/// must not run what others may have judged since. Far below IntentWindow.
+constexpr auto IntentDispatchLimit = 30s;
+/// Outcomes that a VM still owes the log, in bytes, and how often it tries.
+constexpr std::size_t MaxOwedOutcomeBytes = 8U << 20U;
+constexpr auto OwedOutcomeRetry = 500ms;
+/// Outcomes sent at once when the log is back; one group.
+constexpr std::size_t OwedOutcomeBatch = MaxIntentGroupRecords;
+/// Longest wait of a planned stop for what this VM still owes the log or its
+/// peers.
+constexpr auto DrainOwedLimit = 5s;
+
 // --- our own processes -----------------------------------------------------
 
 /// Bytes of one message between our processes.
--- a/src/entry.cpp
+++ b/src/entry.cpp
@@ -16,12 +16,30 @@
   return [Call](std::string_view Name) { return Call->header(Name); };
 }
 
+/// This VM as its peers see it. A restarted process is another one.
+peer_info selfOf(const settings &Settings, const runtime_clock &Clock) {
+  peer_info Self;
+  Self.Vm = Settings.VmName;
+  Self.DataCentre = Settings.DataCentre;
+  Self.Region = Settings.Region;
+  Self.EntryLink =
+      Settings.Address + ":" + std::to_string(Settings.EntryLinkPort);
+  Self.Incarnation = static_cast<std::uint64_t>(
+      std::chrono::duration_cast<std::chrono::milliseconds>(
+          Clock.wallNow().time_since_epoch())
+          .count());
+  return Self;
+}
+
 } // namespace
 
 entry::entry(const settings &Settings, const runtime_clock &Clock)
     : Settings(Settings), Clock(Clock), Tokens(Settings.SessionKeys),
       Placer(Settings.DataCentre, std::random_device{}()),
-      Log(Settings.LogAddress), Intents(Log), Usage(Log), Transport(Timers),
+      Log(Settings.LogAddress),
+      Intents({Log, LogCalls, Clock, Timers, Link, Peers},
+              selfOf(Settings, Clock)),
+      Usage(Log), Transport(Timers),
       Server(Settings.Address + ":" + std::to_string(Settings.EntryPort),
              routes()) {}
 
@@ -32,6 +50,11 @@
 }
 
 void entry::open() {
+  LinkServer = std::make_unique<link_server>(
+      Settings.Address + ":" + std::to_string(Settings.EntryLinkPort),
+      [this](std::string_view Path, const std::string &Body, link_reply Reply) {
+        onLink(Path, Body, std::move(Reply));
+      });
   Server.open();
   Follower = std::thread([this] { followControl(); });
 }
@@ -41,9 +64,23 @@
   logs::info("drain", {{"open", std::to_string(Open.load())}});
   while (Open.load() > 0)
     std::this_thread::sleep_for(DrainPoll);
+  drainOwed();
   Server.close();
 }
 
+void entry::drainOwed() const {
+  const auto Until = Clock.now() + config::DrainOwedLimit;
+  while (Clock.now() < Until && Intents.counters().Owed > 0)
+    std::this_thread::sleep_for(DrainPoll);
+}
+
+void entry::onLink(std::string_view Path, std::string_view Body,
+                   link_reply Reply) {
+  if (Path == IntentPath)
+    return Intents.serve(Body, std::move(Reply));
+  Reply(error_kind::PeerIncompatible);
+}
+
 std::vector<http_route> entry::routes() {
   const auto To = [this](void (entry::*Answer)(
                       const std::shared_ptr<http_call> &)) -> http_handler {
@@ -132,9 +169,15 @@
 }
 
 void entry::answerMetrics(const std::shared_ptr<http_call> &Call) {
-  Call->text("clementine_open_requests " + std::to_string(Open.load()) +
-             "\nclementine_requests_total " + std::to_string(Taken.load()) +
-             "\n");
+  const intent_counters Counters = Intents.counters();
+  Call->text(
+      "clementine_open_requests " + std::to_string(Open.load()) +
+      "\nclementine_requests_total " + std::to_string(Taken.load()) +
+      "\nclementine_intent_appends_total " + std::to_string(Counters.Appends) +
+      "\nclementine_intent_unavailable_total " +
+      std::to_string(Counters.Unavailable) +
+      "\nclementine_intent_remembered_bytes " + std::to_string(Counters.Bytes) +
+      "\nclementine_intent_owed " + std::to_string(Counters.Owed) + "\n");
 }
 
 // Guard: control may be away for long. It shows as failed calls here; the last
--- a/src/entry.h
+++ b/src/entry.h
@@ -1,12 +1,14 @@
 #pragma once
 
 #include "clock.h"
+#include "config.h"
 #include "config_source.h"
 #include "endpoint_client.h"
 #include "http_server.h"
 #include "link.h"
 #include "log_intents.h"
 #include "log_usage.h"
+#include "peers.h"
 #include "request_runner.h"
 #include "settings.h"
 
@@ -37,6 +39,8 @@
   void run(const std::shared_ptr<http_call> &Call,
            result<caller_request> Request);
   void followControl();
+  void onLink(std::string_view Path, std::string_view Body, link_reply Reply);
+  void drainOwed() const;
 
   settings Settings;
   const runtime_clock &Clock;
@@ -45,15 +49,19 @@
   session_token_codec Tokens;
   open_admission Admission;
   placer Placer;
+  peer_list Peers; ///< other entry VMs, as membership hands them over
   http_append_log Log;
+  timer_service Timers;
+  link_client Link;
+  // Below what its calls use, above what posts to it.
+  boost::asio::thread_pool LogCalls{config::LogCallThreads};
   log_intent_service Intents;
   log_usage_service Usage;
-  timer_service Timers;
   http_endpoint_transport Transport;
   std::atomic<std::uint64_t> Open{0};
   std::atomic<std::uint64_t> Taken{0};
   std::atomic<bool> Draining{false};
-  link_client Link;
+  std::unique_ptr<link_server> LinkServer;
   http_server Server;
   std::thread Follower;
 };
--- a/src/error.cpp
+++ b/src/error.cpp
@@ -85,6 +85,8 @@
      true, 1s, "the first request with this Idempotency-Key is still running"},
     {k::OutcomeUnknown, "outcome_unknown", 409, r::MayHaveRun, false, 0ms,
      "the call was started and its outcome is not known; it is not repeated"},
+    {k::AnswerNotKept, "answer_not_kept", 409, r::Ran, false, 0ms,
+     "the call ran; its answer was too large to keep and is not repeated"},
     {k::LogUnavailable, "log_unavailable", 503, r::NotRun, true, 2s,
      "the platform's log cannot be reached"},
     {k::LogExpired, "log_expired", 503, r::NotRun, true, 2s,
--- /dev/null
+++ b/src/intent_scribe.cpp
@@ -0,0 +1,244 @@
+#include "intent_scribe.h"
+
+#include "config.h"
+
+#include <algorithm>
+
+namespace clementinelane {
+
+namespace {
+
+namespace event = scribe_event;
+namespace action = scribe_action;
+
+/// Reading from here returns no record, only what the log holds.
+constexpr std::uint64_t ProbeOffset = std::uint64_t{1} << 53U;
+/// Appends of one group; the second only once the first is known absent.
+constexpr unsigned MaxGroupAppends = 2;
+/// Bytes of a record beside its texts.
+constexpr std::size_t RecordBytes = 160;
+
+std::size_t sizeOf(const intent_record &Record) {
+  return RecordBytes + Record.Customer.size() + Record.Key.size() +
+         Record.BodyHash.size() + Record.RequestId.size() +
+         Record.Answer.Body.size();
+}
+
+} // namespace
+
+std::vector<scribe_output> intent_scribe::handle(const scribe_input &Event,
+                                                 mono_time Now) {
+  std::visit([&](const auto &Each) { on(Each, Now); }, Event);
+  advance(Now);
+  if (!Waiting.empty())
+    wakeAt(Waiting.front().Since + config::IntentWaitLimit, Now);
+  return std::exchange(Actions, {});
+}
+
+// Load: a log that is slow or away. Harm prevented: intents that pile up, and
+// callers held until their deadline. Refused here, an intent was never sent to
+// the log; MaxIntentWaitingBytes is four groups, so a full queue is more than
+// IntentWaitLimit could carry.
+void intent_scribe::on(const event::submitted &Event, mono_time Now) {
+  const std::size_t Bytes = sizeOf(Event.Record);
+  // While the log is away one intent at a time tries it again.
+  const bool IsDown = DownUntil && (Busy || Now < *DownUntil);
+  const bool IsFull =
+      WaitingBytes + Bytes > config::MaxIntentWaitingBytes ||
+      (!Event.Record.IsOutcome && Phase == phase::Ready && !Table.hasRoom());
+  if (IsDown || IsFull)
+    return emit(action::decided{Event.Ticket, error_kind::LogUnavailable, {}});
+  WaitingBytes += Bytes;
+  Waiting.push_back({Event.Ticket, Event.Record, Bytes, Now});
+}
+
+void intent_scribe::on(const event::tick &, mono_time Now) {
+  if (Wake && *Wake <= Now)
+    Wake.reset();
+  while (!Waiting.empty() &&
+         Waiting.front().Since + config::IntentWaitLimit <= Now) {
+    WaitingBytes -= Waiting.front().Bytes;
+    emit(action::decided{
+        Waiting.front().Ticket, error_kind::LogUnavailable, {}});
+    Waiting.pop_front();
+  }
+}
+
+void intent_scribe::on(const event::appended &Event, mono_time Now) {
+  Busy = false;
+  if (!Event.Offset) {
+    // Guard: the append may have taken effect although its answer was lost. It
+    // would show as a group judged twice or not at all; the stream is read to
+    // its end, and the group's id says whether it is there.
+    GroupUnsure = true;
+    return startRead(Next);
+  }
+  DownUntil.reset();
+  GroupUnsure = false;
+  if (Event.Offset.value() == Next) {
+    fold({Next, GroupBytes});
+    return settle(Now);
+  }
+  Target = std::max(Target, Event.Offset.value() + 1);
+}
+
+void intent_scribe::on(const event::read &Event, mono_time Now) {
+  Busy = false;
+  if (!Event.Batch) {
+    const bool IsExpired =
+        kindOf(Event.Batch.error()) == error_kind::LogExpired;
+    if (IsExpired) {
+      // This VM was cut off for longer than the log keeps records: what it
+      // remembers has gaps, so it starts again from the first kept one.
+      Table = {};
+      Phase = phase::Cold;
+    }
+    return failAll(Now);
+  }
+  const log_batch &Batch = Event.Batch.value();
+  if (Phase == phase::Cold) {
+    Phase = phase::Rebuilding;
+    Next = Batch.First;
+    Target = Batch.Next;
+  } else if (Batch.Records.empty() && Next < Target) {
+    // The log promised records that it doesn't give; asking at once again
+    // would load it without end.
+    return failAll(Now);
+  }
+  DownUntil.reset();
+  for (const log_record &Record : Batch.Records)
+    fold(Record);
+  if (GroupUnsure)
+    Target = std::max(Target, Batch.Next);
+  settle(Now);
+}
+
+void intent_scribe::fold(const log_record &Record) {
+  if (Record.Offset < Next)
+    return;
+  Next = Record.Offset + 1;
+  const auto Decoded = decodeIntents(Record.Bytes);
+  // A record that nobody can read is skipped by every reader alike.
+  if (!Decoded)
+    return;
+  for (const intent_record &Each : Decoded.value().Records)
+    Table.apply(Each);
+  GroupSeen = GroupSeen || (!Group.empty() && Decoded.value().Id == GroupId);
+}
+
+/// Ends what the records folded so far decide.
+void intent_scribe::settle(mono_time Now) {
+  if (Phase == phase::Rebuilding && Next >= Target)
+    Phase = phase::Ready;
+  if (Group.empty())
+    return;
+  if (GroupSeen)
+    return decideGroup();
+  // Known absent up to the end of the stream. A copy that lands late is
+  // harmless, as the first judgement of a request id stands.
+  if (GroupUnsure && Next >= Target)
+    appendAgain(Now);
+}
+
+void intent_scribe::appendAgain(mono_time Now) {
+  if (GroupAppends >= MaxGroupAppends)
+    return failAll(Now);
+  ++GroupAppends;
+  ++Appends;
+  Busy = true;
+  GroupUnsure = false;
+  LastAppend = Now;
+  emit(action::append{GroupBytes});
+}
+
+void intent_scribe::decideGroup() {
+  for (const waiting &Item : std::exchange(Group, {})) {
+    const intent_record &Record = Item.Record;
+    intent_verdict Verdict;
+    if (!Record.IsOutcome)
+      Verdict = Table.verdictOf(
+          {Record.Customer, Record.Key, Record.BodyHash, Record.RequestId},
+          Record.At);
+    emit(action::decided{Item.Ticket, {}, std::move(Verdict)});
+  }
+  GroupUnsure = false;
+}
+
+void intent_scribe::fail(std::deque<waiting> &Items) {
+  for (const waiting &Item : std::exchange(Items, {}))
+    emit(action::decided{Item.Ticket, error_kind::LogUnavailable, {}});
+}
+
+// Load: every non-idempotent request while the log is away. Harm prevented:
+// each of them waiting for a call that times out. All are refused at once, and
+// so are newcomers until the next try.
+void intent_scribe::failAll(mono_time Now) {
+  fail(Group);
+  fail(Waiting);
+  WaitingBytes = 0;
+  GroupUnsure = false;
+  DownUntil = Now + config::ReconnectDelay;
+}
+
+void intent_scribe::startRead(std::uint64_t From) {
+  Busy = true;
+  emit(action::read{From});
+}
+
+void intent_scribe::advance(mono_time Now) {
+  if (Busy)
+    return;
+  if (DownUntil && Now < *DownUntil)
+    return;
+  if (Waiting.empty() && Group.empty())
+    return;
+  if (Phase == phase::Cold)
+    return startRead(ProbeOffset);
+  if (Next < Target || GroupUnsure)
+    return startRead(Next);
+  if (Waiting.empty())
+    return;
+  mono_time At = Waiting.front().Since + config::IntentGather;
+  if (WaitingBytes >= config::MaxIntentGroupBytes)
+    At = Now;
+  if (LastAppend)
+    At = std::max(At, *LastAppend + config::IntentAppendSpacing);
+  if (Now < At)
+    return wakeAt(At, Now);
+  appendGroup(Now);
+}
+
+void intent_scribe::wakeAt(mono_time At, mono_time Now) {
+  if (Wake && Now < *Wake && *Wake <= At)
+    return;
+  Wake = At;
+  emit(action::wake{At});
+}
+
+void intent_scribe::appendGroup(mono_time Now) {
+  intent_group Out;
+  std::size_t Bytes = 0;
+  while (!Waiting.empty() &&
+         Out.Records.size() < config::MaxIntentGroupRecords) {
+    waiting &Item = Waiting.front();
+    if (!Group.empty() && Bytes + Item.Bytes > config::MaxIntentGroupBytes)
+      break;
+    Bytes += Item.Bytes;
+    WaitingBytes -= Item.Bytes;
+    Out.Records.push_back(Item.Record);
+    Group.push_back(std::move(Item));
+    Waiting.pop_front();
+  }
+  Out.Id = Name + "/" + std::to_string(++Groups);
+  GroupId = Out.Id;
+  GroupBytes = encodeIntents(Out);
+  GroupSeen = false;
+  GroupUnsure = false;
+  GroupAppends = 1;
+  ++Appends;
+  Busy = true;
+  LastAppend = Now;
+  emit(action::append{GroupBytes});
+}
+
+} // namespace clementinelane
--- /dev/null
+++ b/src/intent_scribe.h
@@ -0,0 +1,125 @@
+#pragma once
+
+#include "clock.h"
+#include "intent_table.h"
+#include "log_client.h"
+
+#include <cstdint>
+#include <deque>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace clementinelane {
+
+/// What happens to a scribe.
+namespace scribe_event {
+/// An intent or an outcome to append; answered once by its ticket.
+struct submitted {
+  std::uint64_t Ticket;
+  intent_record Record;
+};
+struct appended {
+  result<std::uint64_t> Offset;
+};
+struct read {
+  result<log_batch> Batch;
+};
+struct tick {};
+} // namespace scribe_event
+
+using scribe_input =
+    std::variant<scribe_event::submitted, scribe_event::appended,
+                 scribe_event::read, scribe_event::tick>;
+
+/// What the shell is to do; one append or read is under way at a time.
+namespace scribe_action {
+struct append {
+  std::string Bytes;
+};
+struct read {
+  std::uint64_t From;
+};
+/// `Error`: the record may or may not land, and nobody was told that it won.
+struct decided {
+  std::uint64_t Ticket;
+  std::error_code Error;
+  intent_verdict Verdict; ///< of an intent
+};
+/// Send a tick at this time.
+struct wake {
+  mono_time At;
+};
+} // namespace scribe_action
+
+using scribe_output = std::variant<scribe_action::append, scribe_action::read,
+                                   scribe_action::decided, scribe_action::wake>;
+
+/// Appends the intents of one stream in groups and folds the stream, without
+/// I/O. Two scribes of a stream at once do no harm: log order decides.
+///
+/// Load: hundreds of bookings a second against a log that takes a few hundred
+/// appends. Harm prevented: a log too busy for configuration. One append is
+/// under way at a time, spaced, so appends grow with streams, not requests.
+class intent_scribe {
+public:
+  /// `Name` is unique to this process and stream; it starts each group's id.
+  explicit intent_scribe(std::string Name) : Name(std::move(Name)) {}
+
+  std::vector<scribe_output> handle(const scribe_input &Event, mono_time Now);
+
+  std::uint64_t appends() const { return Appends; }
+  const intent_table &table() const { return Table; }
+
+private:
+  enum class phase : std::uint8_t { Cold, Rebuilding, Ready };
+  struct waiting {
+    std::uint64_t Ticket;
+    intent_record Record;
+    std::size_t Bytes;
+    mono_time Since;
+  };
+
+  void on(const scribe_event::submitted &Event, mono_time Now);
+  void on(const scribe_event::appended &Event, mono_time Now);
+  void on(const scribe_event::read &Event, mono_time Now);
+  void on(const scribe_event::tick &Event, mono_time Now);
+
+  void advance(mono_time Now);
+  void appendGroup(mono_time Now);
+  void appendAgain(mono_time Now);
+  void fold(const log_record &Record);
+  void settle(mono_time Now);
+  void decideGroup();
+  void failAll(mono_time Now);
+  void fail(std::deque<waiting> &Items);
+  void startRead(std::uint64_t From);
+  void wakeAt(mono_time At, mono_time Now);
+  template <typename T> void emit(T Action) {
+    Actions.emplace_back(std::in_place_type<T>, std::move(Action));
+  }
+
+  std::string Name;
+  intent_table Table;
+  std::vector<scribe_output> Actions;
+  phase Phase = phase::Cold;
+  std::uint64_t Next = 0;   ///< offset of the next record to fold
+  std::uint64_t Target = 0; ///< fold up to here before deciding
+  std::deque<waiting> Waiting;
+  std::size_t WaitingBytes = 0;
+  std::deque<waiting> Group; ///< appended, not yet judged
+  std::string GroupId;
+  std::string GroupBytes;
+  bool GroupSeen = false;   ///< folded
+  bool GroupUnsure = false; ///< the append's answer was lost
+  unsigned GroupAppends = 0;
+  bool Busy = false; ///< a call to the log is under way
+  std::uint64_t Groups = 0;
+  std::uint64_t Appends = 0;
+  std::optional<mono_time> LastAppend;
+  std::optional<mono_time> DownUntil;
+  std::optional<mono_time> Wake;
+};
+
+} // namespace clementinelane
--- /dev/null
+++ b/src/intent_table.cpp
@@ -0,0 +1,212 @@
+#include "intent_table.h"
+
+#include "config.h"
+
+#include <algorithm>
+
+namespace clementinelane {
+
+namespace {
+
+/// Bytes that one remembered request takes beside its texts.
+constexpr std::size_t RememberedBytes = 256;
+
+constexpr std::int64_t millis(std::chrono::milliseconds Duration) {
+  return Duration.count();
+}
+
+std::size_t sizeOf(std::string_view RequestId, std::string_view Customer,
+                   std::string_view Key) {
+  return RememberedBytes + 2 * (RequestId.size() + Customer.size()) +
+         2 * Key.size();
+}
+
+template <typename T> std::string packed(const T &Value) {
+  msgpack::sbuffer Buffer;
+  msgpack::pack(Buffer, Value);
+  return {Buffer.data(), Buffer.size()};
+}
+
+template <typename T> result<T> unpacked(std::string_view Bytes) {
+  try {
+    return msgpack::unpack(Bytes.data(), Bytes.size()).get().as<T>();
+  } catch (const std::exception &) {
+    return error_kind::RecordCorrupt;
+  }
+}
+
+} // namespace
+
+std::string encodeIntents(const intent_group &Group) { return packed(Group); }
+
+result<intent_group> decodeIntents(std::string_view Bytes) {
+  return unpacked<intent_group>(Bytes);
+}
+
+std::string encodeIntent(const intent_record &Record) { return packed(Record); }
+
+result<intent_record> decodeIntent(std::string_view Bytes) {
+  return unpacked<intent_record>(Bytes);
+}
+
+void stream_clock::observe(std::string_view Vm, std::int64_t At) {
+  if (FirstVm.empty() || Vm == FirstVm) {
+    FirstVm = Vm;
+    FirstAt = std::max(FirstAt, At);
+    return;
+  }
+  if (At > FirstAt) {
+    SecondVm = std::exchange(FirstVm, std::string(Vm));
+    SecondAt = std::exchange(FirstAt, At);
+    return;
+  }
+  if (SecondVm.empty() || At > SecondAt) {
+    SecondVm = Vm;
+    SecondAt = At;
+  }
+}
+
+void intent_table::apply(const intent_record &Record) {
+  Clock.observe(Record.Vm, Record.At);
+  forgetOld();
+  if (Record.IsOutcome)
+    return applyOutcome(Record);
+  applyIntent(Record);
+}
+
+void intent_table::applyIntent(const intent_record &Record) {
+  // Guard: a scribe that lost an append's answer appends again, and a holder
+  // asks a second scribe. The later copy could win a key that its request was
+  // already told it had lost. The first judgement of a request id stands.
+  if (Requests.contains(Record.RequestId))
+    return;
+  // Guard: an append may land long after its request was told "not run", when
+  // nobody is left to say so in the log. It would block the key; the record's
+  // own time, against the stream's, makes it void for every reader alike.
+  if (Record.At + millis(config::IntentLandingLimit) < Clock.now())
+    return remember(Record, standing::Void);
+  const entry_key Key{Record.Customer, Record.Key};
+  const auto [Entry, IsNew] = Entries.try_emplace(Key);
+  if (IsNew) {
+    Entry->second.BodyHash = Record.BodyHash;
+    Entry->second.RequestId = Record.RequestId;
+    Entry->second.At = Record.At;
+  }
+  remember(Record, IsNew ? standing::Won : standing::Lost);
+}
+
+void intent_table::applyOutcome(const intent_record &Record) {
+  const auto End = static_cast<intent_end>(Record.End);
+  const auto Found = Requests.find(Record.RequestId);
+  if (Found == Requests.end()) {
+    // The intent may land after this and must not win then.
+    if (End == intent_end::NotRun)
+      remember(Record, standing::Void);
+    return;
+  }
+  const entry_key Key{Record.Customer, Record.Key};
+  entry *Entry = winnerOf(Key, Record.RequestId);
+  if (!Entry || Entry->HasOutcome)
+    return;
+  if (End == intent_end::NotRun) {
+    Found->second = standing::Void;
+    return eraseEntry(Key, Record.RequestId);
+  }
+  Entry->HasOutcome = true;
+  Entry->End = End;
+  Entry->IsKept = Record.IsKept;
+  Entry->Answer = Record.Answer;
+  keepAnswer(Key, *Entry);
+}
+
+void intent_table::remember(const intent_record &Record, standing Standing) {
+  Requests.emplace(Record.RequestId, Standing);
+  Bytes += sizeOf(Record.RequestId, Record.Customer, Record.Key);
+  // A holder's fast clock must not hold up the forgetting of all after it.
+  Order.push_back({std::min(Record.At, Clock.now()),
+                   Record.RequestId,
+                   {Record.Customer, Record.Key}});
+}
+
+// Load: many large answers within the window. Harm prevented: a scribe without
+// memory. The oldest answers go first, as repeats come soon or not at all;
+// that the call ran is remembered all the same.
+void intent_table::keepAnswer(const entry_key &Key, const entry &Entry) {
+  AnswerBytes += Entry.Answer.Body.size();
+  AnswerOrder.push_back({Key, Entry.RequestId});
+  while (AnswerBytes > config::MaxKeptAnswersBytes)
+    dropOldestAnswer();
+}
+
+void intent_table::dropOldestAnswer() {
+  const kept &Oldest = AnswerOrder.front();
+  if (entry *Entry = winnerOf(Oldest.Key, Oldest.RequestId)) {
+    AnswerBytes -= Entry->Answer.Body.size();
+    Entry->Answer = {};
+    Entry->IsKept = false;
+  }
+  AnswerOrder.pop_front();
+}
+
+intent_table::entry *intent_table::winnerOf(const entry_key &Key,
+                                            std::string_view RequestId) {
+  const auto Found = Entries.find(Key);
+  if (Found == Entries.end() || Found->second.RequestId != RequestId)
+    return nullptr;
+  return &Found->second;
+}
+
+void intent_table::eraseEntry(const entry_key &Key,
+                              std::string_view RequestId) {
+  const entry *Entry = winnerOf(Key, RequestId);
+  if (!Entry)
+    return;
+  AnswerBytes -= Entry->Answer.Body.size();
+  Entries.erase(Key);
+}
+
+void intent_table::forgetOld() {
+  while (!Order.empty() &&
+         Order.front().At + millis(config::IntentWindow) < Clock.now()) {
+    const remembered &Oldest = Order.front();
+    Requests.erase(Oldest.RequestId);
+    eraseEntry(Oldest.Key, Oldest.RequestId);
+    Bytes -= sizeOf(Oldest.RequestId, Oldest.Key.first, Oldest.Key.second);
+    Order.pop_front();
+  }
+  while (!AnswerOrder.empty() &&
+         !winnerOf(AnswerOrder.front().Key, AnswerOrder.front().RequestId))
+    AnswerOrder.pop_front();
+}
+
+bool intent_table::hasRoom() const {
+  return Bytes < config::MaxIntentTableBytes;
+}
+
+intent_verdict intent_table::verdictOf(const intent_key &Key,
+                                       std::int64_t At) const {
+  const auto Request = Requests.find(Key.RequestId);
+  if (Request == Requests.end() || Request->second == standing::Void)
+    return {intent_status::Unavailable, {}};
+  const auto Found = Entries.find({Key.Customer, Key.Key});
+  // The winner was not run and gave the key back since.
+  if (Found == Entries.end())
+    return {intent_status::InProgress, {}};
+  const entry &Entry = Found->second;
+  if (Request->second == standing::Won && !Entry.HasOutcome)
+    return {intent_status::Won, {}};
+  if (Entry.BodyHash != Key.BodyHash)
+    return {intent_status::Reused, {}};
+  if (!Entry.HasOutcome)
+    return {Entry.At + millis(config::IntentRunLimit) < At
+                ? intent_status::Unknown
+                : intent_status::InProgress,
+            {}};
+  if (Entry.End != intent_end::Answered)
+    return {intent_status::Unknown, {}};
+  if (!Entry.IsKept)
+    return {intent_status::NotKept, {}};
+  return {intent_status::Replay, Entry.Answer};
+}
+
+} // namespace clementinelane
--- /dev/null
+++ b/src/intent_table.h
@@ -0,0 +1,120 @@
+#pragma once
+
+#include "intents.h"
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <msgpack.hpp>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+namespace clementinelane {
+
+/// An intent or an outcome, as it stands in the log.
+struct intent_record {
+  bool IsOutcome = false;
+  std::string Customer;
+  std::string Key;
+  std::string BodyHash;
+  std::string RequestId;
+  std::string Vm;                ///< the holder: it alone may dispatch
+  std::uint64_t Incarnation = 0; ///< of the holder's process
+  std::int64_t At = 0;           ///< the holder's wall time, milliseconds
+  std::uint8_t End = 0;          ///< intent_end, of an outcome
+  bool IsKept = true;            ///< false: the answer was too large to keep
+  kept_answer Answer;
+  MSGPACK_DEFINE_MAP(IsOutcome, Customer, Key, BodyHash, RequestId, Vm,
+                     Incarnation, At, End, IsKept, Answer)
+};
+
+/// What one append holds. A lost append answer is resolved by the id.
+struct intent_group {
+  std::string Id;
+  std::vector<intent_record> Records;
+  MSGPACK_DEFINE_MAP(Id, Records)
+};
+
+std::string encodeIntents(const intent_group &Group);
+result<intent_group> decodeIntents(std::string_view Bytes);
+std::string encodeIntent(const intent_record &Record);
+result<intent_record> decodeIntent(std::string_view Bytes);
+
+/// The time of a stream: the latest that two VMs agree on.
+///
+/// Guard: one VM with a wrong clock would make the stream forget keys early.
+/// It shows as a booking that runs twice after a repeat; a single VM's clock
+/// never counts once a second VM has written.
+class stream_clock {
+public:
+  void observe(std::string_view Vm, std::int64_t At);
+  std::int64_t now() const { return SecondVm.empty() ? FirstAt : SecondAt; }
+
+private:
+  std::string FirstVm;
+  std::string SecondVm;
+  std::int64_t FirstAt = 0;
+  std::int64_t SecondAt = 0;
+};
+
+/// Folds a stream of intents in log order. Every reader comes to the same
+/// verdicts, since they depend only on the records and their order.
+///
+/// The first intent of a key wins until an outcome says that it was not run.
+/// The first judgement of a request id is final: copies of a record, and an
+/// intent that lands after its request was given up on, change nothing.
+class intent_table {
+public:
+  void apply(const intent_record &Record);
+
+  /// What `Key` came to at wall time `At`, once its record has been applied.
+  intent_verdict verdictOf(const intent_key &Key, std::int64_t At) const;
+  /// False: no new key may be placed; forgetting one would repeat its work.
+  bool hasRoom() const;
+  std::size_t requests() const { return Requests.size(); }
+  std::size_t bytes() const { return Bytes; }
+
+private:
+  enum class standing : std::uint8_t { Won, Lost, Void };
+  using entry_key = std::pair<std::string, std::string>;
+  struct entry {
+    std::string BodyHash;
+    std::string RequestId; ///< the winner's
+    std::int64_t At = 0;
+    bool HasOutcome = false;
+    bool IsKept = true;
+    intent_end End = intent_end::Unknown;
+    kept_answer Answer;
+  };
+  struct remembered {
+    std::int64_t At;
+    std::string RequestId;
+    entry_key Key;
+  };
+  struct kept {
+    entry_key Key;
+    std::string RequestId;
+  };
+
+  void applyIntent(const intent_record &Record);
+  void applyOutcome(const intent_record &Record);
+  void remember(const intent_record &Record, standing Standing);
+  void keepAnswer(const entry_key &Key, const entry &Entry);
+  void dropOldestAnswer();
+  entry *winnerOf(const entry_key &Key, std::string_view RequestId);
+  void eraseEntry(const entry_key &Key, std::string_view RequestId);
+  void forgetOld();
+
+  stream_clock Clock;
+  std::map<entry_key, entry> Entries;
+  std::unordered_map<std::string, standing> Requests;
+  std::deque<remembered> Order; ///< oldest first
+  std::deque<kept> AnswerOrder; ///< oldest first
+  std::size_t Bytes = 0;        ///< of keys and request ids
+  std::size_t AnswerBytes = 0;
+};
+
+} // namespace clementinelane
--- a/src/intents.h
+++ b/src/intents.h
@@ -21,18 +21,20 @@
 struct kept_answer {
   std::uint32_t Status = 0;
   std::string ContentType;
+  std::string Version;
   std::string Body;
-  MSGPACK_DEFINE_MAP(Status, ContentType, Body)
+  MSGPACK_DEFINE_MAP(Status, ContentType, Version, Body)
 };
 
 /// What placing an intent came to. Only `Won` allows a dispatch, and one.
 enum class intent_status : std::uint8_t {
-  Won,        ///< first in the log; this request may be dispatched once
-  Replay,     ///< an earlier request has the answer
-  InProgress, ///< an earlier request is running
-  Reused,     ///< the key was used with another body
-  Unknown,    ///< an earlier request may have run and is never repeated
-  Unavailable ///< the log can't be asked; nothing was or will be run
+  Won,         ///< first in the log; this request may be dispatched once
+  Replay,      ///< an earlier request has the answer
+  InProgress,  ///< an earlier request is running
+  Reused,      ///< the key was used with another body
+  Unknown,     ///< an earlier request may have run and is never repeated
+  Unavailable, ///< the log can't be asked; nothing was or will be run
+  NotKept      ///< an earlier request ran; its answer was too large to keep
 };
 
 struct intent_verdict {
--- a/src/log_intents.h
+++ b/src/log_intents.h
@@ -1,70 +1,59 @@
 #pragma once
 
+#include "clock.h"
+#include "intent_scribe.h"
 #include "intents.h"
+#include "link.h"
 #include "log_client.h"
+#include "peers.h"
+#include "timers.h"
 
-#include <cstdint>
-#include <map>
-#include <mutex>
+#include <boost/asio/thread_pool.hpp>
+#include <memory>
 #include <string>
-#include <thread>
 
 namespace clementinelane {
 
-/// The stream that holds intents and their outcomes.
-constexpr std::string_view IntentStream = "intents";
-
-/// An intent or an outcome, as it stands in the log.
-struct intent_record {
-  bool IsOutcome = false;
-  std::string Customer;
-  std::string Key;
-  std::string BodyHash;
-  std::string RequestId;
-  std::uint8_t End = 0; ///< intent_end, of an outcome
-  kept_answer Answer;
-  MSGPACK_DEFINE_MAP(IsOutcome, Customer, Key, BodyHash, RequestId, End, Answer)
+/// What intents cost and came to on this VM.
+struct intent_counters {
+  std::uint64_t Appends = 0;
+  std::uint64_t Requests = 0; ///< remembered
+  std::uint64_t Bytes = 0;    ///< remembered
+  std::uint64_t Unavailable = 0;
+  std::uint64_t Owed = 0; ///< outcomes that the log doesn't have yet
 };
 
-std::string encodeIntent(const intent_record &Record);
-result<intent_record> decodeIntent(std::string_view Bytes);
-
-/// Folds the stream in order: the first intent of a key wins until an outcome
-/// says that it was not run.
-class intent_table {
-public:
-  void apply(const intent_record &Record);
-  /// What `Key` came to, once its own record has been applied.
-  intent_verdict verdictOf(const intent_key &Key) const;
-
-private:
-  struct entry {
-    std::string BodyHash;
-    std::string RequestId; ///< the winner's; empty: free again
-    bool HasOutcome = false;
-    intent_end End = intent_end::Unknown;
-    kept_answer Answer;
-  };
-  std::map<std::pair<std::string, std::string>, entry> Entries;
+/// What the intents of a VM need of it.
+struct intent_links {
+  append_log &Log;
+  boost::asio::thread_pool &LogCalls;
+  const runtime_clock &Clock;
+  timer_service &Timers;
+  link_client &Link;
+  const peer_source &Peers;
 };
 
-/// Places intents one by one, through the log service.
+/// Places intents through the scribes of their stream, and is itself a scribe:
+/// for other VMs, and for its own requests when no scribe answers.
 class log_intent_service final : public intent_service {
 public:
-  explicit log_intent_service(append_log &Log) : Log(Log) {}
+  log_intent_service(const intent_links &Links, peer_info Self);
+  ~log_intent_service() override;
 
   void place(const intent_key &Key,
              std::function<void(intent_verdict)> Done) override;
   void record(const intent_outcome &Outcome,
               std::function<void(std::error_code)> Done) override;
+  /// Answers another VM's call of IntentPath.
+  void serve(std::string_view Body, link_reply Reply);
+  intent_counters counters() const;
 
 private:
-  std::error_code readUpTo(std::uint64_t Offset);
-
-  append_log &Log;
-  std::mutex Mutex;
-  intent_table Table;
-  std::uint64_t Next = 0;
+  class router;
+  std::shared_ptr<router> Router;
 };
 
+/// The link path on which scribes are asked.
+constexpr std::string_view IntentPath = "/intent";
+
 } // namespace clementinelane
--- a/src/request_machine.cpp
+++ b/src/request_machine.cpp
@@ -24,13 +24,14 @@
 };
 
 /// What a caller is told when its intent did not win; by intent_status.
-constexpr std::array<verdict_answer, 6> VerdictAnswers{{
+constexpr std::array<verdict_answer, 7> VerdictAnswers{{
     {error_kind::Ok, run_state::Ran},
     {error_kind::Ok, run_state::Ran},
     {error_kind::IdempotencyInProgress, run_state::MayHaveRun},
     {error_kind::IdempotencyKeyReused, run_state::NotRun},
     {error_kind::OutcomeUnknown, run_state::MayHaveRun},
     {error_kind::LogUnavailable, run_state::NotRun},
+    {error_kind::AnswerNotKept, run_state::Ran},
 }};
 
 } // namespace
@@ -247,7 +248,7 @@
   State = state::RecordingOutcome;
   kept_answer Answer;
   if (End == intent_end::Answered)
-    Answer = {Status, ContentType, textOf(Tokens)};
+    Answer = {Status, ContentType, Plan.Versions[Step], textOf(Tokens)};
   emit(action::record_outcome{{Plan.Intent, End, std::move(Answer)}});
 }
 
--- /dev/null
+++ b/tests/fake_log.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include "log_client.h"
+
+#include <vector>
+
+namespace clementinelane {
+
+/// A log in memory with the faults that tests ask for.
+class fake_log final : public append_log {
+public:
+  /// What the next calls do.
+  enum class fault : std::uint8_t { None, Down, LoseAnswer, LandLate };
+
+  result<std::uint64_t> append(std::string_view,
+                               std::string_view Bytes) override {
+    ++Calls;
+    if (Fault == fault::Down)
+      return error_kind::LogUnavailable;
+    if (Fault == fault::LandLate) {
+      Late.emplace_back(Bytes);
+      return error_kind::LogUnavailable;
+    }
+    Records.emplace_back(Bytes);
+    if (Fault == fault::LoseAnswer)
+      return error_kind::LogUnavailable;
+    return First + Records.size() - 1;
+  }
+
+  result<log_batch> read(std::string_view, std::uint64_t From,
+                         std::chrono::milliseconds) override {
+    if (Fault == fault::Down)
+      return error_kind::LogUnavailable;
+    if (From < First)
+      return error_kind::LogExpired;
+    log_batch Batch{First, First + Records.size(), {}};
+    for (; From < Batch.Next; ++From)
+      Batch.Records.push_back({From, Records[From - First]});
+    return Batch;
+  }
+
+  /// Appends whose effect was delayed take it now.
+  void land() {
+    for (std::string &Each : Late)
+      Records.push_back(std::move(Each));
+    Late.clear();
+  }
+  /// Drops all records, as the retention does.
+  void expire() {
+    First += Records.size();
+    Records.clear();
+  }
+
+  fault Fault = fault::None;
+  std::vector<std::string> Records;
+  std::vector<std::string> Late;
+  std::uint64_t First = 0;
+  std::uint64_t Calls = 0;
+};
+
+} // namespace clementinelane
