Keep each bill in the log or on two other VMs

Cause: each answer waited for an append of its VM's own; with the log away no answer could be finished, and a killed VM took its unsent usage with it.

usage_store keeps a bill until the log has it. The last byte goes out once the log has the bill or two other VMs hold it, one of them in another data centre while one answers. Appends are spaced by the number of VMs. Holders append for a lost VM; who goes first is decided by rendezvous, and repeats are dropped by request id (usage_ledger). Own and held usage are bounded in bytes, and without a place for bills new billable work is refused. A planned stop hands on what the log doesn't have.

Ruled out: an append before each last byte, which at 1,100 VMs would take seconds; holders chosen anew for each batch.

Found by the random test and mended: what a holder had taken over was in one memory only, and was lost with it; it is now offered to holders in turn.

--- a/src/entry.cpp
+++ b/src/entry.cpp
@@ -39,7 +39,9 @@
       Log(Settings.LogAddress),
       Intents({Log, LogCalls, Clock, Timers, Link, Peers},
               selfOf(Settings, Clock)),
-      Usage(Log), Transport(Timers),
+      Usage({Log, LogCalls, Clock, Timers, Link, Peers},
+            selfOf(Settings, Clock)),
+      Transport(Timers),
       Server(Settings.Address + ":" + std::to_string(Settings.EntryPort),
              routes()) {}
 
@@ -68,16 +70,27 @@
   Server.close();
 }
 
-void entry::drainOwed() const {
+// Guard: a planned stop would lose bills and outcomes that only this VM has.
+// It would show as unbilled work and keys that stay blocked after a roll-out of
+// the entry; the stop waits until the log or other VMs have them.
+void entry::drainOwed() {
   const auto Until = Clock.now() + config::DrainOwedLimit;
-  while (Clock.now() < Until && Intents.counters().Owed > 0)
+  Usage.drain();
+  while (Clock.now() < Until &&
+         (Intents.counters().Owed > 0 || !Usage.isDrained()))
     std::this_thread::sleep_for(DrainPoll);
+  if (Intents.counters().Owed > 0 || !Usage.isDrained())
+    logs::warning("stopped_owing",
+                  {{"outcomes", std::to_string(Intents.counters().Owed)},
+                   {"usage_bytes", std::to_string(Usage.counters().OwnBytes)}});
 }
 
 void entry::onLink(std::string_view Path, std::string_view Body,
                    link_reply Reply) {
   if (Path == IntentPath)
     return Intents.serve(Body, std::move(Reply));
+  if (Path == UsageHoldPath || Path == UsageReleasePath)
+    return Usage.serve(Path, Body, std::move(Reply));
   Reply(error_kind::PeerIncompatible);
 }
 
@@ -170,6 +183,7 @@
 
 void entry::answerMetrics(const std::shared_ptr<http_call> &Call) {
   const intent_counters Counters = Intents.counters();
+  const usage_counters Bills = Usage.counters();
   Call->text(
       "clementine_open_requests " + std::to_string(Open.load()) +
       "\nclementine_requests_total " + std::to_string(Taken.load()) +
@@ -177,7 +191,11 @@
       "\nclementine_intent_unavailable_total " +
       std::to_string(Counters.Unavailable) +
       "\nclementine_intent_remembered_bytes " + std::to_string(Counters.Bytes) +
-      "\nclementine_intent_owed " + std::to_string(Counters.Owed) + "\n");
+      "\nclementine_intent_owed " + std::to_string(Counters.Owed) +
+      "\nclementine_usage_appends_total " + std::to_string(Bills.Appends) +
+      "\nclementine_usage_own_bytes " + std::to_string(Bills.OwnBytes) +
+      "\nclementine_usage_held_bytes " + std::to_string(Bills.HeldBytes) +
+      "\n");
 }
 
 // Guard: control may be away for long. It shows as failed calls here; the last
--- a/src/entry.h
+++ b/src/entry.h
@@ -40,7 +40,7 @@
            result<caller_request> Request);
   void followControl();
   void onLink(std::string_view Path, std::string_view Body, link_reply Reply);
-  void drainOwed() const;
+  void drainOwed();
 
   settings Settings;
   const runtime_clock &Clock;
--- a/src/log_usage.cpp
+++ b/src/log_usage.cpp
@@ -1,56 +1,187 @@
 #include "log_usage.h"
 
 #include "config.h"
+#include "logs.h"
+#include "usage_store.h"
+
+#include <boost/asio/post.hpp>
+#include <mutex>
 
 namespace clementinelane {
 
-log_usage_service::log_usage_service(append_log &Log)
-    : Log(Log), Thread([this] { appendGroups(); }) {}
+namespace {
 
-log_usage_service::~log_usage_service() {
-  {
-    const std::scoped_lock Lock(Mutex);
-    Stopping = true;
-  }
-  Changed.notify_all();
-  Thread.join();
+template <typename T> std::string packed(const T &Value) {
+  msgpack::sbuffer Buffer;
+  msgpack::pack(Buffer, Value);
+  return {Buffer.data(), Buffer.size()};
 }
 
-bool log_usage_service::hasRoom() const {
-  const std::scoped_lock Lock(Mutex);
-  return Waiting.size() < config::MaxUsageWaiting;
+template <typename T> result<T> unpacked(std::string_view Bytes) {
+  try {
+    return msgpack::unpack(Bytes.data(), Bytes.size()).get().as<T>();
+  } catch (const std::exception &) {
+    return error_kind::PeerIncompatible;
+  }
 }
 
-void log_usage_service::keep(const usage_record &Record,
-                             std::function<void(std::error_code)> Done) {
-  {
+} // namespace
+
+/// Carries out what the store says.
+class log_usage_service::host
+    : public std::enable_shared_from_this<log_usage_service::host> {
+public:
+  host(const usage_links &Links, peer_info Self)
+      : Links(Links), Store(std::move(Self)) {}
+
+  /// Looks at peers and times, now and every UsageTick.
+  void tick() {
+    post(usage_event::peers_seen{Links.Peers.peers()});
+    post(usage_event::tick{});
+    Links.Timers.after(config::UsageTick, [Weak = weak_from_this()] {
+      if (const auto Self = Weak.lock())
+        Self->tick();
+    });
+  }
+
+  bool hasRoom() const {
     const std::scoped_lock Lock(Mutex);
-    Waiting.push_back({Record, std::move(Done)});
+    return Store.hasRoom(Links.Clock.now());
+  }
+
+  bool isDrained() const {
+    const std::scoped_lock Lock(Mutex);
+    return Store.isDrained();
   }
-  Changed.notify_one();
-}
 
-void log_usage_service::appendGroups() {
-  for (;;) {
-    std::vector<waiting_record> Group;
+  usage_counters counters() const {
+    const std::scoped_lock Lock(Mutex);
+    return {Store.appends(), Store.ownBytes(), Store.heldBytes()};
+  }
+
+  void keep(const usage_record &Record,
+            std::function<void(std::error_code)> Done) {
+    post(usage_event::keep{await(Keeping, std::move(Done)), Record});
+  }
+
+  void hold(usage_hold Hold, link_reply Reply) {
+    post(usage_event::hold_asked{
+        await(Holding,
+              [Reply = std::move(Reply)](std::error_code Error) {
+                Reply(Error ? result<std::string>(Error) : std::string());
+              }),
+        std::move(Hold)});
+  }
+
+  void post(const usage_input &Event) {
+    std::vector<usage_output> Out;
     {
-      std::unique_lock Lock(Mutex);
-      Changed.wait(Lock, [this] { return Stopping || !Waiting.empty(); });
-      if (Waiting.empty())
-        return;
-      Group.swap(Waiting);
+      const std::scoped_lock Lock(Mutex);
+      Out = Store.handle(Event, Links.Clock.now());
     }
-    std::vector<usage_record> Records;
-    Records.reserve(Group.size());
-    for (const waiting_record &Each : Group)
-      Records.push_back(Each.Record);
-    msgpack::sbuffer Buffer;
-    msgpack::pack(Buffer, Records);
-    const auto Offset = Log.append(UsageStream, {Buffer.data(), Buffer.size()});
-    const std::error_code Error = Offset ? std::error_code() : Offset.error();
-    for (const waiting_record &Each : Group)
-      Each.Done(Error);
+    for (const usage_output &Each : Out)
+      std::visit([this](const auto &Action) { perform(Action); }, Each);
+  }
+
+private:
+  using reply = std::function<void(std::error_code)>;
+  using replies = std::map<std::uint64_t, reply>;
+
+  std::uint64_t await(replies &To, reply Done) {
+    const std::scoped_lock Lock(Mutex);
+    To.emplace(++Tickets, std::move(Done));
+    return Tickets;
+  }
+
+  reply take(replies &From, std::uint64_t Ticket) {
+    const std::scoped_lock Lock(Mutex);
+    return std::move(From.extract(Ticket).mapped());
+  }
+
+  void perform(const usage_action::append &Append) {
+    boost::asio::post(Links.LogCalls, [Self = shared_from_this(), Append] {
+      const auto Offset = Self->Links.Log.append(UsageStream, Append.Bytes);
+      Self->post(
+          usage_event::appended{Offset ? std::error_code() : Offset.error()});
+    });
+  }
+
+  void perform(const usage_action::send_hold &Send) {
+    Links.Link.call(
+        Send.To.EntryLink, UsageHoldPath, packed(Send.Hold),
+        config::UsageHoldTimeout,
+        [Weak = weak_from_this(), Batch = Send.Batch,
+         Vm = Send.To.Vm](const result<std::string> &Reply) {
+          if (const auto Self = Weak.lock())
+            Self->post(usage_event::hold_answered{
+                Batch, Vm, Reply ? std::error_code() : Reply.error()});
+        });
+  }
+
+  void perform(const usage_action::send_release &Send) {
+    // A release that is lost is made good by UsageHoldLimit.
+    Links.Link.call(Send.To.EntryLink, UsageReleasePath, packed(Send.Release),
+                    config::UsageHoldTimeout, [](const auto &) {});
   }
+
+  void perform(const usage_action::kept &Kept) {
+    if (Kept.Error)
+      logs::warning("usage_not_kept", {{"error", Kept.Error.message()}});
+    take(Keeping, Kept.Ticket)(Kept.Error);
+  }
+
+  void perform(const usage_action::answer_hold &Answer) {
+    take(Holding, Answer.Call)(Answer.Error);
+  }
+
+  void perform(const usage_action::wake &Wake) {
+    Links.Timers.after(Wake.At - Links.Clock.now(), [Weak = weak_from_this()] {
+      if (const auto Self = Weak.lock())
+        Self->post(usage_event::tick{});
+    });
+  }
+
+  usage_links Links;
+  mutable std::mutex Mutex;
+  usage_store Store;
+  std::uint64_t Tickets = 0;
+  replies Keeping;
+  replies Holding;
+};
+
+log_usage_service::log_usage_service(const usage_links &Links, peer_info Self)
+    : Host(std::make_shared<host>(Links, std::move(Self))) {
+  Host->tick();
+}
+
+log_usage_service::~log_usage_service() = default;
+
+bool log_usage_service::hasRoom() const { return Host->hasRoom(); }
+
+void log_usage_service::keep(const usage_record &Record,
+                             std::function<void(std::error_code)> Done) {
+  Host->keep(Record, std::move(Done));
 }
 
+void log_usage_service::serve(std::string_view Path, std::string_view Body,
+                              link_reply Reply) {
+  if (Path == UsageHoldPath) {
+    auto Hold = unpacked<usage_hold>(Body);
+    if (!Hold)
+      return Reply(Hold.error());
+    return Host->hold(std::move(Hold).value(), std::move(Reply));
+  }
+  auto Release = unpacked<usage_release>(Body);
+  if (!Release)
+    return Reply(Release.error());
+  Host->post(usage_event::released{std::move(Release).value()});
+  Reply(std::string());
+}
+
+void log_usage_service::drain() { Host->post(usage_event::drain{}); }
+
+bool log_usage_service::isDrained() const { return Host->isDrained(); }
+
+usage_counters log_usage_service::counters() const { return Host->counters(); }
+
 } // namespace clementinelane
--- /dev/null
+++ b/src/usage_ledger.cpp
@@ -0,0 +1,46 @@
+#include "usage_ledger.h"
+
+namespace clementinelane {
+
+std::string encodeUsage(std::span<const usage_record> Records) {
+  msgpack::sbuffer Buffer;
+  msgpack::packer<msgpack::sbuffer> Packer(Buffer);
+  Packer.pack_array(static_cast<std::uint32_t>(Records.size()));
+  for (const usage_record &Record : Records)
+    Packer.pack(Record);
+  return {Buffer.data(), Buffer.size()};
+}
+
+result<std::vector<usage_record>> decodeUsage(std::string_view Bytes) {
+  try {
+    return msgpack::unpack(Bytes.data(), Bytes.size())
+        .get()
+        .as<std::vector<usage_record>>();
+  } catch (const std::exception &) {
+    return error_kind::RecordCorrupt;
+  }
+}
+
+std::error_code usage_ledger::apply(std::string_view Bytes) {
+  const auto Records = decodeUsage(Bytes);
+  if (!Records)
+    return Records.error();
+  for (const usage_record &Record : Records.value()) {
+    // Guard: a record stands in the log more than once. It would show as a
+    // request billed twice; its id is billed the first time only.
+    if (!Seen.insert(Record.RequestId).second) {
+      ++Repeats;
+      continue;
+    }
+    usage_total &Total = Totals[Record.Customer];
+    ++Total.Requests;
+    for (const usage_part &Part : Record.Parts) {
+      Total.PromptTokens += Part.PromptTokens;
+      Total.CompletionTokens += Part.CompletionTokens;
+      Total.Cost += Part.Cost;
+    }
+  }
+  return {};
+}
+
+} // namespace clementinelane
--- /dev/null
+++ b/src/usage_store.cpp
@@ -0,0 +1,455 @@
+#include "usage_store.h"
+
+#include "config.h"
+#include "intent_home.h"
+#include "usage_ledger.h"
+
+#include <algorithm>
+
+namespace clementinelane {
+
+namespace {
+
+namespace event = usage_event;
+namespace action = usage_action;
+
+/// Bytes of a record and of a part beside their texts.
+constexpr std::size_t RecordBytes = 160;
+constexpr std::size_t PartBytes = 80;
+
+std::size_t sizeOf(const usage_record &Record) {
+  std::size_t Bytes = RecordBytes + Record.RequestId.size() +
+                      Record.Customer.size() + Record.Work.size();
+  for (const usage_part &Part : Record.Parts)
+    Bytes += PartBytes + Part.Version.size() + Part.Endpoint.size();
+  return Bytes;
+}
+
+} // namespace
+
+std::vector<usage_output> usage_store::handle(const usage_input &Event,
+                                              mono_time Now) {
+  std::visit([&](const auto &Each) { on(Each, Now); }, Event);
+  advance(Now);
+  return std::exchange(Actions, {});
+}
+
+// Load: an outage of the log under steady work. Harm prevented: work done that
+// can't be billed. There is room while the store's bytes last and a record can
+// be kept somewhere: in the log, or with enough holders.
+bool usage_store::hasRoom(mono_time Now) const {
+  if (OwnBytes >= config::MaxUsageOwnBytes)
+    return false;
+  return !IsLogDown || candidates(Now).size() >= config::UsageHolders;
+}
+
+void usage_store::on(const event::keep &Event, mono_time Now) {
+  const std::size_t Bytes = sizeOf(Event.Record);
+  const std::uint64_t Id = ++Sequence;
+  Own[Id] = {Event.Record, Bytes, Event.Ticket, false, {}};
+  OwnBytes += Bytes;
+  ++Unsafe;
+  Fresh.push_back(Id);
+  if (!FreshSince)
+    FreshSince = Now;
+  Tickets.emplace_back(Now + config::UsageKeepLimit, Id);
+}
+
+void usage_store::on(const event::appended &Event, mono_time) {
+  IsLogDown = static_cast<bool>(Event.Error);
+  // A lost answer means one append more; readers drop the repeats.
+  if (Event.Error)
+    return Appending.clear();
+  dropAppended();
+}
+
+void usage_store::dropAppended() {
+  std::map<std::string, usage_release> ByVm;
+  for (const std::uint64_t Id : std::exchange(Appending, {})) {
+    const auto Found = Own.find(Id);
+    own_record &Record = Found->second;
+    answer(Record, {});
+    for (const std::string &Vm : Record.Holders)
+      ByVm[Vm].RequestIds.push_back(Record.Record.RequestId);
+    OwnBytes -= Record.Bytes;
+    if (!Record.IsHeld)
+      --Unsafe;
+    Own.erase(Found);
+  }
+  releaseHolders(ByVm);
+}
+
+void usage_store::releaseHolders(
+    const std::map<std::string, usage_release> &ByVm) {
+  for (const auto &[Vm, Release] : ByVm) {
+    const peer_info *To = peerNamed(Vm);
+    if (!To)
+      continue;
+    usage_release Out = Release;
+    Out.Owner = Self.Vm;
+    Out.Incarnation = Self.Incarnation;
+    emit(action::send_release{*To, std::move(Out)});
+  }
+}
+
+void usage_store::answer(own_record &Record, std::error_code Error) {
+  if (Record.Ticket)
+    emit(action::kept{*std::exchange(Record.Ticket, std::nullopt), Error});
+}
+
+void usage_store::expireTickets(mono_time Now) {
+  while (!Tickets.empty() && Tickets.front().first <= Now) {
+    if (const auto Found = Own.find(Tickets.front().second); Found != Own.end())
+      answer(Found->second, error_kind::LogUnavailable);
+    Tickets.pop_front();
+  }
+}
+
+/// VMs that can hold records, best first.
+std::vector<peer_info> usage_store::candidates(mono_time Now) const {
+  std::vector<peer_info> Found;
+  for (const peer_info &Peer : Peers) {
+    const auto Paused = PausedUntil.find(Peer.Vm);
+    if (!Peer.IsLeaving &&
+        (Paused == PausedUntil.end() || Paused->second <= Now))
+      Found.push_back(Peer);
+  }
+  std::sort(Found.begin(), Found.end(), [&](const auto &A, const auto &B) {
+    return rendezvousWeight(A.Vm, Self.Vm) > rendezvousWeight(B.Vm, Self.Vm);
+  });
+  return Found;
+}
+
+bool usage_store::isSpread(const batch &Batch) const {
+  return std::any_of(Peers.begin(), Peers.end(), [&](const peer_info &Peer) {
+    return Peer.DataCentre != Self.DataCentre &&
+           (Batch.Held.contains(Peer.Vm) || Batch.Asked.contains(Peer.Vm));
+  });
+}
+
+// Guard: a data centre is lost whole, and with it a VM and both its holders. It
+// would show as bills missing after the loss; the last holder is taken from
+// another data centre for as long as one answers.
+const peer_info *usage_store::nextHolder(const batch &Batch,
+                                         mono_time Now) const {
+  const auto Found = candidates(Now);
+  const bool IsLast =
+      Batch.Held.size() + Batch.Asked.size() + 1 >= config::UsageHolders;
+  const bool PrefersOther = IsLast && !isSpread(Batch);
+  const peer_info *First = nullptr;
+  for (const peer_info &Peer : Found) {
+    if (Batch.Tried.contains(Peer.Vm))
+      continue;
+    if (!PrefersOther || Peer.DataCentre != Self.DataCentre)
+      return peerNamed(Peer.Vm);
+    if (!First)
+      First = peerNamed(Peer.Vm);
+  }
+  return First;
+}
+
+const peer_info *usage_store::peerNamed(std::string_view Vm) const {
+  const auto Found =
+      std::find_if(Peers.begin(), Peers.end(),
+                   [&](const peer_info &Peer) { return Peer.Vm == Vm; });
+  return Found == Peers.end() ? nullptr : &*Found;
+}
+
+void usage_store::sendBatch(mono_time Now) {
+  const std::uint64_t Id = ++BatchIds;
+  batch &Batch = Batches[Id];
+  std::size_t Bytes = 0;
+  while (!Fresh.empty()) {
+    const auto Found = Own.find(Fresh.front());
+    if (Found != Own.end()) {
+      if (Bytes > 0 && Bytes + Found->second.Bytes > config::MaxUsageGroupBytes)
+        break;
+      Bytes += Found->second.Bytes;
+      Batch.Own.emplace_back(Fresh.front(), Found->second.Record.RequestId);
+    }
+    Fresh.pop_front();
+  }
+  FreshSince = Fresh.empty() ? std::nullopt : std::optional(Now);
+  askHolders(Id, Batch, Now);
+  settleBatch(Id);
+}
+
+void usage_store::askHolders(std::uint64_t Id, batch &Batch, mono_time Now) {
+  usage_hold Hold{Self.Vm, Self.Incarnation, {}, {}};
+  for (const auto &[Each, RequestId] : Batch.Own)
+    if (const auto Found = Own.find(Each); Found != Own.end())
+      Hold.Records.push_back(Found->second.Record);
+  if (Hold.Records.empty())
+    return;
+  std::vector<peer_info> To;
+  while (Batch.Held.size() + Batch.Asked.size() < config::UsageHolders) {
+    const peer_info *Peer = nextHolder(Batch, Now);
+    if (!Peer)
+      break;
+    Batch.Tried.insert(Peer->Vm);
+    Batch.Asked.insert(Peer->Vm);
+    To.push_back(*Peer);
+  }
+  Hold.Holders.assign(Batch.Held.begin(), Batch.Held.end());
+  Hold.Holders.insert(Hold.Holders.end(), Batch.Asked.begin(),
+                      Batch.Asked.end());
+  for (const peer_info &Peer : To)
+    emit(action::send_hold{Id, Peer, Hold});
+}
+
+void usage_store::on(const event::hold_answered &Event, mono_time Now) {
+  const auto Found = Batches.find(Event.Batch);
+  if (Found == Batches.end())
+    return;
+  batch &Batch = Found->second;
+  Batch.Asked.erase(Event.Vm);
+  if (Event.Error) {
+    PausedUntil[Event.Vm] = Now + config::UsageHolderPause;
+    askHolders(Event.Batch, Batch, Now);
+    return settleBatch(Event.Batch);
+  }
+  Batch.Held.insert(Event.Vm);
+  for (const auto &[Id, RequestId] : Batch.Own)
+    if (const auto Record = Own.find(Id); Record != Own.end())
+      Record->second.Holders.insert(Event.Vm);
+  releaseLate(Batch, Event.Vm);
+  settleBatch(Event.Batch);
+}
+
+/// The log was faster than the holder: it need not keep these any longer.
+void usage_store::releaseLate(const batch &Batch, const std::string &Vm) {
+  std::map<std::string, usage_release> ByVm;
+  for (const auto &[Id, RequestId] : Batch.Own)
+    if (!Own.contains(Id))
+      ByVm[Vm].RequestIds.push_back(RequestId);
+  releaseHolders(ByVm);
+}
+
+void usage_store::settleBatch(std::uint64_t Id) {
+  const auto Found = Batches.find(Id);
+  const batch &Batch = Found->second;
+  if (Batch.Held.size() >= config::UsageHolders)
+    for (const auto &[Each, RequestId] : Batch.Own)
+      if (const auto Record = Own.find(Each); Record != Own.end()) {
+        if (!std::exchange(Record->second.IsHeld, true))
+          --Unsafe;
+        answer(Record->second, {});
+      }
+  // Without holders left to ask the batch waits for the log alone.
+  if (Batch.Asked.empty())
+    Batches.erase(Found);
+}
+
+void usage_store::on(const event::hold_asked &Event, mono_time Now) {
+  const usage_hold &Hold = Event.Hold;
+  std::size_t Bytes = 0;
+  for (const usage_record &Record : Hold.Records)
+    Bytes += sizeOf(Record);
+  // Load: all VMs of a fleet holding for each other in a long outage. Harm
+  // prevented: a VM without memory. The owner asks another holder, and when
+  // there is none refuses new work.
+  if (HeldBytes + Bytes > config::MaxUsageHeldBytes || Draining)
+    return emit(action::answer_hold{Event.Call, error_kind::UsageStoreFull});
+  held &Held = this->Held[{Hold.Owner, Hold.Incarnation}];
+  Held.Owner = Hold.Owner;
+  Held.Incarnation = Hold.Incarnation;
+  Held.Holders = Hold.Holders;
+  for (const usage_record &Record : Hold.Records) {
+    if (!Held.Records.emplace(Record.RequestId, Record).second)
+      continue;
+    Held.Order.emplace_back(Now, Record.RequestId);
+    Held.Bytes += sizeOf(Record);
+    HeldBytes += sizeOf(Record);
+  }
+  // A newer process of the same VM: the older one is gone.
+  for (auto &[Key, Other] : this->Held)
+    if (Key.first == Hold.Owner && Key.second < Hold.Incarnation &&
+        !Other.LeavingSince)
+      Other.LeavingSince = Now;
+  emit(action::answer_hold{Event.Call, {}});
+}
+
+void usage_store::on(const event::released &Event, mono_time Now) {
+  const usage_release &Release = Event.Release;
+  const auto Found = Held.find({Release.Owner, Release.Incarnation});
+  if (Found == Held.end())
+    return;
+  held &Held = Found->second;
+  for (const std::string &Id : Release.RequestIds) {
+    const auto Record = Held.Records.find(Id);
+    if (Record == Held.Records.end())
+      continue;
+    const std::size_t Bytes = sizeOf(Record->second);
+    Held.Bytes -= Bytes;
+    HeldBytes -= Bytes;
+    Held.Records.erase(Record);
+  }
+  if (Release.IsLeaving && !Held.LeavingSince)
+    Held.LeavingSince = Now;
+  if (Held.Records.empty())
+    this->Held.erase(Found);
+}
+
+void usage_store::on(const event::peers_seen &Event, mono_time Now) {
+  Peers = Event.Peers;
+  for (auto &[Key, Held] : this->Held) {
+    if (peerNamed(Held.Owner))
+      Held.LostSince.reset();
+    else if (!Held.LostSince)
+      Held.LostSince = Now;
+  }
+  recheckHolders();
+}
+
+// Guard: a holder goes away during an outage of the log. It would show as bills
+// lost with the next VM that dies; what has too few holders is offered again.
+void usage_store::recheckHolders() {
+  if (!IsLogDown)
+    return;
+  for (auto &[Id, Record] : Own) {
+    std::erase_if(Record.Holders, [&](const std::string &Vm) {
+      return peerNamed(Vm) == nullptr;
+    });
+    if (Record.IsHeld && Record.Holders.size() < config::UsageHolders) {
+      Record.IsHeld = false;
+      ++Unsafe;
+    }
+  }
+}
+
+void usage_store::offerAgain(mono_time Now) {
+  const bool IsIdle = Batches.empty() && Fresh.empty();
+  if (!IsLogDown || !IsIdle || Unsafe == 0 ||
+      candidates(Now).size() < config::UsageHolders)
+    return;
+  for (const auto &[Id, Record] : Own)
+    if (!Record.IsHeld)
+      Fresh.push_back(Id);
+  FreshSince = Now;
+}
+
+void usage_store::on(const event::tick &, mono_time Now) {
+  if (Wake && *Wake <= Now)
+    Wake.reset();
+  expireTickets(Now);
+  takeOverLost(Now);
+  offerAgain(Now);
+}
+
+// Guard: a VM dies with usage that the log doesn't have. It would show as work
+// that nobody pays for. Its holders append what they hold: the first by
+// rendezvous soon, the next later, in case the first is gone too.
+void usage_store::takeOverLost(mono_time Now) {
+  for (auto Each = Held.begin(); Each != Held.end();) {
+    if (!isDue(Each->second, Now)) {
+      adoptOld(Each->second, Now);
+      ++Each;
+      continue;
+    }
+    adoptAll(Each->second);
+    Each = Held.erase(Each);
+  }
+}
+
+bool usage_store::isDue(const held &Held, mono_time Now) const {
+  const auto Rank = std::count_if(
+      Held.Holders.begin(), Held.Holders.end(), [&](const std::string &Vm) {
+        return peerNamed(Vm) && rendezvousWeight(Vm, Held.Owner) >
+                                    rendezvousWeight(Self.Vm, Held.Owner);
+      });
+  if (Held.LeavingSince)
+    return Now - *Held.LeavingSince >= config::UsageTakeoverDelay * Rank;
+  return Held.LostSince &&
+         Now - *Held.LostSince >= config::UsageTakeoverDelay * (Rank + 1);
+}
+
+// Guard: the VM that takes over is lost in the same outage. What it took counts
+// as its own and is offered to holders of its own.
+void usage_store::adopt(usage_record Record) {
+  const std::size_t Bytes = sizeOf(Record);
+  OwnBytes += Bytes;
+  ++Unsafe;
+  Own[++Sequence] = {std::move(Record), Bytes, std::nullopt, false, {}};
+}
+
+void usage_store::adoptAll(held &Held) {
+  HeldBytes -= Held.Bytes;
+  for (auto &[RequestId, Record] : Held.Records)
+    adopt(std::move(Record));
+}
+
+// Guard: a release is lost, or membership never misses an owner that is gone.
+// Records would be held for ever; while the log is up, old ones are appended.
+void usage_store::adoptOld(held &Held, mono_time Now) {
+  while (!IsLogDown && !Held.Order.empty() &&
+         Held.Order.front().first + config::UsageHoldLimit <= Now) {
+    auto Record = Held.Records.extract(Held.Order.front().second);
+    Held.Order.pop_front();
+    if (Record.empty())
+      continue;
+    const std::size_t Bytes = sizeOf(Record.mapped());
+    Held.Bytes -= Bytes;
+    HeldBytes -= Bytes;
+    adopt(std::move(Record.mapped()));
+  }
+}
+
+void usage_store::on(const event::drain &, mono_time) {
+  if (std::exchange(Draining, true))
+    return;
+  std::set<std::string> Holders;
+  for (const auto &[Id, Record] : Own)
+    Holders.insert(Record.Holders.begin(), Record.Holders.end());
+  // What the log does not get before the stop, the holders append.
+  std::map<std::string, usage_release> ByVm;
+  for (const std::string &Vm : Holders)
+    ByVm[Vm].IsLeaving = true;
+  releaseHolders(ByVm);
+}
+
+/// Time between two appends of this VM, from the budget of the fleet.
+std::chrono::milliseconds usage_store::spacing() const {
+  return std::chrono::milliseconds(1000 * (Peers.size() + 1) /
+                                   config::UsageAppendsPerSecond);
+}
+
+void usage_store::advance(mono_time Now) {
+  if (FreshSince) {
+    if (*FreshSince + config::UsageGather <= Now)
+      sendBatch(Now);
+    else
+      wakeAt(*FreshSince + config::UsageGather, Now);
+  }
+  if (Own.empty() || !Appending.empty())
+    return;
+  std::chrono::milliseconds Gap = Draining ? config::UsageGather : spacing();
+  if (IsLogDown)
+    Gap = std::max<std::chrono::milliseconds>(Gap, config::ReconnectDelay);
+  if (LastAppend && Now < *LastAppend + Gap)
+    return wakeAt(*LastAppend + Gap, Now);
+  appendGroup(Now);
+}
+
+void usage_store::wakeAt(mono_time At, mono_time Now) {
+  if (Wake && Now < *Wake && *Wake <= At)
+    return;
+  Wake = At;
+  emit(action::wake{At});
+}
+
+void usage_store::appendGroup(mono_time Now) {
+  std::vector<usage_record> Records;
+  std::size_t Bytes = 0;
+  for (const auto &[Id, Record] : Own) {
+    if (Bytes > 0 && Bytes + Record.Bytes > config::MaxUsageGroupBytes)
+      break;
+    Bytes += Record.Bytes;
+    Records.push_back(Record.Record);
+    Appending.push_back(Id);
+  }
+  ++Appends;
+  LastAppend = Now;
+  emit(action::append{encodeUsage(Records)});
+}
+
+} // namespace clementinelane
