Keep sessions that are known by their id alone on one version

Cause: a caller that sends only X-Session-Id got its version from a hash of the id against the plan of the moment, so any change of the plan moved a conversation in silence.

session_directory records the version on three VMs by rendezvous hash, one in another data centre if there is one, before the request is planned; the first byte waits until two have it for good. Holders record the first claim and vote; settled versions win; a fresh VM has no vote until it has pulled, and holders push when membership changes. Too few answers: session_state_unavailable, not run. The signed token stays first choice. A request is counted as open while its session is looked up, so a planned stop waits for it.

Ruled out: replacing a recorded claim by a lower one, which would move a session that has begun; the hash of the id when nobody answers, since no VM can know that the plan is still the one the session began under.

--- a/src/config.h
+++ b/src/config.h
@@ -147,5 +147,18 @@
 
 /// Age at which a session token is no longer taken. A working day and a night.
 constexpr auto SessionTokenMaxAge = 24h;
+/// VMs that know the version of a session whose caller sends only its id; one
+/// of them may be down and another wrong without a second version.
+constexpr std::size_t SessionHolders = 3;
+/// Holders that must agree, or have recorded a binding, before the first byte.
+constexpr std::size_t SessionQuorum = 2;
+/// One call to a holder, also in another region; a request waits for it.
+constexpr auto SessionCallTimeout = 300ms;
+/// Bindings on one VM, of about 300 bytes: 30 MiB.
+constexpr std::size_t MaxSessions = 100'000;
+/// Bindings in one message between VMs.
+constexpr std::size_t SessionBatch = 2'000;
+/// How often membership is looked at for sessions.
+constexpr auto SessionTick = 500ms;
 
 } // namespace clementinelane::config
--- a/src/entry.cpp
+++ b/src/entry.cpp
@@ -41,6 +41,7 @@
               selfOf(Settings, Clock)),
       Usage({Log, LogCalls, Clock, Timers, Link, Peers},
             selfOf(Settings, Clock)),
+      Sessions({Clock, Timers, Link, Peers}, selfOf(Settings, Clock)),
       Transport(Timers),
       Server(Settings.Address + ":" + std::to_string(Settings.EntryPort),
              routes()) {}
@@ -91,6 +92,8 @@
     return Intents.serve(Body, std::move(Reply));
   if (Path == UsageHoldPath || Path == UsageReleasePath)
     return Usage.serve(Path, Body, std::move(Reply));
+  if (Path == SessionPath)
+    return Sessions.serve(Body, std::move(Reply));
   Reply(error_kind::PeerIncompatible);
 }
 
@@ -120,9 +123,9 @@
     return Call->fail(error_kind::Draining);
   if (!Request)
     return Call->fail(kindOf(Request.error()));
-  const request_services Services{Clock,     Config, Quality,         Tokens,
-                                  Admission, Placer, Intents,         Usage,
-                                  Transport, Timers, Settings.VmName, Open};
+  const request_services Services{
+      Clock, Config,   Quality,   Tokens, Admission,       Placer, Intents,
+      Usage, Sessions, Transport, Timers, Settings.VmName, Open};
   runRequest(Services, std::move(Request).value(), Call->Writer);
 }
 
--- a/src/entry.h
+++ b/src/entry.h
@@ -10,6 +10,7 @@
 #include "log_usage.h"
 #include "peers.h"
 #include "request_runner.h"
+#include "session_service.h"
 #include "settings.h"
 
 #include <atomic>
@@ -57,6 +58,7 @@
   boost::asio::thread_pool LogCalls{config::LogCallThreads};
   log_intent_service Intents;
   log_usage_service Usage;
+  session_service Sessions;
   http_endpoint_transport Transport;
   std::atomic<std::uint64_t> Open{0};
   std::atomic<std::uint64_t> Taken{0};
--- a/src/request_runner.cpp
+++ b/src/request_runner.cpp
@@ -248,8 +248,8 @@
 result<planned_request> planChat(const request_services &Services,
                                  const configuration &Config,
                                  const customer_spec &Customer,
-                                 const caller_request &Request) {
-  std::optional<session_binding> Bound;
+                                 const caller_request &Request,
+                                 std::optional<session_binding> Bound) {
   if (!Request.SessionToken.empty()) {
     auto Verified =
         Services.Tokens.verify(Request.SessionToken, Services.Clock.wallNow());
@@ -292,37 +292,44 @@
 result<planned_request> planRequest(const request_services &Services,
                                     const configuration &Config,
                                     const caller_request &Request,
+                                    const std::optional<session_binding> &Bound,
                                     const customer_spec *&Customer) {
   Customer = findCustomer(Config, Request.Key);
   if (!Customer)
     return error_kind::KeyWrong;
   auto Planned = Request.IsService
                      ? planService(Config, *Customer, Request)
-                     : planChat(Services, Config, *Customer, Request);
+                     : planChat(Services, Config, *Customer, Request, Bound);
   if (Planned && !Planned.value().Plan.Idempotent &&
       Request.IdempotencyKey.empty())
     return error_kind::IdempotencyKeyMissing;
   return Planned;
 }
 
-} // namespace
+std::int64_t wallSeconds(const request_services &Services) {
+  return std::chrono::duration_cast<std::chrono::seconds>(
+             Services.Clock.wallNow().time_since_epoch())
+      .count();
+}
 
-void runRequest(const request_services &Services, caller_request Request,
-                std::shared_ptr<answer_writer> Writer) {
-  const auto Refuse = [&](error_kind Kind) {
-    logs::decision("refuse", {{"request", Request.Id},
-                              {"kind", std::string(answerOf(Kind).Name)},
-                              {"ran", "not_run"}});
-    answer_former({Request.Id, "", 0, false, Request.IsService}, Writer)
-        .error({Kind, run_state::NotRun});
-  };
-  const configuration_ptr Config = Services.Config.get();
-  if (!Config)
-    return Refuse(error_kind::NotReady);
+void refuse(const caller_request &Request,
+            const std::shared_ptr<answer_writer> &Writer, error_kind Kind) {
+  logs::decision("refuse", {{"request", Request.Id},
+                            {"kind", std::string(answerOf(Kind).Name)},
+                            {"ran", "not_run"}});
+  answer_former({Request.Id, "", 0, false, Request.IsService}, Writer)
+      .error({Kind, run_state::NotRun});
+}
+
+/// Starts a request whose session, if it has one, is bound.
+void startRequest(const request_services &Services, const configuration &Config,
+                  caller_request Request,
+                  const std::shared_ptr<answer_writer> &Writer,
+                  const std::optional<session_binding> &Bound) {
   const customer_spec *Customer = nullptr;
-  auto Result = planRequest(Services, *Config, Request, Customer);
+  auto Result = planRequest(Services, Config, Request, Bound, Customer);
   if (!Result)
-    return Refuse(kindOf(Result.error()));
+    return refuse(Request, Writer, kindOf(Result.error()));
   planned_request &Planned = Result.value();
   logs::decision("route", {{"request", Request.Id},
                            {"customer", Customer->Name},
@@ -330,10 +337,9 @@
                            {"version", Planned.Plan.Versions.front()},
                            {"reason", Planned.Reason},
                            {"runner_up", Planned.RunnerUp},
-                           {"config_offset", std::to_string(Config->Offset)}});
+                           {"config_offset", std::to_string(Config.Offset)}});
   const auto Wall = Services.Clock.wallNow().time_since_epoch();
-  const auto WallSeconds =
-      std::chrono::duration_cast<std::chrono::seconds>(Wall).count();
+  const std::int64_t WallSeconds = wallSeconds(Services);
   if (Planned.Binding.OpenedAt == 0)
     Planned.Binding.OpenedAt = WallSeconds;
   request_plan &Plan = Planned.Plan;
@@ -353,7 +359,7 @@
   admission_request Admission{
       Request.Id,
       Customer->Name,
-      versionPool(*Config, Request.IsService, Plan.Versions.front()),
+      versionPool(Config, Request.IsService, Plan.Versions.front()),
       Customer->Weight,
       Customer->QuotaTokensPerSecond,
       Request.Priority,
@@ -369,4 +375,60 @@
   Run->start();
 }
 
+/// Counts a request as open while its session is looked up, so that a planned
+/// stop waits for it.
+std::shared_ptr<void> holdOpen(std::atomic<std::uint64_t> &Open) {
+  ++Open;
+  return {nullptr, [&Open](void *) { --Open; }};
+}
+
+/// Binds a session that is known by its id alone, then starts the request.
+void bindAndStart(const request_services &Services,
+                  const configuration_ptr &Config, caller_request Request,
+                  const std::shared_ptr<answer_writer> &Writer) {
+  const customer_spec *Customer = nullptr;
+  auto Planned =
+      planRequest(Services, *Config, Request, std::nullopt, Customer);
+  if (!Customer)
+    return refuse(Request, Writer, kindOf(Planned.error()));
+  // Without a version for new sessions an old one may still go on.
+  const std::error_code PlanError =
+      Planned ? std::error_code() : Planned.error();
+  session_claim Claim{
+      {Customer->Name, Request.SessionId, "", "", 0, 0}, Request.Id, false};
+  if (Planned)
+    Claim.Binding = Planned.value().Binding;
+  Claim.Binding.OpenedAt = wallSeconds(Services);
+  const mono_time Start = Services.Clock.now();
+  Services.Sessions.bind(
+      std::move(Claim),
+      [Services, Config, Request = std::move(Request), Writer, PlanError, Start,
+       Hold = holdOpen(Services.Open)](
+          const result<std::optional<session_binding>> &Bound) mutable {
+        if (!Bound)
+          return refuse(Request, Writer, kindOf(Bound.error()));
+        if (!Bound.value())
+          return refuse(Request, Writer, kindOf(PlanError));
+        Request.TimeLeft -=
+            std::chrono::duration_cast<std::chrono::milliseconds>(
+                Services.Clock.now() - Start);
+        startRequest(Services, *Config, std::move(Request), Writer,
+                     Bound.value());
+      });
+}
+
+} // namespace
+
+void runRequest(const request_services &Services, caller_request Request,
+                const std::shared_ptr<answer_writer> &Writer) {
+  const configuration_ptr Config = Services.Config.get();
+  if (!Config)
+    return refuse(Request, Writer, error_kind::NotReady);
+  const bool NeedsBinding = !Request.IsService && !Request.SessionId.empty() &&
+                            Request.SessionToken.empty();
+  if (NeedsBinding)
+    return bindAndStart(Services, Config, std::move(Request), Writer);
+  startRequest(Services, *Config, std::move(Request), Writer, std::nullopt);
+}
+
 } // namespace clementinelane
--- a/src/request_runner.h
+++ b/src/request_runner.h
@@ -8,6 +8,7 @@
 #include "intents.h"
 #include "placement.h"
 #include "request.h"
+#include "session_service.h"
 #include "session_token.h"
 #include "timers.h"
 #include "usage.h"
@@ -29,6 +30,7 @@
   placer &Placer;
   intent_service &Intents;
   usage_service &Usage;
+  session_service &Sessions;
   endpoint_transport &Transport;
   timer_service &Timers;
   std::string VmName;
@@ -38,6 +40,6 @@
 /// Chooses a version for `Request`, starts its machine and carries out what it
 /// says until it is done.
 void runRequest(const request_services &Services, caller_request Request,
-                std::shared_ptr<answer_writer> Writer);
+                const std::shared_ptr<answer_writer> &Writer);
 
 } // namespace clementinelane
--- /dev/null
+++ b/src/session_directory.h
@@ -0,0 +1,170 @@
+#pragma once
+
+#include "clock.h"
+#include "peers.h"
+#include "session_token.h"
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <set>
+#include <span>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace clementinelane {
+
+/// A version proposed for a session, or settled on.
+struct session_claim {
+  session_binding Binding; ///< an empty version only asks
+  std::string RequestId;
+  bool IsSettled = false;
+  MSGPACK_DEFINE_MAP(Binding, RequestId, IsSettled)
+};
+
+enum class session_ask : std::uint8_t {
+  Claim,  ///< record the claim unless there is one; reply what is recorded
+  Settle, ///< record the claim for good
+  Pull    ///< reply what the sender is to hold
+};
+
+/// Between VMs; the reply is a list of claims.
+struct session_message {
+  std::uint8_t Ask = 0; ///< session_ask
+  std::string From;
+  std::vector<session_claim> Claims;
+  MSGPACK_DEFINE_MAP(Ask, From, Claims)
+};
+
+/// The VMs that hold a session: the best by rendezvous hash, the last of them
+/// in another data centre if there is one.
+std::vector<peer_info> sessionHolders(std::string_view Customer,
+                                      std::string_view Session,
+                                      std::span<const peer_info> Vms);
+
+/// What happens to a directory.
+namespace session_event {
+/// A request needs its session's version.
+struct bind {
+  std::uint64_t Ticket;
+  session_claim Claim;
+};
+struct asked {
+  std::uint64_t Call;
+  session_message Message;
+};
+struct answered {
+  std::uint64_t Round;
+  std::string Vm;
+  result<std::vector<session_claim>> Claims;
+};
+struct peers_seen {
+  std::vector<peer_info> Peers;
+};
+} // namespace session_event
+
+using session_input =
+    std::variant<session_event::bind, session_event::asked,
+                 session_event::answered, session_event::peers_seen>;
+
+/// What the shell is to do.
+namespace session_action {
+struct send {
+  std::uint64_t Round; ///< 0: the answer is not waited for
+  peer_info To;
+  session_message Message;
+};
+struct answer {
+  std::uint64_t Call;
+  result<std::vector<session_claim>> Claims;
+};
+/// No binding and no error: the session is not known, and nothing was claimed.
+struct bound {
+  std::uint64_t Ticket;
+  std::error_code Error;
+  std::optional<session_binding> Binding;
+};
+} // namespace session_action
+
+using session_output =
+    std::variant<session_action::send, session_action::answer,
+                 session_action::bound>;
+
+/// Keeps the versions of sessions whose callers send only a session id, on
+/// three VMs each, without I/O.
+///
+/// A holder records the first claim it gets and never changes it but for a
+/// settled one. A claim recorded by two holders is the session's version; if
+/// all holders answer and no two agree, the lowest (configuration offset,
+/// request id) is, which everybody computes alike. Of an old session any one
+/// holder's settled version is enough. With too few answers the
+/// request is refused: a session is never moved in silence.
+class session_directory {
+public:
+  explicit session_directory(peer_info Self) : Self(std::move(Self)) {}
+
+  std::vector<session_output> handle(const session_input &Event, mono_time Now);
+  std::size_t size() const { return Claims.size(); }
+  bool isReady() const { return IsReady; }
+
+private:
+  using session_key = std::pair<std::string, std::string>;
+  struct stored {
+    session_claim Claim;
+    mono_time At;
+  };
+  /// One request's question to the holders.
+  struct round {
+    std::uint64_t Ticket = 0;
+    session_claim Mine;
+    std::vector<peer_info> Holders;
+    std::set<std::string> Open;            ///< no answer yet
+    std::vector<session_claim> Votes;      ///< one an answer
+    std::set<std::string> SettledVms;      ///< others that have it settled
+    std::optional<session_claim> Settling; ///< chosen, being recorded
+    std::size_t Settled = 0;               ///< holders that recorded it
+    std::size_t Needed = 0;                ///< of them, before the first byte
+  };
+
+  void on(const session_event::bind &Event, mono_time Now);
+  void on(const session_event::asked &Event, mono_time Now);
+  void on(const session_event::answered &Event, mono_time Now);
+  void on(const session_event::peers_seen &Event, mono_time Now);
+
+  std::vector<peer_info> members() const;
+  bool holds(const session_claim &Claim, std::string_view Vm) const;
+  session_claim record(const session_claim &Claim, mono_time Now);
+  /// False: there is no room, or another version is settled.
+  bool settle(const session_claim &Claim, mono_time Now);
+  bool isSettledHere(const session_claim &Claim) const;
+  std::vector<session_claim> pulledBy(const std::string &Vm) const;
+  void pull();
+  void pushTo(const std::set<std::string> &Newcomers);
+  void decide(std::uint64_t Id, mono_time Now);
+  static std::size_t quorumOf(const round &Round);
+  static std::size_t settledVotes(const round &Round);
+  static std::optional<session_claim> winnerOf(const round &Round);
+  void startSettling(std::uint64_t Id, const session_claim &Winner,
+                     mono_time Now);
+  void finish(std::uint64_t Id, std::error_code Error,
+              std::optional<session_binding> Binding);
+  void forgetOld(mono_time Now);
+  template <typename T> void emit(T Action) {
+    Actions.emplace_back(std::in_place_type<T>, std::move(Action));
+  }
+
+  peer_info Self;
+  std::vector<peer_info> Peers;
+  std::vector<session_output> Actions;
+  std::map<session_key, stored> Claims;
+  std::deque<std::pair<mono_time, session_key>> Order; ///< oldest first
+  std::map<std::uint64_t, round> Rounds;
+  std::uint64_t RoundIds = 0;
+  std::uint64_t PullRound = 0;
+  std::set<std::string> Pulling; ///< peers that have not answered the pull
+  bool IsReady = false;          ///< knows what it is to hold
+};
+
+} // namespace clementinelane
--- /dev/null
+++ b/src/session_service.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include "clock.h"
+#include "link.h"
+#include "peers.h"
+#include "session_directory.h"
+#include "timers.h"
+
+#include <functional>
+#include <memory>
+
+namespace clementinelane {
+
+/// The link path of session holders.
+constexpr std::string_view SessionPath = "/session";
+
+struct session_links {
+  const runtime_clock &Clock;
+  timer_service &Timers;
+  link_client &Link;
+  const peer_source &Peers;
+};
+
+/// A binding, none for an unknown session that was only asked for, or
+/// SessionStateUnavailable.
+using bound_reply = std::function<void(result<std::optional<session_binding>>)>;
+
+/// Runs the session directory of one VM.
+class session_service {
+public:
+  session_service(const session_links &Links, peer_info Self);
+  ~session_service();
+
+  /// Finds the session's binding, or records `Claim` as it. Exactly one call
+  /// of `Done`, from any thread.
+  void bind(session_claim Claim, bound_reply Done);
+  /// Answers another VM's call of SessionPath.
+  void serve(std::string_view Body, link_reply Reply);
+  std::size_t size() const;
+
+private:
+  class host;
+  std::shared_ptr<host> Host;
+};
+
+} // namespace clementinelane
