--- a/src/entry.cpp
+++ b/src/entry.cpp
@@ -14,6 +14,21 @@
   return [Call](std::string_view Name) { return Call->header(Name); };
 }
 
+/// This VM as its peers see it. A restarted process is another one.
+peer_info selfOf(const settings &Settings, const runtime_clock &Clock) {
+  peer_info Self;
+  Self.Vm = Settings.VmName;
+  Self.DataCentre = Settings.DataCentre;
+  Self.Region = Settings.Region;
+  Self.EntryLink =
+      Settings.Address + ":" + std::to_string(Settings.EntryLinkPort);
+  Self.Incarnation = static_cast<std::uint64_t>(
+      std::chrono::duration_cast<std::chrono::milliseconds>(
+          Clock.wallNow().time_since_epoch())
+          .count());
+  return Self;
+}
+
 } // namespace
 
 entry::entry(const settings &Settings, const runtime_clock &Clock)
@@ -21,7 +36,12 @@
       Rater(Settings.RaterAddress, Config, Quality),
       Tokens(Settings.SessionKeys),
       Placer(Settings.DataCentre, std::random_device{}()),
-      Log(Settings.LogAddress), Intents(Log), Usage(Log),
+      Log(Settings.LogAddress),
+      Intents({Log, LogCalls, Clock, Timers, Link, Peers},
+              selfOf(Settings, Clock)),
+      Usage({Log, LogCalls, Clock, Timers, Link, Peers},
+            selfOf(Settings, Clock)),
+      Sessions({Clock, Timers, Link, Peers}, selfOf(Settings, Clock)),
       Transport(Timers, Clock,
                 [this](const std::string &Endpoint, bool IsLeaving) {
                   Placer.markLeaving(Endpoint, IsLeaving);
@@ -36,6 +56,11 @@
 }
 
 void entry::open() {
+  LinkServer = std::make_unique<link_server>(
+      Settings.Address + ":" + std::to_string(Settings.EntryLinkPort),
+      [this](std::string_view Path, const std::string &Body, link_reply Reply) {
+        onLink(Path, Body, std::move(Reply));
+      });
   Server.open();
   Follower = std::thread([this] { followControl(); });
 }
@@ -59,10 +84,37 @@
   }
   if (Now == stop_phase::Forced)
     logs::warning("stop_forced", {{"open", std::to_string(Open.load())}});
+  drainOwed();
   Leaving = true;
   Server.close();
 }
 
+// Guard: a planned stop would lose bills and outcomes that only this VM has.
+// It would show as unbilled work and keys that stay blocked after a roll-out of
+// the entry; the stop waits until the log or other VMs have them.
+void entry::drainOwed() {
+  const auto Until = Clock.now() + config::DrainOwedLimit;
+  Usage.drain();
+  while (Clock.now() < Until &&
+         (Intents.counters().Owed > 0 || !Usage.isDrained()))
+    std::this_thread::sleep_for(config::StopPoll);
+  if (Intents.counters().Owed > 0 || !Usage.isDrained())
+    logs::warning("stopped_owing",
+                  {{"outcomes", std::to_string(Intents.counters().Owed)},
+                   {"usage_bytes", std::to_string(Usage.counters().OwnBytes)}});
+}
+
+void entry::onLink(std::string_view Path, std::string_view Body,
+                   link_reply Reply) {
+  if (Path == IntentPath)
+    return Intents.serve(Body, std::move(Reply));
+  if (Path == UsageHoldPath || Path == UsageReleasePath)
+    return Usage.serve(Path, Body, std::move(Reply));
+  if (Path == SessionPath)
+    return Sessions.serve(Body, std::move(Reply));
+  Reply(error_kind::PeerIncompatible);
+}
+
 std::vector<http_route> entry::routes() {
   const auto To = [this](void (entry::*Answer)(
                       const std::shared_ptr<http_call> &)) -> http_handler {
@@ -94,8 +146,8 @@
   if (!Request)
     return Call->fail(kindOf(Request.error()));
   const request_services Services{
-      Clock, Config, Quality,   Tokens, Admission,       Placer, Intents,
-      Usage, Rater,  Transport, Timers, Settings.VmName, Open};
+      Clock, Config, Quality,  Tokens,    Admission, Placer,          Intents,
+      Usage, Rater,  Sessions, Transport, Timers,    Settings.VmName, Open};
   runRequest(Services, std::move(Request).value(), Call->Writer);
 }
 
@@ -155,9 +207,20 @@
 }
 
 void entry::answerMetrics(const std::shared_ptr<http_call> &Call) {
-  Call->text("clementine_open_requests " + std::to_string(Open.load()) +
-             "\nclementine_requests_total " + std::to_string(Taken.load()) +
-             "\n");
+  const intent_counters Counters = Intents.counters();
+  const usage_counters Bills = Usage.counters();
+  Call->text(
+      "clementine_open_requests " + std::to_string(Open.load()) +
+      "\nclementine_requests_total " + std::to_string(Taken.load()) +
+      "\nclementine_intent_appends_total " + std::to_string(Counters.Appends) +
+      "\nclementine_intent_unavailable_total " +
+      std::to_string(Counters.Unavailable) +
+      "\nclementine_intent_remembered_bytes " + std::to_string(Counters.Bytes) +
+      "\nclementine_intent_owed " + std::to_string(Counters.Owed) +
+      "\nclementine_usage_appends_total " + std::to_string(Bills.Appends) +
+      "\nclementine_usage_own_bytes " + std::to_string(Bills.OwnBytes) +
+      "\nclementine_usage_held_bytes " + std::to_string(Bills.HeldBytes) +
+      "\n");
 }
 
 void entry::followPeers(const std::string &Control) {
--- a/src/entry.h
+++ b/src/entry.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "clock.h"
+#include "config.h"
 #include "config_source.h"
 #include "endpoint_client.h"
 #include "http_server.h"
@@ -9,6 +10,7 @@
 #include "log_usage.h"
 #include "peers.h"
 #include "request_runner.h"
+#include "session_service.h"
 #include "settings.h"
 #include "stop_sequence.h"
 
@@ -44,6 +46,8 @@
   void followControl();
   stop_phase advanceStop(bool IsAsked);
   void followPeers(const std::string &Control);
+  void onLink(std::string_view Path, std::string_view Body, link_reply Reply);
+  void drainOwed();
 
   settings Settings;
   const runtime_clock &Clock;
@@ -53,10 +57,15 @@
   session_token_codec Tokens;
   open_admission Admission;
   placer Placer;
+  peer_list Peers; ///< other entry VMs, as membership hands them over
   http_append_log Log;
+  timer_service Timers;
+  link_client Link;
+  // Below what its calls use, above what posts to it.
+  boost::asio::thread_pool LogCalls{config::LogCallThreads};
   log_intent_service Intents;
   log_usage_service Usage;
-  timer_service Timers;
+  session_service Sessions;
   http_endpoint_transport Transport;
   std::atomic<std::uint64_t> Open{0};
   std::atomic<std::uint64_t> Taken{0};
@@ -64,8 +73,7 @@
   stop_sequence Stop;
   std::atomic<stop_phase> Phase{stop_phase::Serving};
   std::atomic<bool> Leaving{false}; ///< the follower ends
-  peer_list Peers;                  ///< other VMs, from control
-  link_client Link;
+  std::unique_ptr<link_server> LinkServer;
   http_server Server;
   std::thread Follower;
 };
