--- a/src/change.cpp
+++ b/src/change.cpp
@@ -2,6 +2,9 @@
 
 #include "config.h"
 
+#include <algorithm>
+#include <xxhash.h>
+
 namespace clementinelane {
 
 namespace {
@@ -22,22 +25,20 @@
   }
 }
 
-/// Whether every file that `Change` touches is as its author saw it. Names
-/// the first that is not.
+/// Whether every file that `Change` touches, or was based on, is as its author
+/// saw it. Names the first that is not.
 std::optional<std::string> findConflict(const config_state &State,
                                         const change_record &Change) {
-  const auto IsStale = [&](const std::string &Name) {
+  for (const auto &[Name, Base] : Change.Bases) {
     const auto File = State.Files.find(Name);
-    const std::uint64_t Current =
-        File == State.Files.end() ? 0 : File->second.Offset;
-    const auto Base = Change.Bases.find(Name);
-    return Base == Change.Bases.end() || Base->second != Current;
-  };
+    if (Base != (File == State.Files.end() ? 0 : File->second.Offset))
+      return Name;
+  }
   for (const auto &[Name, Text] : Change.Upserts)
-    if (IsStale(Name))
+    if (!Change.Bases.contains(Name))
       return Name;
   for (const std::string &Name : Change.Deletes)
-    if (IsStale(Name))
+    if (!Change.Bases.contains(Name))
       return Name;
   return std::nullopt;
 }
@@ -63,6 +64,34 @@
   return Files;
 }
 
+std::string digestOf(const config_state &State) {
+  config_state Agreed;
+  Agreed.Accepted = State.Accepted;
+  Agreed.Files = State.Files;
+  Agreed.Schema = State.Schema;
+  return sha256Hex(pack(Agreed));
+}
+
+std::string encodeSnapshot(const snapshot_record &Snapshot) {
+  return pack(Snapshot);
+}
+
+result<snapshot_record> decodeSnapshot(std::string_view Bytes) {
+  auto Decoded = unpack<snapshot_record>(Bytes);
+  if (Decoded && Decoded.value().Digest != digestOf(Decoded.value().State))
+    return error_kind::RecordCorrupt;
+  return Decoded;
+}
+
+std::uint64_t hashOfRecord(std::string_view Bytes) {
+  return std::max<std::uint64_t>(XXH3_64bits(Bytes.data(), Bytes.size()), 1);
+}
+
+std::string kindOfRecord(std::string_view Bytes) {
+  const auto Head = unpack<record_head>(Bytes);
+  return Head ? Head.value().Kind : std::string();
+}
+
 change_verdict config_replica::apply(std::uint64_t Offset,
                                      std::string_view Bytes) {
   // Guard: a reader that skipped or repeated a record would judge later ones
@@ -73,50 +102,124 @@
   change_verdict Verdict = judge(Offset, Bytes);
   // A record of a newer schema may be accepted by newer readers, so an old
   // reader must not judge anything from there on.
-  if (Verdict.Error != error_kind::SchemaTooNew)
-    State.Next = Offset + 1;
+  if (Verdict.Error == error_kind::SchemaTooNew)
+    return Verdict;
+  State.Next = Offset + 1;
+  State.TailHash = hashOfRecord(Bytes);
   return Verdict;
 }
 
 change_verdict config_replica::judge(std::uint64_t Offset,
                                      std::string_view Bytes) {
+  const auto Head = unpack<record_head>(Bytes);
+  if (!Head)
+    return {Offset, "", Head.error(), "unreadable"};
+  const std::string &Id = Head.value().Id;
+  // Guard: a state that newer programs wrote may mean what this one can't see,
+  // so its verdicts could differ from theirs. It shows as two parts of the
+  // fleet in different configurations; judging nothing prevents it.
+  const std::uint32_t Schema = std::max(Head.value().Schema, State.Schema);
+  if (Schema > config::ConfigSchema)
+    return {Offset, Id, error_kind::SchemaTooNew,
+            "schema " + std::to_string(Schema)};
+  if (Head.value().Kind == SnapshotKind)
+    return judgeSnapshot(Offset, Bytes);
+  if (Head.value().Kind != ChangeKind)
+    return {Offset, Id, error_kind::RecordCorrupt,
+            "unknown kind " + Head.value().Kind};
   if (Bytes.size() > config::MaxChangeBytes)
-    return {Offset, "", error_kind::RecordCorrupt, "too large"};
+    return {Offset, Id, error_kind::RecordCorrupt, "too large"};
   const result<change_record> Decoded = decodeChange(Bytes);
-  if (!Decoded)
-    return {Offset, "", Decoded.error(), "unreadable"};
-  const change_record &Change = Decoded.value();
-  if (Change.Schema > config::ConfigSchema)
-    return {Offset, Change.Id, error_kind::SchemaTooNew,
-            "schema " + std::to_string(Change.Schema)};
+  if (!Decoded || Id.empty())
+    return {Offset, Id, error_kind::RecordCorrupt, "unreadable"};
+  return judgeChange(Offset, Decoded.value());
+}
+
+parsed_configuration config_replica::parseWhole(const change_record &Change,
+                                                std::uint64_t Accepted) const {
+  std::map<std::string, std::string> Texts;
+  for (const auto &[Name, File] : State.Files)
+    Texts[Name] = File.Text;
+  for (const auto &[Name, Text] : Change.Upserts)
+    Texts[Name] = Text;
+  for (const std::string &Name : Change.Deletes)
+    Texts.erase(Name);
+  std::vector<config_file> Files;
+  Files.reserve(Texts.size());
+  for (auto &[Name, Text] : Texts)
+    Files.push_back({Name, std::move(Text)});
+  return parseConfiguration(Files, Accepted);
+}
+
+change_verdict config_replica::judgeChange(std::uint64_t Offset,
+                                           const change_record &Change) {
   if (const auto Conflict = findConflict(State, Change))
     return {Offset, Change.Id, error_kind::ConfigConflict, *Conflict};
+  const std::uint64_t Accepted = Offset + 1;
+  auto Edit = config_tables::prepare(Change.Upserts, Change.Deletes);
+  configuration_ptr Newer = Tables.rebuild(*Config, Edit, Accepted);
+  if (!Newer) {
+    // The whole folder decides, and tells the line of each mistake.
+    parsed_configuration Parsed = parseWhole(Change, Accepted);
+    if (!Parsed.Config)
+      return {Offset, Change.Id, error_kind::ConfigInvalid,
+              formatError(Parsed.Errors.front())};
+    Newer = std::move(Parsed.Config);
+  }
+  write(Change, Accepted);
+  Tables.commit(std::move(Edit));
+  Config = std::move(Newer);
+  return {Offset, Change.Id, {}, ""};
+}
 
-  config_state Trial = State;
-  Trial.Accepted = Offset + 1;
+void config_replica::write(const change_record &Change,
+                           std::uint64_t Accepted) {
+  State.Accepted = Accepted;
+  State.Schema = std::max(State.Schema, Change.Schema);
   for (const auto &[Name, Text] : Change.Upserts)
-    Trial.Files[Name] = {Text, Offset + 1};
+    State.Files[Name] = {Text, Accepted};
   for (const std::string &Name : Change.Deletes)
-    Trial.Files.erase(Name);
-  parsed_configuration Parsed =
-      parseConfiguration(filesOf(Trial), Trial.Accepted);
-  if (!Parsed.Config)
-    return {Offset, Change.Id, error_kind::ConfigInvalid,
-            formatError(Parsed.Errors.front())};
-  State = std::move(Trial);
-  Config = std::move(Parsed.Config);
-  return {Offset, Change.Id, {}, ""};
+    State.Files.erase(Name);
+}
+
+// Guard: a process that folded the log wrongly would spread its state through
+// a snapshot. It shows as a digest that differs from that of a reader at the
+// same change; such a snapshot is reported and never taken, and does not count
+// as one, so that another is appended.
+change_verdict config_replica::judgeSnapshot(std::uint64_t Offset,
+                                             std::string_view Bytes) {
+  change_verdict Verdict{Offset, "", {}, "", true};
+  const auto Decoded = decodeSnapshot(Bytes);
+  if (!Decoded) {
+    Verdict.Error = error_kind::RecordCorrupt;
+    Verdict.Detail = "snapshot is cut or its digest is wrong";
+    return Verdict;
+  }
+  const snapshot_record &Snapshot = Decoded.value();
+  Verdict.Id = Snapshot.Id;
+  const bool IsSame = Snapshot.State.Accepted == State.Accepted &&
+                      Snapshot.Digest == digestOf(State);
+  const bool IsEarlier = Snapshot.State.Accepted < State.Accepted;
+  if ((!IsSame && !IsEarlier) || Snapshot.State.Next > Offset) {
+    Verdict.Error = error_kind::ConfigConflict;
+    Verdict.Detail = "snapshot of " + Snapshot.Vm + " differs from our state";
+    return Verdict;
+  }
+  State.SnapshotNext = Offset + 1;
+  State.SnapshotAt = Snapshot.At;
+  return Verdict;
 }
 
 bool config_replica::adopt(config_state Newer) {
-  if (Newer.Next <= State.Next)
+  if (Newer.Next <= State.Next || Newer.Accepted < State.Accepted)
     return false;
-  parsed_configuration Parsed =
-      parseConfiguration(filesOf(Newer), Newer.Accepted);
+  const std::vector<config_file> Files = filesOf(Newer);
+  parsed_configuration Parsed = parseConfiguration(Files, Newer.Accepted);
   if (!Parsed.Config)
     return false;
   State = std::move(Newer);
   Config = std::move(Parsed.Config);
+  Tables.reset(Files);
   return true;
 }
 
--- a/src/config.h
+++ b/src/config.h
@@ -50,6 +50,34 @@
 /// VM this is about three minutes of outage.
 constexpr std::size_t MaxUsageWaiting = 10'000;
 
+// --- configuration from the log --------------------------------------------
+
+/// How long a reader that follows the log may lag a peer before it fetches the
+/// peer's state; a read takes under LogPollWait.
+constexpr auto BehindPatience = 1500ms;
+/// Between questions for a peer's offset; far below the 8 s in which a change
+/// must be in force, and 100 bytes each.
+constexpr auto PeerCheckInterval = 2s;
+/// The same while a VM starts, which must not wait for rounds.
+constexpr auto StartPeerInterval = 100ms;
+/// How long a VM that starts waits for peers before it goes on with the log
+/// alone; more than one LinkCallTimeout.
+constexpr auto StartPeerWait = 3s;
+/// Between the VMs that may append a snapshot, in rendezvous order; an append
+/// and a read of it fit in.
+constexpr auto SnapshotRankDelay = 2s;
+/// Before the same VM tries again.
+constexpr auto SnapshotRetryDelay = 30s;
+/// Between searches of the log for a snapshot.
+constexpr auto SnapshotScanPause = 5s;
+/// One call of an operator; control may ask all its peers in it.
+constexpr auto OperatorCallTimeout = 5s;
+/// Verdicts that control keeps for `publish` to ask for: two hours of a day of
+/// 25,000 changes.
+constexpr std::size_t MaxVerdicts = 2000;
+/// Tick of the machines in control.
+constexpr auto ControlTick = 100ms;
+
 // --- our own processes -----------------------------------------------------
 
 /// Bytes of one message between our processes.
--- /dev/null
+++ b/src/config_feed.h
@@ -0,0 +1,96 @@
+#pragma once
+
+#include "config_follower.h"
+#include "config_source.h"
+#include "link.h"
+#include "log_client.h"
+#include "settings.h"
+
+#include <condition_variable>
+#include <deque>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <thread>
+
+namespace clementinelane {
+
+/// Offset that a VM has in force, as far as this one knows.
+struct member_offset {
+  std::string Vm;
+  std::string DataCentre;
+  std::uint64_t Offset = 0;
+  bool IsReachable = true;
+  std::string Address;
+};
+
+/// Who has which configuration; for `publish --wait`.
+class member_offsets {
+public:
+  virtual ~member_offsets() = default;
+  virtual std::vector<member_offset> offsets() const = 0;
+};
+
+/// The I/O around config_follower: reads the log, asks peers, and hands the
+/// configuration in force to whoever waits for it.
+class config_feed final : public member_offsets {
+public:
+  config_feed(const settings &Settings, const runtime_clock &Clock,
+              append_log &Log, link_client &Link, const peer_source &Peers);
+  ~config_feed() override;
+  config_feed(const config_feed &) = delete;
+  config_feed &operator=(const config_feed &) = delete;
+
+  void start();
+  /// Ends the threads and waits for tasks under way; the link client may go
+  /// away after that, before this object does.
+  void stop();
+  /// Takes the calls "/state" and "/offset"; false for any other path.
+  bool onLink(std::string_view Path, std::string_view Body,
+              const link_reply &Reply);
+
+  follower_status status() const;
+  follower_counts counts() const;
+  config_state state() const;
+  /// The configuration in force; null until this VM is ready.
+  configuration_ptr config() const { return Source.get(); }
+  std::optional<change_verdict> verdictOf(const std::string &Id) const;
+  /// Asks every peer; waits for at most one call's timeout.
+  std::vector<member_offset> offsets() const override;
+
+private:
+  void readLog();
+  void tick();
+  void handle(const follower_input &Input);
+  void perform(const follower_action::ask_offset &Action);
+  void perform(const follower_action::fetch_state &Action);
+  void perform(const follower_action::append_snapshot &Action);
+  void perform(const follower_action::publish_config &Action);
+  void perform(const follower_action::verdict &Action);
+  void perform(const follower_action::alarm &Action);
+  void replyState(std::uint64_t Known, const link_reply &Reply);
+  peer_offset ownOffset() const;
+  void pause();
+  void runTask(std::function<void()> Task);
+
+  const settings &Settings;
+  const runtime_clock &Clock;
+  append_log &Log;
+  link_client &Link;
+  const peer_source &Peers;
+  config_source Source;
+  mutable std::mutex Mutex;
+  std::condition_variable Changed;
+  config_follower Follower;
+  std::shared_ptr<const std::string> Encoded; ///< the state in force
+  std::uint64_t EncodedOffset = 0;
+  std::map<std::string, change_verdict> Verdicts; ///< by change id
+  std::deque<std::string> VerdictOrder;
+  bool Stopping = false;
+  unsigned Tasks = 0; ///< under way on the pool
+  std::thread Reader;
+  std::thread Ticker;
+};
+
+} // namespace clementinelane
--- /dev/null
+++ b/src/config_follower.cpp
@@ -0,0 +1,435 @@
+#include "config_follower.h"
+
+#include "config.h"
+#include "request.h"
+
+#include <algorithm>
+#include <xxhash.h>
+
+namespace clementinelane {
+
+namespace {
+
+namespace action = follower_action;
+
+} // namespace
+
+config_follower::config_follower(follower_settings Settings, mono_time Now)
+    : Settings(std::move(Settings)), StartedAt(Now) {}
+
+std::vector<follower_output>
+config_follower::handle(const follower_input &Input, mono_time Now) {
+  outputs Out;
+  std::visit([&](const auto &Event) { on(Event, Now, Out); }, Input);
+  checkStart(Now);
+  publishIfReady(Out);
+  return Out;
+}
+
+log_request config_follower::nextRequest(mono_time Now) const {
+  // A newcomer asks its peers first: their state is one message, the log up to
+  // a third of its retention.
+  if (!PeersChecked && Replica.state().Next == 0)
+    return {};
+  if (NeedsBounds)
+    return {log_request::kind::Bounds, 0, false};
+  if (Scanning) {
+    if (Now < ScanAgainAt)
+      return {};
+    return {log_request::kind::Read, ScanFrom, false};
+  }
+  const std::uint64_t Next = Replica.state().Next;
+  if (NeedsVerify && Replica.state().TailHash != 0 && Next > 0)
+    return {log_request::kind::Read, Next - 1, false};
+  if (LogSuspect || SchemaTooNew)
+    return {log_request::kind::Read, Next, false};
+  return {log_request::kind::Read, Next, true};
+}
+
+void config_follower::on(const follower_event::log_read &Event, mono_time Now,
+                         outputs &Out) {
+  LogReachable = true;
+  if (Scanning)
+    return scanRecords(Event.Batch, Now, Out);
+  if (!verifyHistory(Event, Out))
+    return;
+  applyRecords(Event.Batch, Out);
+}
+
+// Guard: the log service may come back from an outage without its last
+// records, and give their offsets to others. It shows as a `next` below ours,
+// or as another record where we read our last one. Applying from there would
+// revert accepted changes here and not elsewhere; so nothing is applied and
+// what is in force stays, until the log shows our last record again.
+bool config_follower::verifyHistory(const follower_event::log_read &Event,
+                                    outputs &Out) {
+  const std::uint64_t Next = Replica.state().Next;
+  const std::uint64_t TailHash = Replica.state().TailHash;
+  const log_batch &Batch = Event.Batch;
+  if (Batch.Next < Next || Batch.First > Batch.Next) {
+    suspectLog("log ends at " + std::to_string(Batch.Next) +
+                   ", we have applied up to " + std::to_string(Next),
+               Out);
+    return false;
+  }
+  if (Event.From + 1 == Next && TailHash != 0) {
+    const bool IsOurs = !Batch.Records.empty() &&
+                        Batch.Records.front().Offset == Event.From &&
+                        hashOfRecord(Batch.Records.front().Bytes) == TailHash;
+    if (!IsOurs) {
+      suspectLog("record " + std::to_string(Event.From) +
+                     " is not the one applied before",
+                 Out);
+      return false;
+    }
+    NeedsVerify = false;
+  }
+  // Offsets must follow one another from where we asked.
+  std::uint64_t Expected = Event.From;
+  for (const log_record &Record : Batch.Records) {
+    if (Record.Offset != Expected++) {
+      suspectLog("offset " + std::to_string(Record.Offset) + " in place of " +
+                     std::to_string(Expected - 1),
+                 Out);
+      return false;
+    }
+  }
+  if (LogSuspect && TailHash != 0 && NeedsVerify)
+    return false;
+  LogSuspect = false;
+  return true;
+}
+
+void config_follower::suspectLog(std::string Detail, outputs &Out) {
+  NeedsVerify = true;
+  if (!LogSuspect) {
+    ++Counts.LogRegressions;
+    Out.push_back(action::alarm{"log_regressed", std::move(Detail)});
+  }
+  LogSuspect = true;
+}
+
+void config_follower::applyRecords(const log_batch &Batch, outputs &Out) {
+  for (const log_record &Record : Batch.Records) {
+    if (Record.Offset < Replica.state().Next)
+      continue;
+    const change_verdict Verdict = Replica.apply(Record.Offset, Record.Bytes);
+    if (Verdict.Error == error_kind::SchemaTooNew) {
+      if (!SchemaTooNew)
+        Out.push_back(action::alarm{"schema_too_new", Verdict.Detail});
+      SchemaTooNew = true;
+      return;
+    }
+    SchemaTooNew = false;
+    count(Verdict, Out);
+    Out.push_back(action::verdict{Verdict});
+  }
+  if (Replica.state().Next == Batch.Next)
+    CaughtUp = true;
+}
+
+void config_follower::count(const change_verdict &Verdict, outputs &Out) {
+  if (Verdict.Error == error_kind::RecordCorrupt) {
+    ++Counts.Unreadable;
+    Out.push_back(action::alarm{"record_unreadable",
+                                "offset " + std::to_string(Verdict.Offset) +
+                                    ": " + Verdict.Detail});
+    return;
+  }
+  if (Verdict.IsSnapshot && Verdict.Error) {
+    ++Counts.SnapshotsDiffering;
+    Out.push_back(action::alarm{"snapshot_differs", Verdict.Detail});
+    return;
+  }
+  if (Verdict.IsSnapshot) {
+    SnapshotDueSince.reset();
+    return;
+  }
+  ++(Verdict.Error ? Counts.Rejected : Counts.Accepted);
+}
+
+void config_follower::on(const follower_event::log_bounds_read &Event,
+                         mono_time, outputs &Out) {
+  LogReachable = true;
+  NeedsBounds = false;
+  if (Event.Bounds.Next < Replica.state().Next)
+    return suspectLog("log ends at " + std::to_string(Event.Bounds.Next), Out);
+  Scanning = Event.Bounds.First > Replica.state().Next;
+  ScanFrom = Event.Bounds.First;
+}
+
+void config_follower::on(const follower_event::log_failed &Event, mono_time,
+                         outputs &Out) {
+  if (Event.Kind != error_kind::LogExpired) {
+    ++Counts.LogErrors;
+    LogReachable = false;
+    NeedsVerify = true;
+    return;
+  }
+  LogReachable = true;
+  if (!Scanning && Event.From < Replica.state().Next) {
+    // Only our last record has expired, which is no loss.
+    NeedsVerify = false;
+    return;
+  }
+  if (!Scanning)
+    Out.push_back(action::alarm{"log_expired",
+                                "records from " + std::to_string(Event.From) +
+                                    " are gone; looking for a snapshot"});
+  NeedsBounds = true;
+}
+
+void config_follower::scanRecords(const log_batch &Batch, mono_time Now,
+                                  outputs &Out) {
+  if (Batch.First <= Replica.state().Next) {
+    Scanning = false; // a peer's state has brought us back into the log
+    return;
+  }
+  for (const log_record &Record : Batch.Records) {
+    ScanFrom = Record.Offset + 1;
+    if (kindOfRecord(Record.Bytes) != SnapshotKind)
+      continue;
+    const auto Snapshot = decodeSnapshot(Record.Bytes);
+    if (!Snapshot) {
+      ++Counts.Unreadable;
+      continue;
+    }
+    // One that covers less than the log has lost can't be gone on from.
+    if (Snapshot.value().State.Next < Batch.First)
+      continue;
+    if (take(Snapshot.value().State)) {
+      Scanning = false;
+      return;
+    }
+  }
+  if (ScanFrom < Batch.Next && !Batch.Records.empty())
+    return;
+  Out.push_back(action::alarm{
+      "no_snapshot", "the log holds none to go on from; peers are asked"});
+  ScanFrom = Batch.First;
+  ScanAgainAt = Now + config::SnapshotScanPause;
+  NeedsBounds = true;
+}
+
+bool config_follower::take(config_state State) {
+  if (!Replica.adopt(std::move(State))) {
+    ++Counts.StatesRefused;
+    return false;
+  }
+  ++Counts.StatesTaken;
+  CaughtUp = false;
+  SchemaTooNew = Replica.state().Schema > config::ConfigSchema;
+  return true;
+}
+
+void config_follower::on(const follower_event::offset_heard &Event,
+                         mono_time Now, outputs &Out) {
+  const peer_offset &Offset = Event.Offset;
+  Pending.erase(Offset.Address);
+  DataCentres[Offset.Address] = Offset.DataCentre;
+  Offsets[Offset.Vm] = Offset;
+  if (Offset.Vm != Settings.Vm)
+    (Offset.DataCentre == Settings.DataCentre ? HeardOwn : HeardOther) = true;
+  Heard = std::max(Heard, Offset.Accepted);
+  fetchIfBehind(Offset, Now, Out);
+}
+
+// Load: each change makes every VM lag its peers for a moment, and a state of
+// a large folder is a megabyte. Harm prevented: 1,100 VMs that fetch states
+// from one another at each change, 0.3 a second. So a reader that follows the
+// log is given BehindPatience to read the change itself; one that can't read
+// it (log away, expired, too new, suspect) fetches at once.
+void config_follower::fetchIfBehind(const peer_offset &Offset, mono_time Now,
+                                    outputs &Out) {
+  if (Offset.Accepted <= Replica.state().Accepted)
+    return;
+  if (!BehindSince)
+    BehindSince = Now;
+  const bool Follows = LogReachable && CaughtUp && !Scanning && !LogSuspect &&
+                       !SchemaTooNew && !NeedsBounds;
+  if (Follows && Now - *BehindSince < config::BehindPatience)
+    return;
+  if (FetchingUntil && Now < *FetchingUntil)
+    return;
+  FetchingUntil = Now + config::LinkCallTimeout;
+  Out.push_back(action::fetch_state{Offset.Address});
+}
+
+void config_follower::on(const follower_event::state_received &Event, mono_time,
+                         outputs &Out) {
+  FetchingUntil.reset();
+  Pending.erase(Event.Address);
+  Heard = std::max(Heard, Event.State.Accepted);
+  if (Event.State.Next <= Replica.state().Next)
+    return;
+  if (!take(Event.State))
+    Out.push_back(action::alarm{"peer_state_refused",
+                                "state of " + Event.Address +
+                                    " is older or not readable here"});
+}
+
+void config_follower::on(const follower_event::peer_failed &Event, mono_time,
+                         outputs &) {
+  ++Counts.PeersUnreachable;
+  FetchingUntil.reset();
+  Pending.erase(Event.Address);
+}
+
+void config_follower::on(const follower_event::peers_known &Event, mono_time,
+                         outputs &) {
+  Peers = Event.Peers;
+  PeersKnown = true;
+}
+
+void config_follower::on(const follower_event::tick &Event, mono_time Now,
+                         outputs &Out) {
+  askPeers(Now, Out);
+  appendIfDue(Event.WallSeconds, Now, Out);
+}
+
+bool config_follower::isOwn(const peer_info &Peer) const {
+  if (!Peer.DataCentre.empty())
+    return Peer.DataCentre == Settings.DataCentre;
+  const auto Known = DataCentres.find(Peer.ControlLink);
+  return Known != DataCentres.end() && Known->second == Settings.DataCentre;
+}
+
+// Load: one question of some 100 bytes to one peer of the own and one of
+// another data centre each PeerCheckInterval, at any size of the fleet. Harm
+// prevented: a VM that the log does not reach stays behind without knowing it.
+void config_follower::askPeers(mono_time Now, outputs &Out) {
+  if (Peers.empty())
+    return;
+  const duration Interval = PeersChecked ? duration(config::PeerCheckInterval)
+                                         : duration(config::StartPeerInterval);
+  if (AskedAt && Now - *AskedAt < Interval)
+    return;
+  AskedAt = Now;
+  ++Rounds;
+  askOne(true, Out);
+  askOne(false, Out);
+}
+
+void config_follower::askOne(bool IsOwn, outputs &Out) {
+  std::vector<const peer_info *> Matching;
+  for (const peer_info &Peer : Peers)
+    if (isOwn(Peer) == IsOwn)
+      Matching.push_back(&Peer);
+  if (Matching.empty())
+    return;
+  // The hash of our name spreads the questions of many VMs over the peers.
+  const std::size_t Index =
+      (Rounds + hashOfRecord(Settings.Vm)) % Matching.size();
+  const std::string &Address = Matching[Index]->ControlLink;
+  if (Pending.contains(Address))
+    return;
+  Asked.insert(Address);
+  Pending.insert(Address);
+  Out.push_back(action::ask_offset{Address});
+}
+
+/// The start's check is over when both kinds of peer have answered, or all
+/// known peers were asked and none is still to answer.
+void config_follower::checkStart(mono_time Now) {
+  if (Replica.state().Accepted >= Heard)
+    BehindSince.reset();
+  if (PeersChecked)
+    return;
+  const bool AskedAll =
+      std::all_of(Peers.begin(), Peers.end(), [&](const peer_info &Peer) {
+        return Asked.contains(Peer.ControlLink);
+      });
+  const bool WaitedLong = Now - StartedAt >= config::StartPeerWait;
+  PeersChecked = (HeardOwn && HeardOther) || WaitedLong ||
+                 (PeersKnown && Pending.empty() && AskedAll);
+}
+
+void config_follower::publishIfReady(outputs &Out) {
+  const config_state &State = Replica.state();
+  // Guard: a VM that starts while the log is away or behind would serve an old
+  // configuration, and a withdrawn version would take work again. Ready only
+  // once the highest offset heard of is reached and a source that is up to
+  // date was asked: the end of the log, or a peer.
+  if (!Ready)
+    Ready = PeersChecked && State.Accepted > 0 && State.Accepted >= Heard &&
+            (CaughtUp || HeardOwn || HeardOther);
+  if (!Ready || State.Accepted <= Published)
+    return;
+  Published = State.Accepted;
+  Out.push_back(action::publish_config{Published});
+}
+
+bool config_follower::isSnapshotDue(std::int64_t WallSeconds) const {
+  const config_state &State = Replica.state();
+  if (!LogReachable || !CaughtUp || LogSuspect || SchemaTooNew || Scanning ||
+      !Ready)
+    return false;
+  if (State.SnapshotNext == 0)
+    return true;
+  const std::uint64_t Records = State.Next - State.SnapshotNext;
+  const std::int64_t Age = WallSeconds - State.SnapshotAt;
+  // Nothing accepted since the last one still needs a new one, since the last
+  // expires too.
+  return Records * 3 >= Settings.RetentionRecords ||
+         Age * 3 >= Settings.RetentionTime.count();
+}
+
+/// Our place in the rendezvous order of all VMs for this snapshot.
+std::size_t config_follower::snapshotRank() const {
+  const auto Weight = [&](std::string_view Vm) {
+    return XXH3_64bits_withSeed(Vm.data(), Vm.size(),
+                                Replica.state().SnapshotNext);
+  };
+  const auto Own = Weight(Settings.Vm);
+  return static_cast<std::size_t>(
+      std::count_if(Peers.begin(), Peers.end(), [&](const peer_info &Peer) {
+        return !Peer.Vm.empty() && Weight(Peer.Vm) > Own;
+      }));
+}
+
+// Load: a third of the retention of 25,000 changes a day. Harm prevented: the
+// records before the oldest one kept are lost to a VM that starts, and with
+// them the configuration; or 1,100 VMs append a megabyte each at once. A third
+// leaves time for two more tries; each VM waits its rank in rendezvous order
+// times SnapshotRankDelay, in which the snapshot of the one before arrives.
+// Two at once are harmless.
+void config_follower::appendIfDue(std::int64_t WallSeconds, mono_time Now,
+                                  outputs &Out) {
+  if (!isSnapshotDue(WallSeconds)) {
+    SnapshotDueSince.reset();
+    return;
+  }
+  if (!SnapshotDueSince)
+    SnapshotDueSince = Now;
+  if (Now - *SnapshotDueSince < config::SnapshotRankDelay * snapshotRank())
+    return;
+  if (SnapshotAskedAt && Now - *SnapshotAskedAt < config::SnapshotRetryDelay)
+    return;
+  SnapshotAskedAt = Now;
+  ++Counts.SnapshotsAsked;
+  snapshot_record Snapshot;
+  Snapshot.Schema = config::ConfigSchema;
+  Snapshot.Vm = Settings.Vm;
+  Snapshot.At = WallSeconds;
+  Snapshot.State = Replica.state();
+  Snapshot.Digest = digestOf(Snapshot.State);
+  Snapshot.Id = Settings.Vm + "-" + std::to_string(Snapshot.State.Next);
+  Out.push_back(action::append_snapshot{encodeSnapshot(Snapshot)});
+}
+
+follower_status config_follower::status() const {
+  const config_state &State = Replica.state();
+  follower_status Status;
+  Status.Accepted = State.Accepted;
+  Status.Next = State.Next;
+  Status.Heard = std::max(Heard, State.Accepted);
+  Status.IsReady = Ready;
+  Status.IsBehind = State.Accepted < Heard || Scanning || SchemaTooNew;
+  Status.IsLogReachable = LogReachable;
+  Status.IsLogSuspect = LogSuspect;
+  Status.IsSchemaTooNew = SchemaTooNew;
+  Status.IsScanning = Scanning;
+  return Status;
+}
+
+} // namespace clementinelane
--- /dev/null
+++ b/src/config_follower.h
@@ -0,0 +1,234 @@
+#pragma once
+
+#include "change.h"
+#include "clock.h"
+#include "log_client.h"
+#include "peers.h"
+
+#include <map>
+#include <optional>
+#include <set>
+#include <span>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace clementinelane {
+
+/// What a follower must know of its VM and of the log.
+struct follower_settings {
+  std::string Vm;
+  std::string DataCentre;
+  std::uint64_t RetentionRecords = 0; ///< kept by the log at least
+  std::chrono::seconds RetentionTime{0};
+};
+
+/// What a peer says of its configuration.
+struct peer_offset {
+  std::string Address; ///< that was asked
+  std::string Vm;
+  std::string DataCentre;
+  std::uint64_t Accepted = 0;
+  std::uint64_t Next = 0;
+  MSGPACK_DEFINE_MAP(Address, Vm, DataCentre, Accepted, Next)
+};
+
+namespace follower_event {
+struct log_read {
+  std::uint64_t From = 0;
+  log_batch Batch;
+};
+struct log_bounds_read {
+  log_bounds Bounds;
+};
+struct log_failed {
+  std::uint64_t From = 0;
+  error_kind Kind = error_kind::LogUnavailable; ///< or LogExpired
+};
+struct offset_heard {
+  peer_offset Offset;
+};
+struct state_received {
+  std::string Address;
+  config_state State;
+};
+struct peer_failed {
+  std::string Address;
+};
+/// Peers that can be asked now.
+struct peers_known {
+  std::vector<peer_info> Peers;
+};
+struct tick {
+  std::int64_t WallSeconds = 0;
+};
+} // namespace follower_event
+
+using follower_input =
+    std::variant<follower_event::log_read, follower_event::log_bounds_read,
+                 follower_event::log_failed, follower_event::offset_heard,
+                 follower_event::state_received, follower_event::peer_failed,
+                 follower_event::peers_known, follower_event::tick>;
+
+namespace follower_action {
+struct ask_offset {
+  std::string Address;
+};
+struct fetch_state {
+  std::string Address;
+};
+struct append_snapshot {
+  std::string Bytes;
+};
+/// Entry and peers may have this configuration from now on.
+struct publish_config {
+  std::uint64_t Offset = 0;
+};
+/// A record was judged.
+struct verdict {
+  change_verdict Verdict;
+};
+/// An operator must know.
+struct alarm {
+  std::string Event;
+  std::string Detail;
+};
+} // namespace follower_action
+
+using follower_output =
+    std::variant<follower_action::ask_offset, follower_action::fetch_state,
+                 follower_action::append_snapshot,
+                 follower_action::publish_config, follower_action::verdict,
+                 follower_action::alarm>;
+
+/// What the follower wants of the log next.
+struct log_request {
+  enum class kind : std::uint8_t { Wait, Bounds, Read };
+  kind Kind = kind::Wait;
+  std::uint64_t From = 0;
+  bool MayPoll = false; ///< wait at the log for the next record
+};
+
+/// Counts since the start, for metrics.
+struct follower_counts {
+  std::uint64_t Accepted = 0;
+  std::uint64_t Rejected = 0;
+  std::uint64_t Unreadable = 0;
+  std::uint64_t SnapshotsAsked = 0;
+  std::uint64_t SnapshotsDiffering = 0;
+  std::uint64_t StatesTaken = 0; ///< from peers or from a snapshot
+  std::uint64_t StatesRefused = 0;
+  std::uint64_t LogErrors = 0;
+  std::uint64_t LogRegressions = 0;
+  std::uint64_t PeersUnreachable = 0;
+};
+
+/// What readiness and status tell.
+struct follower_status {
+  std::uint64_t Accepted = 0;
+  std::uint64_t Next = 0;
+  std::uint64_t Heard = 0; ///< highest accepted offset that a peer told
+  bool IsReady = false;
+  bool IsBehind = false;
+  bool IsLogReachable = false;
+  bool IsLogSuspect = false; ///< it came back shorter, or with other records
+  bool IsSchemaTooNew = false;
+  bool IsScanning = false; ///< our place in the log has expired
+};
+
+/// Follows the configuration stream and decides which state is in force here.
+/// A machine without I/O: log and peers come in as events.
+///
+/// It never goes back: neither a log that came back shorter, nor a peer or
+/// snapshot with a lower offset changes what is in force, and nothing is
+/// served at the start before peers of both kinds (own and other data centre)
+/// were asked and the highest offset heard of is reached.
+class config_follower {
+public:
+  config_follower(follower_settings Settings, mono_time Now);
+
+  std::vector<follower_output> handle(const follower_input &Input,
+                                      mono_time Now);
+
+  log_request nextRequest(mono_time Now) const;
+  follower_status status() const;
+  const follower_counts &counts() const { return Counts; }
+  const config_replica &replica() const { return Replica; }
+  /// Offsets that peers reported, by VM.
+  const std::map<std::string, peer_offset> &peerOffsets() const {
+    return Offsets;
+  }
+
+private:
+  using outputs = std::vector<follower_output>;
+
+  void on(const follower_event::log_read &Event, mono_time Now, outputs &Out);
+  void on(const follower_event::log_bounds_read &Event, mono_time Now,
+          outputs &Out);
+  void on(const follower_event::log_failed &Event, mono_time Now, outputs &Out);
+  void on(const follower_event::offset_heard &Event, mono_time Now,
+          outputs &Out);
+  void on(const follower_event::state_received &Event, mono_time Now,
+          outputs &Out);
+  void on(const follower_event::peer_failed &Event, mono_time Now,
+          outputs &Out);
+  void on(const follower_event::peers_known &Event, mono_time Now,
+          outputs &Out);
+  void on(const follower_event::tick &Event, mono_time Now, outputs &Out);
+
+  bool verifyHistory(const follower_event::log_read &Event, outputs &Out);
+  void suspectLog(std::string Detail, outputs &Out);
+  void applyRecords(const log_batch &Batch, outputs &Out);
+  void scanRecords(const log_batch &Batch, mono_time Now, outputs &Out);
+  bool take(config_state State);
+  void count(const change_verdict &Verdict, outputs &Out);
+  void askPeers(mono_time Now, outputs &Out);
+  void askOne(bool IsOwn, outputs &Out);
+  bool isOwn(const peer_info &Peer) const;
+  void checkStart(mono_time Now);
+  void fetchIfBehind(const peer_offset &Offset, mono_time Now, outputs &Out);
+  void appendIfDue(std::int64_t WallSeconds, mono_time Now, outputs &Out);
+  bool isSnapshotDue(std::int64_t WallSeconds) const;
+  std::size_t snapshotRank() const;
+  void publishIfReady(outputs &Out);
+
+  follower_settings Settings;
+  config_replica Replica;
+  follower_counts Counts;
+
+  // The log.
+  bool LogReachable = false;
+  bool LogSuspect = false;
+  bool SchemaTooNew = false;
+  bool CaughtUp = false;
+  bool NeedsVerify = false;
+  bool Scanning = false;
+  bool NeedsBounds = false;
+  std::uint64_t ScanFrom = 0;
+  mono_time ScanAgainAt{};
+
+  // Peers.
+  mono_time StartedAt;
+  std::vector<peer_info> Peers;
+  std::map<std::string, std::string> DataCentres; ///< learned, by address
+  std::map<std::string, peer_offset> Offsets;
+  std::set<std::string> Pending; ///< asked, not yet answered
+  std::set<std::string> Asked;
+  bool HeardOwn = false;
+  bool HeardOther = false;
+  bool PeersKnown = false;
+  bool PeersChecked = false;
+  std::uint64_t Heard = 0;
+  std::optional<mono_time> BehindSince;
+  std::optional<mono_time> FetchingUntil;
+  std::optional<mono_time> AskedAt;
+  std::size_t Rounds = 0;
+
+  // Snapshots and readiness.
+  std::optional<mono_time> SnapshotDueSince;
+  std::optional<mono_time> SnapshotAskedAt;
+  bool Ready = false;
+  std::uint64_t Published = 0;
+};
+
+} // namespace clementinelane
--- a/src/configuration.cpp
+++ b/src/configuration.cpp
@@ -21,7 +21,7 @@
 
   void build(const toml::table &Root) {
     section_reader Reader(Root, "", Errors);
-    for (const auto &[Key, Read] : Sections)
+    for (const auto &[Key, Read, Erase] : Sections)
       Reader.tables(Key, [&, Read = Read](std::string_view Name,
                                           const toml::table &Table,
                                           const std::string &Path) {
@@ -31,6 +31,17 @@
     checkReferences(Root);
   }
 
+  void erase(const item_name &Item) {
+    for (const section &Each : Sections)
+      if (Each.Key == Item.Section)
+        (this->*Each.Erase)(Item.Name);
+  }
+
+  static bool isSection(std::string_view Key) {
+    return std::any_of(Sections.begin(), Sections.end(),
+                       [&](const section &Each) { return Each.Key == Key; });
+  }
+
 private:
   using read_section = void (configuration_builder::*)(std::string,
                                                        const toml::table &,
@@ -38,9 +49,14 @@
   struct section {
     std::string_view Key;
     read_section Read;
+    void (configuration_builder::*Erase)(const std::string &);
   };
   static const std::array<section, 6> Sections;
 
+  template <auto Items> void eraseFrom(const std::string &Name) {
+    (Config.*Items).erase(Name);
+  }
+
   void readVersion(std::string Name, const toml::table &Table,
                    const std::string &Path) {
     version_spec Spec;
@@ -167,7 +183,9 @@
       return;
     const auto Node = Root[Section][Name];
     const toml::table *Table = Node.as_table();
-    section_reader(*Table, std::string(Section) + "." + Name, Errors)
+    const toml::table Empty;
+    section_reader(Table ? *Table : Empty, std::string(Section) + "." + Name,
+                   Errors)
         .report(Key, "names " + Target + ", which is not defined");
   }
 
@@ -221,12 +239,18 @@
 
 const std::array<configuration_builder::section, 6>
     configuration_builder::Sections{{
-        {"versions", &configuration_builder::readVersion},
-        {"work", &configuration_builder::readWork},
-        {"customers", &configuration_builder::readCustomer},
-        {"services", &configuration_builder::readService},
-        {"endpoints", &configuration_builder::readEndpoint},
-        {"rollouts", &configuration_builder::readRollout},
+        {"versions", &configuration_builder::readVersion,
+         &configuration_builder::eraseFrom<&configuration::Versions>},
+        {"work", &configuration_builder::readWork,
+         &configuration_builder::eraseFrom<&configuration::Work>},
+        {"customers", &configuration_builder::readCustomer,
+         &configuration_builder::eraseFrom<&configuration::Customers>},
+        {"services", &configuration_builder::readService,
+         &configuration_builder::eraseFrom<&configuration::Services>},
+        {"endpoints", &configuration_builder::readEndpoint,
+         &configuration_builder::eraseFrom<&configuration::Endpoints>},
+        {"rollouts", &configuration_builder::readRollout,
+         &configuration_builder::eraseFrom<&configuration::Rollouts>},
     }};
 
 } // namespace
@@ -261,6 +285,26 @@
   return Parsed;
 }
 
+bool isSection(std::string_view Key) {
+  return configuration_builder::isSection(Key);
+}
+
+parsed_configuration rebuildItems(const configuration &Base,
+                                  std::span<const item_name> Items,
+                                  const toml::table &Root,
+                                  std::uint64_t Offset) {
+  auto Config = std::make_shared<configuration>(Base);
+  Config->Offset = Offset;
+  parsed_configuration Parsed;
+  configuration_builder Builder(*Config, Parsed.Errors);
+  for (const item_name &Item : Items)
+    Builder.erase(Item);
+  Builder.build(Root);
+  if (Parsed.Errors.empty())
+    Parsed.Config = std::move(Config);
+  return Parsed;
+}
+
 bool isAllowed(const customer_spec &Customer, const version_spec &Version) {
   return std::any_of(Customer.Allowed.begin(), Customer.Allowed.end(),
                      [&](const std::string &Name) {
--- a/src/configuration.h
+++ b/src/configuration.h
@@ -102,6 +102,23 @@
 parsed_configuration parseConfiguration(std::span<const config_file> Files,
                                         std::uint64_t Offset);
 
+/// One table of the folder: "endpoints" and "runner-a1".
+struct item_name {
+  std::string Section;
+  std::string Name;
+  auto operator<=>(const item_name &) const = default;
+};
+
+/// Whether `Key` is a section of the configuration.
+bool isSection(std::string_view Key);
+
+/// `Base` with `Items` read anew from `Root`, where an item that is missing is
+/// gone; the whole is checked. Errors may lack their line.
+parsed_configuration rebuildItems(const configuration &Base,
+                                  std::span<const item_name> Items,
+                                  const toml::table &Root,
+                                  std::uint64_t Offset);
+
 /// Whether `Customer` may use `Version`.
 bool isAllowed(const customer_spec &Customer, const version_spec &Version);
 
--- a/src/control.cpp
+++ b/src/control.cpp
@@ -3,47 +3,143 @@
 #include "config.h"
 #include "logs.h"
 
-#include <charconv>
+#include <algorithm>
+#include <array>
+#include <openssl/crypto.h>
+#include <prometheus/text_serializer.h>
 
 namespace clementinelane {
 
 namespace {
 
-/// Verdicts kept for `publish` to ask for; a day of changes is 25,000.
-constexpr std::size_t MaxVerdicts = 2000;
+using web::json::value;
+
+/// Other VMs by the seeds of the settings, until membership knows them.
+std::vector<peer_info> seedPeers(const settings &Settings) {
+  std::vector<peer_info> Peers;
+  const std::string Own =
+      Settings.Address + ":" + std::to_string(Settings.LinkPort);
+  for (const std::string &Seed : Settings.Seeds) {
+    if (Seed == Own)
+      continue;
+    peer_info Peer;
+    Peer.ControlLink = Seed;
+    Peers.push_back(std::move(Peer));
+  }
+  return Peers;
+}
 
-std::uint64_t toNumber(std::string_view Text) {
-  std::uint64_t Value = 0;
-  std::from_chars(Text.data(), Text.data() + Text.size(), Value);
-  return Value;
+struct count_metric {
+  std::string_view Name;
+  std::string_view Help;
+  std::uint64_t follower_counts::*Count;
+};
+
+constexpr std::array<count_metric, 10> CountMetrics{{
+    {"clementine_config_changes_accepted_total", "changes accepted",
+     &follower_counts::Accepted},
+    {"clementine_config_changes_rejected_total", "changes not accepted",
+     &follower_counts::Rejected},
+    {"clementine_config_records_unreadable_total",
+     "records of the log that are corrupt, cut or of an unknown kind",
+     &follower_counts::Unreadable},
+    {"clementine_config_snapshots_asked_total",
+     "snapshots that this VM appended", &follower_counts::SnapshotsAsked},
+    {"clementine_config_snapshots_differing_total",
+     "snapshots whose digest is not ours",
+     &follower_counts::SnapshotsDiffering},
+    {"clementine_config_states_taken_total",
+     "states taken from peers or snapshots", &follower_counts::StatesTaken},
+    {"clementine_config_states_refused_total",
+     "states that were older or not readable", &follower_counts::StatesRefused},
+    {"clementine_config_log_errors_total", "reads of the log that failed",
+     &follower_counts::LogErrors},
+    {"clementine_config_log_regressions_total",
+     "times that the log came back shorter or with other records",
+     &follower_counts::LogRegressions},
+    {"clementine_config_peers_unreachable_total",
+     "questions to peers without an answer",
+     &follower_counts::PeersUnreachable},
+}};
+
+struct status_metric {
+  std::string_view Name;
+  std::string_view Help;
+  double (*Read)(const follower_status &);
+};
+
+constexpr std::array<status_metric, 5> StatusMetrics{{
+    {"clementine_config_offset", "offset of the configuration in force",
+     [](const follower_status &S) { return double(S.Accepted); }},
+    {"clementine_config_offset_heard", "highest offset that a peer told",
+     [](const follower_status &S) { return double(S.Heard); }},
+    {"clementine_config_log_reachable", "1 if the log answers",
+     [](const follower_status &S) { return S.IsLogReachable ? 1.0 : 0.0; }},
+    {"clementine_config_log_suspect",
+     "1 if the log is shorter than it was, or has other records",
+     [](const follower_status &S) { return S.IsLogSuspect ? 1.0 : 0.0; }},
+    {"clementine_config_schema_too_new",
+     "1 if this program is too old to judge changes",
+     [](const follower_status &S) { return S.IsSchemaTooNew ? 1.0 : 0.0; }},
+}};
+
+prometheus::MetricFamily makeFamily(std::string_view Name,
+                                    std::string_view Help,
+                                    prometheus::MetricType Type, double Value) {
+  prometheus::ClientMetric Metric;
+  Metric.counter.value = Value;
+  Metric.gauge.value = Value;
+  return {std::string(Name), std::string(Help), Type, {Metric}};
 }
 
 } // namespace
 
 control::control(const settings &Settings, const runtime_clock &Clock)
     : Settings(Settings), Clock(Clock), Log(Settings.LogAddress),
+      Feed(this->Settings, Clock, Log, LinkClient, Peers),
       Operators(Settings.Address + ":" + std::to_string(Settings.OperatorPort),
-                {{"GET",
-                  {"v1", "status"},
-                  [this](const auto &Call) { answerStatus(Call); }},
-                 {"GET",
-                  {"v1", "files"},
-                  [this](const auto &Call) { answerFiles(Call); }},
-                 {"GET",
-                  {"v1", "verdicts", "*"},
-                  [this](const auto &Call) { answerVerdict(Call); }},
-                 {"GET", {"healthz"}, [](const auto &Call) {
-                    Call->text("ok\n");
-                  }}}) {}
+                routes()) {
+  Peers.set(seedPeers(Settings));
+}
 
 control::~control() {
-  {
-    const std::scoped_lock Lock(Mutex);
-    Stopping = true;
-  }
-  Changed.notify_all();
-  if (Follower.joinable())
-    Follower.join();
+  Link.reset();
+  Feed.stop();
+}
+
+// Guard: whoever reaches the operator port could drain VMs or read customers'
+// plans. Where the settings name a key's hash, every call must carry the key;
+// compared in constant time, so that timing does not give it away.
+bool control::isOperator(const http_call &Call) const {
+  if (Settings.OperatorKeySha256.empty())
+    return true;
+  constexpr std::string_view Bearer = "Bearer ";
+  const std::string Header = Call.header("Authorization");
+  if (Header.compare(0, Bearer.size(), Bearer) != 0)
+    return false;
+  const std::string Hash = sha256Hex(Header.substr(Bearer.size()));
+  return Hash.size() == Settings.OperatorKeySha256.size() &&
+         CRYPTO_memcmp(Hash.data(), Settings.OperatorKeySha256.data(),
+                       Hash.size()) == 0;
+}
+
+std::vector<http_route> control::routes() {
+  const auto To = [this](void (control::*Answer)(const call &)) {
+    return [this, Answer](const call &Call) {
+      if (!isOperator(*Call))
+        return Call->fail(error_kind::KeyWrong);
+      (this->*Answer)(Call);
+    };
+  };
+  return {
+      {"GET", {"v1", "status"}, To(&control::answerStatus)},
+      {"GET", {"v1", "files"}, To(&control::answerFiles)},
+      {"GET", {"v1", "verdicts", "*"}, To(&control::answerVerdict)},
+      {"GET", {"v1", "members"}, To(&control::answerMembers)},
+      {"GET", {"metrics"}, [this](const call &Call) { answerMetrics(Call); }},
+      {"GET", {"readyz"}, [this](const call &Call) { answerReady(Call); }},
+      {"GET", {"healthz"}, [](const call &Call) { Call->text("ok\n"); }},
+  };
 }
 
 void control::open() {
@@ -52,108 +148,101 @@
       [this](std::string_view Path, const std::string &Body,
              const link_reply &Reply) { onLink(Path, Body, Reply); });
   Operators.open();
-  Follower = std::thread([this] { followLog(); });
-}
-
-void control::followLog() {
-  for (;;) {
-    std::uint64_t From = 0;
-    {
-      const std::scoped_lock Lock(Mutex);
-      if (Stopping)
-        return;
-      From = Replica.state().Next;
-    }
-    const auto Batch = Log.read(ConfigStream, From, config::LogPollWait);
-    {
-      const std::scoped_lock Lock(Mutex);
-      LogReachable = Batch.has_value();
-    }
-    if (Batch)
-      applyBatch(Batch.value());
-    else
-      std::this_thread::sleep_for(config::ReconnectDelay);
-  }
-}
-
-void control::applyBatch(const log_batch &Batch) {
-  for (const log_record &Record : Batch.Records) {
-    const std::scoped_lock Lock(Mutex);
-    change_verdict Verdict = Replica.apply(Record.Offset, Record.Bytes);
-    logs::info("change", {{"offset", std::to_string(Verdict.Offset)},
-                          {"id", Verdict.Id},
-                          {"verdict", Verdict.Error ? Verdict.Error.message()
-                                                    : "accepted"},
-                          {"detail", Verdict.Detail}});
-    VerdictOrder.push_back(Verdict.Id);
-    Verdicts[Verdict.Id] = std::move(Verdict);
-    if (VerdictOrder.size() > MaxVerdicts) {
-      Verdicts.erase(VerdictOrder.front());
-      VerdictOrder.pop_front();
-    }
-  }
-  Changed.notify_all();
+  Feed.start();
 }
 
 void control::onLink(std::string_view Path, std::string_view Body,
                      const link_reply &Reply) {
-  if (Path == "/state")
-    return replyState(toNumber(Body), Reply);
-  Reply(error_kind::PeerIncompatible);
+  if (!Feed.onLink(Path, Body, Reply))
+    Reply(error_kind::PeerIncompatible);
 }
 
-void control::replyState(std::uint64_t Known, const link_reply &Reply) {
-  // The wait must not hold the link's only thread.
-  pplx::create_task([this, Known, Reply] {
-    std::unique_lock Lock(Mutex);
-    Changed.wait_for(Lock, config::SnapshotPollWait, [&] {
-      return Stopping || Replica.state().Accepted > Known;
-    });
-    Reply(encodeState(Replica.state()));
-  });
+void control::answerStatus(const call &Call) {
+  const follower_status Status = Feed.status();
+  auto Body = value::object();
+  Body["vm"] = value::string(Settings.VmName);
+  Body["data_centre"] = value::string(Settings.DataCentre);
+  Body["offset"] = value::number(Status.Accepted);
+  Body["next"] = value::number(Status.Next);
+  Body["heard"] = value::number(Status.Heard);
+  Body["ready"] = value::boolean(Status.IsReady);
+  Body["behind"] = value::boolean(Status.IsBehind);
+  Body["log_reachable"] = value::boolean(Status.IsLogReachable);
+  Body["log_suspect"] = value::boolean(Status.IsLogSuspect);
+  Body["log_expired"] = value::boolean(Status.IsScanning);
+  Body["schema_too_new"] = value::boolean(Status.IsSchemaTooNew);
+  Call->json(Body);
 }
 
-void control::answerStatus(const std::shared_ptr<http_call> &Call) {
-  const std::scoped_lock Lock(Mutex);
-  auto Body = web::json::value::object();
-  Body["vm"] = web::json::value::string(Settings.VmName);
-  Body["data_centre"] = web::json::value::string(Settings.DataCentre);
-  Body["offset"] = web::json::value::number(Replica.state().Accepted);
-  Body["next"] = web::json::value::number(Replica.state().Next);
-  Body["log_reachable"] = web::json::value::boolean(LogReachable);
-  Call->json(Body);
+void control::answerReady(const call &Call) {
+  const follower_status Status = Feed.status();
+  if (!Status.IsReady)
+    return Call->fail(error_kind::NotReady);
+  Call->text("ready offset=" + std::to_string(Status.Accepted) +
+             " behind=" + (Status.IsBehind ? "yes" : "no") + "\n");
 }
 
-void control::answerFiles(const std::shared_ptr<http_call> &Call) {
-  const std::scoped_lock Lock(Mutex);
-  auto Files = web::json::value::object();
-  for (const auto &[Name, File] : Replica.state().Files) {
-    auto Item = web::json::value::object();
-    Item["text"] = web::json::value::string(File.Text);
-    Item["offset"] = web::json::value::number(File.Offset);
+void control::answerFiles(const call &Call) {
+  const config_state State = Feed.state();
+  auto Files = value::object();
+  for (const auto &[Name, File] : State.Files) {
+    auto Item = value::object();
+    Item["text"] = value::string(File.Text);
+    Item["offset"] = value::number(File.Offset);
     Files[Name] = Item;
   }
-  auto Body = web::json::value::object();
+  auto Body = value::object();
   Body["files"] = Files;
-  Body["next"] = web::json::value::number(Replica.state().Next);
-  Body["offset"] = web::json::value::number(Replica.state().Accepted);
+  Body["next"] = value::number(State.Next);
+  Body["offset"] = value::number(State.Accepted);
   Call->json(Body);
 }
 
-void control::answerVerdict(const std::shared_ptr<http_call> &Call) {
-  const std::scoped_lock Lock(Mutex);
-  const auto Found = Verdicts.find(Call->Path.back());
-  auto Body = web::json::value::object();
-  Body["known"] = web::json::value::boolean(Found != Verdicts.end());
-  if (Found != Verdicts.end()) {
-    const change_verdict &Verdict = Found->second;
-    Body["offset"] = web::json::value::number(Verdict.Offset);
-    Body["accepted"] = web::json::value::boolean(!Verdict.Error);
-    Body["error"] = web::json::value::string(
-        std::string(answerOf(kindOf(Verdict.Error)).Name));
-    Body["detail"] = web::json::value::string(Verdict.Detail);
+void control::answerVerdict(const call &Call) {
+  const auto Verdict = Feed.verdictOf(Call->Path.back());
+  auto Body = value::object();
+  Body["known"] = value::boolean(Verdict.has_value());
+  if (Verdict) {
+    Body["offset"] = value::number(Verdict->Offset);
+    Body["accepted"] = value::boolean(!Verdict->Error);
+    Body["error"] =
+        value::string(std::string(answerOf(kindOf(Verdict->Error)).Name));
+    Body["detail"] = value::string(Verdict->Detail);
   }
   Call->json(Body);
 }
 
+void control::answerMembers(const call &Call) {
+  auto Members = value::array();
+  for (const member_offset &Member : Feed.offsets()) {
+    auto Item = value::object();
+    Item["vm"] = value::string(Member.Vm);
+    Item["data_centre"] = value::string(Member.DataCentre);
+    Item["address"] = value::string(Member.Address);
+    Item["offset"] = value::number(Member.Offset);
+    Item["reachable"] = value::boolean(Member.IsReachable);
+    Members[Members.size()] = Item;
+  }
+  auto Body = value::object();
+  Body["members"] = Members;
+  Call->json(Body);
+}
+
+void control::answerMetrics(const call &Call) {
+  const follower_counts Counts = Feed.counts();
+  const follower_status Status = Feed.status();
+  std::vector<prometheus::MetricFamily> Families;
+  Families.reserve(CountMetrics.size() + StatusMetrics.size());
+  for (const count_metric &Each : CountMetrics)
+    Families.push_back(makeFamily(Each.Name, Each.Help,
+                                  prometheus::MetricType::Counter,
+                                  double(Counts.*Each.Count)));
+  for (const status_metric &Each : StatusMetrics)
+    Families.push_back(makeFamily(Each.Name, Each.Help,
+                                  prometheus::MetricType::Gauge,
+                                  Each.Read(Status)));
+  Call->text(prometheus::TextSerializer().Serialize(Families),
+             "text/plain; version=0.0.4");
+}
+
 } // namespace clementinelane
--- a/src/control.h
+++ b/src/control.h
@@ -1,18 +1,13 @@
 #pragma once
 
-#include "change.h"
 #include "clock.h"
+#include "config_feed.h"
 #include "http_server.h"
 #include "link.h"
 #include "log_client.h"
+#include "peers.h"
 #include "settings.h"
 
-#include <condition_variable>
-#include <deque>
-#include <map>
-#include <mutex>
-#include <thread>
-
 namespace clementinelane {
 
 /// The control process of one VM: follows the log, keeps the configuration in
@@ -27,26 +22,25 @@
   void open();
 
 private:
-  void followLog();
-  void applyBatch(const log_batch &Batch);
+  using call = std::shared_ptr<http_call>;
+
+  std::vector<http_route> routes();
+  bool isOperator(const http_call &Call) const;
   void onLink(std::string_view Path, std::string_view Body,
               const link_reply &Reply);
-  void replyState(std::uint64_t Known, const link_reply &Reply);
-  void answerStatus(const std::shared_ptr<http_call> &Call);
-  void answerFiles(const std::shared_ptr<http_call> &Call);
-  void answerVerdict(const std::shared_ptr<http_call> &Call);
+  void answerStatus(const call &Call);
+  void answerReady(const call &Call);
+  void answerFiles(const call &Call);
+  void answerVerdict(const call &Call);
+  void answerMembers(const call &Call);
+  void answerMetrics(const call &Call);
 
   settings Settings;
   const runtime_clock &Clock;
   http_append_log Log;
-  std::mutex Mutex;
-  std::condition_variable Changed;
-  config_replica Replica;
-  std::map<std::string, change_verdict> Verdicts; ///< by change id
-  std::deque<std::string> VerdictOrder;
-  bool LogReachable = false;
-  bool Stopping = false;
-  std::thread Follower;
+  peer_list Peers;
+  config_feed Feed;
+  link_client LinkClient; ///< goes first: its callbacks reach the feed
   http_server Operators;
   std::unique_ptr<link_server> Link;
 };
--- a/src/log_client.cpp
+++ b/src/log_client.cpp
@@ -79,4 +79,20 @@
   }
 }
 
+result<log_bounds> http_append_log::bounds(std::string_view Stream) {
+  try {
+    http::client::http_client Client(Base, clientConfig());
+    const auto Response =
+        Client.request(http::methods::GET, "/v1/streams/" + std::string(Stream))
+            .get();
+    if (Response.status_code() != http::status_codes::OK)
+      return errorOf(Response.status_code());
+    const web::json::value Body = Response.extract_json().get();
+    return log_bounds{Body.at("first").as_number().to_uint64(),
+                      Body.at("next").as_number().to_uint64()};
+  } catch (const std::exception &) {
+    return error_kind::LogUnavailable;
+  }
+}
+
 } // namespace clementinelane
--- a/src/log_client.h
+++ b/src/log_client.h
@@ -22,6 +22,12 @@
   std::vector<log_record> Records;
 };
 
+/// What a stream holds now.
+struct log_bounds {
+  std::uint64_t First = 0; ///< oldest offset still kept
+  std::uint64_t Next = 0;  ///< offset that the next append will get
+};
+
 /// The platform's append-only log.
 class append_log {
 public:
@@ -34,6 +40,9 @@
   /// when `From` is older than what is kept.
   virtual result<log_batch> read(std::string_view Stream, std::uint64_t From,
                                  std::chrono::milliseconds Wait) = 0;
+  virtual result<log_bounds> bounds(std::string_view) {
+    return error_kind::LogUnavailable;
+  }
 };
 
 /// The log service over HTTP:
@@ -41,6 +50,7 @@
 ///   GET  /v1/streams/NAME/records?from=n&limit=m&wait_ms=w
 ///     -> {"first": n, "next": n, "records": [{"offset": n, "data": base64}]}
 ///   410 when `from` is older than what is kept.
+///   GET  /v1/streams/NAME -> {"first": n, "next": n}
 class http_append_log final : public append_log {
 public:
   explicit http_append_log(std::string_view Address);
@@ -49,6 +59,7 @@
                                std::string_view Bytes) override;
   result<log_batch> read(std::string_view Stream, std::uint64_t From,
                          std::chrono::milliseconds Wait) override;
+  result<log_bounds> bounds(std::string_view Stream) override;
 
 private:
   std::string Base;
--- a/src/operator_client.cpp
+++ b/src/operator_client.cpp
@@ -2,6 +2,7 @@
 
 #include "config.h"
 #include "request.h"
+#include "rollout_steps.h"
 #include "settings.h"
 
 #include <algorithm>
@@ -76,7 +77,9 @@
     const bool IsKept = std::any_of(
         Local.begin(), Local.end(),
         [&, Name = Name](const auto &Each) { return Each.Name == Name; });
-    if (IsKept)
+    // Guard: a folder published after `withdraw` does not hold its file, and
+    // deleting it would put the version back to work.
+    if (IsKept || isStepFile(Name))
       continue;
     Change.Deletes.push_back(Name);
     Change.Bases[Name] = File.Offset;
@@ -84,16 +87,23 @@
   return Change;
 }
 
-operator_client::operator_client(std::string_view Address)
-    : Base("http://" + std::string(Address)) {}
+operator_client::operator_client(std::string_view Address, std::string Key)
+    : Base("http://" + std::string(Address)), Key(std::move(Key)) {}
 
-result<web::json::value> operator_client::get(std::string_view Path) const {
+result<web::json::value>
+operator_client::request(const web::http::method &Method,
+                         std::string_view Path) const {
   try {
     web::http::client::http_client_config Config;
-    Config.set_timeout(config::LogCallTimeout);
+    Config.set_timeout(config::OperatorCallTimeout);
     web::http::client::http_client Client(Base, Config);
-    const auto Response =
-        Client.request(web::http::methods::GET, std::string(Path)).get();
+    web::http::http_request Request(Method);
+    Request.set_request_uri(std::string(Path));
+    if (!Key.empty())
+      Request.headers().add("Authorization", "Bearer " + Key);
+    const auto Response = Client.request(Request).get();
+    if (Response.status_code() == web::http::status_codes::Unauthorized)
+      return error_kind::KeyWrong;
     if (Response.status_code() != web::http::status_codes::OK)
       return error_kind::PeerUnavailable;
     return Response.extract_json().get();
@@ -102,6 +112,14 @@
   }
 }
 
+result<web::json::value> operator_client::get(std::string_view Path) const {
+  return request(web::http::methods::GET, Path);
+}
+
+result<web::json::value> operator_client::post(std::string_view Path) const {
+  return request(web::http::methods::POST, Path);
+}
+
 result<remote_folder> operator_client::files() const {
   const auto Body = get("/v1/files");
   if (!Body)
@@ -115,46 +133,60 @@
   return Folder;
 }
 
-publish_result publishChange(append_log &Log, const change_record &Change,
-                             std::uint64_t KnownNext,
-                             const operator_client &Control,
-                             std::chrono::milliseconds Patience) {
+namespace {
+
+/// The verdict as control has it; nullopt while it has none.
+std::optional<publish_result> readVerdict(const operator_client &Control,
+                                          const std::string &Id) {
+  const auto Verdict = Control.get("/v1/verdicts/" + Id);
+  if (!Verdict || !Verdict.value().at("known").as_bool())
+    return std::nullopt;
   publish_result Result;
-  Result.Id = Change.Id;
-  // Guard: the append's answer may be lost after it took effect. Appending
-  // again would run into its own first try; the record's id says what became
-  // of it.
-  if (const auto Offset = Log.append(ConfigStream, encodeChange(Change));
-      !Offset) {
-    const auto Found = findRecord(Log, KnownNext, Change.Id);
-    if (!Found) {
-      Result.Error = error_kind::OutcomeUnknown;
-      return Result;
-    }
-    if (!Found.value()) {
-      Result.Error = error_kind::LogUnavailable;
-      return Result;
-    }
-  }
-  const auto GiveUpAt = std::chrono::steady_clock::now() + Patience;
-  while (std::chrono::steady_clock::now() < GiveUpAt) {
-    const auto Verdict = Control.get("/v1/verdicts/" + Change.Id);
-    if (!Verdict || !Verdict.value().at("known").as_bool()) {
-      std::this_thread::sleep_for(VerdictPoll);
-      continue;
-    }
-    Result.Offset = Verdict.value().at("offset").as_number().to_uint64() + 1;
-    if (Verdict.value().at("accepted").as_bool())
-      return Result;
-    const std::string Kind = Verdict.value().at("error").as_string();
-    Result.Error = Kind == answerOf(error_kind::ConfigConflict).Name
-                       ? error_kind::ConfigConflict
-                       : error_kind::ConfigInvalid;
-    Result.Detail = Verdict.value().at("detail").as_string();
+  Result.Id = Id;
+  Result.Offset = Verdict.value().at("offset").as_number().to_uint64() + 1;
+  if (Verdict.value().at("accepted").as_bool())
     return Result;
-  }
+  const std::string Kind = Verdict.value().at("error").as_string();
+  Result.Error = Kind == answerOf(error_kind::ConfigConflict).Name
+                     ? error_kind::ConfigConflict
+                     : error_kind::ConfigInvalid;
+  Result.Detail = Verdict.value().at("detail").as_string();
+  return Result;
+}
+
+} // namespace
+
+publish_result askVerdict(append_log &Log, const std::string &Id,
+                          std::uint64_t From, const operator_client &Control,
+                          std::chrono::milliseconds Patience) {
+  publish_result Result;
+  Result.Id = Id;
   Result.Error = error_kind::OutcomeUnknown;
+  Result.Detail = "the log does not answer";
+  const auto GiveUpAt = std::chrono::steady_clock::now() + Patience;
+  do {
+    if (auto Verdict = readVerdict(Control, Id))
+      return *Verdict;
+    if (const auto Found = findRecord(Log, From, Id))
+      Result.Detail = Found.value() ? "is in the log, not yet judged"
+                                    : "is not in the log so far";
+    std::this_thread::sleep_for(VerdictPoll);
+  } while (std::chrono::steady_clock::now() < GiveUpAt);
   return Result;
 }
 
+// Guard: the append's answer may be lost, before or after it took effect. It
+// shows as an error here, and an operator who published again would run into
+// his own first change. So the record is appended once, whatever the answer,
+// and its unique id tells what became of it; where nothing tells, the outcome
+// is unknown and never "not done", since the append may still arrive.
+publish_result publishChange(append_log &Log, const change_record &Change,
+                             std::uint64_t KnownNext,
+                             const operator_client &Control,
+                             std::chrono::milliseconds Patience) {
+  const auto Offset = Log.append(ConfigStream, encodeChange(Change));
+  return askVerdict(Log, Change.Id, Offset ? Offset.value() : KnownNext,
+                    Control, Patience);
+}
+
 } // namespace clementinelane
--- a/src/operator_client.h
+++ b/src/operator_client.h
@@ -6,6 +6,7 @@
 #include "log_client.h"
 
 #include <chrono>
+#include <cpprest/http_msg.h>
 #include <cpprest/json.h>
 #include <string>
 #include <string_view>
@@ -24,20 +25,27 @@
 result<std::vector<config_file>> readFolder(const std::string &Folder);
 
 /// What must be appended to turn `Remote` into `Local`; `IsWhole` also deletes
-/// what is not in `Local`.
+/// what is not in `Local`, but for the files of steps.
 change_record makeChange(const remote_folder &Remote,
                          const std::vector<config_file> &Local, bool IsWhole);
 
 /// An operator's calls to one control process.
 class operator_client {
 public:
-  explicit operator_client(std::string_view Address);
+  /// `Key` goes along with each call; empty where control needs none.
+  explicit operator_client(std::string_view Address, std::string Key = "");
 
+  /// KeyWrong where control wants another key.
   result<web::json::value> get(std::string_view Path) const;
+  result<web::json::value> post(std::string_view Path) const;
   result<remote_folder> files() const;
 
 private:
+  result<web::json::value> request(const web::http::method &Method,
+                                   std::string_view Path) const;
+
   std::string Base;
+  std::string Key;
 };
 
 /// How a publish ended.
@@ -54,4 +62,10 @@
                              const operator_client &Control,
                              std::chrono::milliseconds Patience);
 
+/// The verdict of the change `Id`, which was appended at `From` or later, if
+/// it ever was: OutcomeUnknown where neither control nor the log tells.
+publish_result askVerdict(append_log &Log, const std::string &Id,
+                          std::uint64_t From, const operator_client &Control,
+                          std::chrono::milliseconds Patience);
+
 } // namespace clementinelane
--- /dev/null
+++ b/src/rollout_steps.cpp
@@ -0,0 +1,101 @@
+#include "rollout_steps.h"
+
+#include <array>
+#include <sstream>
+
+namespace clementinelane {
+
+namespace {
+
+constexpr std::array<std::string_view, 4> OrderNames{"advance", "pause",
+                                                     "resume", "abort"};
+
+result<rollout_spec> advance(rollout_spec Spec) {
+  if (Spec.Paused || Spec.Step + 1 >= Spec.StepsPercent.size())
+    return error_kind::ConfigInvalid;
+  ++Spec.Step;
+  return Spec;
+}
+
+result<rollout_spec> pause(rollout_spec Spec) {
+  Spec.Paused = true;
+  return Spec;
+}
+
+result<rollout_spec> resume(rollout_spec Spec) {
+  Spec.Paused = false;
+  return Spec;
+}
+
+/// The entry stays, at 0 percent: without it the target would count as an
+/// ordinary version and could be chosen for everyone.
+result<rollout_spec> abort(rollout_spec Spec) {
+  if (Spec.StepsPercent.front() > 0)
+    Spec.StepsPercent.insert(Spec.StepsPercent.begin(), 0);
+  Spec.Step = 0;
+  Spec.Paused = true;
+  return Spec;
+}
+
+constexpr std::array<result<rollout_spec> (*)(rollout_spec), 4> Orders{
+    &advance, &pause, &resume, &abort};
+
+} // namespace
+
+std::string_view nameOf(rollout_order Order) {
+  return OrderNames[static_cast<std::size_t>(Order)];
+}
+
+std::optional<rollout_order> findRolloutOrder(std::string_view Name) {
+  for (std::size_t Index = 0; Index < OrderNames.size(); ++Index)
+    if (OrderNames[Index] == Name)
+      return static_cast<rollout_order>(Index);
+  return std::nullopt;
+}
+
+std::string rolloutFileName(std::string_view Rollout) {
+  return std::string(StepFilePrefix) + "rollout-" + std::string(Rollout) +
+         ".toml";
+}
+
+std::string stateFileName(std::string_view Version) {
+  return std::string(StepFilePrefix) + "state-" + std::string(Version) +
+         ".toml";
+}
+
+config_file rolloutFile(const rollout_spec &Spec) {
+  toml::array Steps;
+  for (const double Percent : Spec.StepsPercent)
+    Steps.push_back(Percent);
+  const toml::table Root{
+      {"rollouts",
+       toml::table{{Spec.Name,
+                    toml::table{{"from", Spec.From},
+                                {"to", Spec.To},
+                                {"steps_percent", std::move(Steps)},
+                                {"step", static_cast<std::int64_t>(Spec.Step)},
+                                {"automatic", Spec.Automatic},
+                                {"paused", Spec.Paused}}}}}};
+  std::ostringstream Text;
+  Text << Root << '\n';
+  return {rolloutFileName(Spec.Name), std::move(Text).str()};
+}
+
+config_file stateFile(std::string_view Version, version_state State) {
+  const toml::table Root{
+      {"versions",
+       toml::table{{Version, toml::table{{"state", nameOf(State)}}}}}};
+  std::ostringstream Text;
+  Text << Root << '\n';
+  return {stateFileName(Version), std::move(Text).str()};
+}
+
+result<rollout_spec> applyOrder(const rollout_spec &Spec, rollout_order Order) {
+  return Orders[static_cast<std::size_t>(Order)](Spec);
+}
+
+double exposureOf(const rollout_spec &Spec) {
+  return Spec.StepsPercent.empty() ? 0 : Spec.StepsPercent[Spec.Step];
+}
+
+} // namespace clementinelane
--- a/src/settings.cpp
+++ b/src/settings.cpp
@@ -18,6 +18,8 @@
 namespace {
 
 constexpr std::uint64_t MaxPort = 65535;
+constexpr std::uint64_t MaxRetentionRecords = 1'000'000'000;
+constexpr std::uint64_t MaxRetentionHours = 24 * 365;
 constexpr std::size_t MinSecretBytes = 16;
 
 void readKeys(const toml::table &Table, const std::string &Path, settings &Out,
@@ -81,6 +83,10 @@
              [&](const toml::table &Table, const std::string &Path) {
                section_reader(Table, Path, Errors)
                    .text("log", Out.LogAddress, true)
+                   .integer("log_retention_records", Out.LogRetentionRecords, 3,
+                            MaxRetentionRecords)
+                   .integer("log_retention_hours", Out.LogRetentionHours, 1,
+                            MaxRetentionHours)
                    .text("vm_list", Out.VmListAddress)
                    .text("rater", Out.RaterAddress)
                    .finish();
--- a/src/settings.h
+++ b/src/settings.h
@@ -27,7 +27,10 @@
   std::uint64_t LinkPort = 9090;      ///< control to control, entry to control
   std::uint64_t OperatorPort = 9091;
   std::uint64_t Threads = 8;
-  std::string LogAddress;    ///< IP number and port of the log service
+  std::string LogAddress; ///< IP number and port of the log service
+  /// What the log keeps at least; snapshots come three times as often.
+  std::uint64_t LogRetentionRecords = 100'000;
+  std::uint64_t LogRetentionHours = 168;
   std::string VmListAddress; ///< of the platform's list of VMs; may be empty
   std::string RaterAddress;  ///< of the service that rates; may be empty
   std::vector<std::string> Seeds; ///< link addresses of other VMs
--- /dev/null
+++ b/tests/config_follower_test.cpp
@@ -0,0 +1,524 @@
+#define BOOST_TEST_MODULE config_follower
+#include "config.h"
+#include "config_follower.h"
+#include "log_fake.h"
+
+#include <boost/test/unit_test.hpp>
+#include <rapidcheck.h>
+
+using namespace clementinelane;
+using namespace std::chrono_literals;
+namespace event = follower_event;
+namespace action = follower_action;
+
+namespace {
+
+const std::string Pool =
+    "[endpoints.e]\naddress = \"127.0.0.1:1\"\ndata_centre = \"hall-a\"\n"
+    "pool = \"p\"\n";
+
+std::string versionText(int Quality) {
+  return "[versions.\"m@1\"]\npool = \"p\"\nquality = 0." +
+         std::to_string(Quality) + "\n";
+}
+
+std::string makeChange(std::string Id, const std::string &Name,
+                       std::string Text, std::uint64_t Base) {
+  change_record Change;
+  Change.Schema = config::ConfigSchema;
+  Change.Id = std::move(Id);
+  Change.Bases[Name] = Base;
+  Change.Upserts[Name] = std::move(Text);
+  return encodeChange(Change);
+}
+
+/// Followers, their log and the links between them, in one thread and one
+/// paused time. Checks after each event that no follower went back.
+class fleet {
+public:
+  struct vm {
+    std::string Name;
+    std::string DataCentre;
+    config_follower Follower;
+    bool SeesLog = true;
+    bool SeesPeers = true;
+    std::map<std::string, std::error_code> Verdicts{};
+    std::vector<std::string> Alarms{};
+    std::uint64_t Published = 0;
+    std::vector<std::string> Snapshots{};
+  };
+
+  explicit fleet(std::uint64_t Retention) : Retention(Retention) {}
+
+  vm &start(const std::string &Name, const std::string &DataCentre) {
+    Vms.erase(Name);
+    return Vms
+        .emplace(Name,
+                 vm{Name, DataCentre,
+                    config_follower({Name, DataCentre, Retention, 1h}, Now)})
+        .first->second;
+  }
+
+  /// One round: every follower is given time, its peers, and one read.
+  void step(duration By = 250ms) {
+    Now += By;
+    for (auto &[Name, Vm] : Vms) {
+      event::peers_known Known;
+      for (const auto &[Other, Each] : Vms)
+        if (Other != Name)
+          Known.Peers.push_back({Other, Each.DataCentre, "r", Other, "", 0});
+      feed(Vm, Known);
+      feed(Vm, event::tick{wall()});
+      read(Vm);
+    }
+  }
+  void steps(int Count) {
+    for (int Each = 0; Each < Count; ++Each)
+      step();
+  }
+
+  std::int64_t wall() const {
+    return 1'000'000 + std::chrono::duration_cast<std::chrono::seconds>(
+                           Now.time_since_epoch())
+                           .count();
+  }
+
+  std::uint64_t Retention;
+  log_fake Log;
+  bool AppendsSnapshots = true;
+  mono_time Now{};
+  std::map<std::string, vm> Vms;
+
+private:
+  void feed(vm &Vm, const follower_input &Input) {
+    const std::uint64_t Before = Vm.Follower.replica().state().Accepted;
+    const auto Out = Vm.Follower.handle(Input, Now);
+    RC_ASSERT(Vm.Follower.replica().state().Accepted >= Before);
+    for (const follower_output &Output : Out)
+      std::visit([&](const auto &Action) { perform(Vm, Action); }, Output);
+  }
+
+  void read(vm &Vm) {
+    const log_request Request = Vm.Follower.nextRequest(Now);
+    if (Request.Kind == log_request::kind::Wait)
+      return;
+    if (!Vm.SeesLog)
+      return feed(Vm, event::log_failed{Request.From});
+    if (Request.Kind == log_request::kind::Bounds)
+      return feed(Vm, event::log_bounds_read{Log.bounds(ConfigStream).value()});
+    const auto Batch = Log.read(ConfigStream, Request.From, 0ms);
+    if (!Batch)
+      return feed(Vm, event::log_failed{Request.From, kindOf(Batch.error())});
+    feed(Vm, event::log_read{Request.From, Batch.value()});
+  }
+
+  vm *reach(const vm &From, const std::string &Address) {
+    const auto Peer = Vms.find(Address);
+    return Peer != Vms.end() && From.SeesPeers && Peer->second.SeesPeers
+               ? &Peer->second
+               : nullptr;
+  }
+  void perform(vm &Vm, const action::ask_offset &Action) {
+    const vm *Peer = reach(Vm, Action.Address);
+    if (!Peer)
+      return feed(Vm, event::peer_failed{Action.Address});
+    const follower_status Status = Peer->Follower.status();
+    feed(Vm, event::offset_heard{{Action.Address, Peer->Name, Peer->DataCentre,
+                                  Status.IsReady ? Status.Accepted : 0,
+                                  Status.IsReady ? Status.Next : 0}});
+  }
+  void perform(vm &Vm, const action::fetch_state &Action) {
+    const vm *Peer = reach(Vm, Action.Address);
+    if (!Peer || !Peer->Follower.status().IsReady)
+      return feed(Vm, event::peer_failed{Action.Address});
+    feed(Vm, event::state_received{Action.Address,
+                                   Peer->Follower.replica().state()});
+  }
+  void perform(vm &Vm, const action::append_snapshot &Action) {
+    Vm.Snapshots.push_back(Action.Bytes);
+    if (AppendsSnapshots)
+      Log.put(Action.Bytes);
+  }
+  void perform(vm &Vm, const action::publish_config &Action) {
+    RC_ASSERT(Action.Offset > Vm.Published);
+    RC_ASSERT(Action.Offset >= Vm.Follower.status().Heard);
+    Vm.Published = Action.Offset;
+  }
+  void perform(vm &Vm, const action::verdict &Action) {
+    Vm.Verdicts[Action.Verdict.Id] = Action.Verdict.Error;
+  }
+  void perform(vm &Vm, const action::alarm &Action) {
+    Vm.Alarms.push_back(Action.Event);
+  }
+};
+
+bool alarmed(const fleet::vm &Vm, std::string_view Event) {
+  return std::find(Vm.Alarms.begin(), Vm.Alarms.end(), Event) !=
+         Vm.Alarms.end();
+}
+
+/// A fleet of two data centres in which "1.toml" is in force.
+fleet settled(std::uint64_t Retention = 300) {
+  fleet Fleet(Retention);
+  Fleet.start("a1", "hall-a");
+  Fleet.start("a2", "hall-a");
+  Fleet.start("b1", "hall-b");
+  Fleet.Log.put(makeChange("first", "1.toml", Pool, 0));
+  Fleet.steps(60);
+  return Fleet;
+}
+
+std::uint64_t offsetOf(const fleet &Fleet, const std::string &Vm) {
+  return Fleet.Vms.at(Vm).Follower.status().Accepted;
+}
+
+} // namespace
+
+// A VM is replaced while the log is down. Served from nothing it would refuse
+// everyone; it takes the state of its peers and is ready without the log.
+BOOST_AUTO_TEST_CASE(a_start_during_an_outage_of_the_log_goes_by_peers) {
+  fleet Fleet = settled();
+  for (auto &[Name, Vm] : Fleet.Vms)
+    Vm.SeesLog = false;
+  Fleet.start("b2", "hall-b").SeesLog = false;
+  Fleet.steps(20);
+  BOOST_TEST(Fleet.Vms.at("b2").Published == offsetOf(Fleet, "a1"));
+  BOOST_TEST(!Fleet.Vms.at("b2").Follower.status().IsLogReachable);
+}
+
+// A VM starts with the log away, and only a peer that is itself not ready or
+// not reachable. It must not serve; it says so and counts who did not answer.
+BOOST_AUTO_TEST_CASE(alone_and_without_the_log_a_start_is_not_ready) {
+  fleet Fleet = settled();
+  fleet::vm &New = Fleet.start("b2", "hall-b");
+  New.SeesLog = false;
+  New.SeesPeers = false;
+  Fleet.steps(40);
+  BOOST_TEST(!New.Follower.status().IsReady);
+  BOOST_TEST(New.Published == 0U);
+  BOOST_TEST(New.Follower.counts().PeersUnreachable > 0U);
+}
+
+// A VM starts in a data centre that was cut off for an hour, and its neighbour
+// answers first, with an old state. Served at once, a version withdrawn in the
+// meantime would take work. It waits for a peer of another data centre too.
+BOOST_AUTO_TEST_CASE(the_first_peer_alone_does_not_make_ready) {
+  config_follower Follower({"a9", "hall-a", 300, 1h}, mono_time{});
+  const mono_time Now{};
+  Follower.handle(event::peers_known{{{"a1", "hall-a", "r", "a1", "", 0},
+                                      {"b1", "hall-b", "r", "b1", "", 0}}},
+                  Now);
+  Follower.handle(event::tick{}, Now);
+  config_state Old;
+  Old.Next = Old.Accepted = 5;
+  Old.Files["1.toml"] = {Pool, 5};
+  config_state New = Old;
+  New.Next = New.Accepted = 9;
+  Follower.handle(event::offset_heard{{"a1", "a1", "hall-a", 5, 5}}, Now);
+  Follower.handle(event::state_received{"a1", Old}, Now);
+  BOOST_TEST(!Follower.status().IsReady);
+  Follower.handle(event::offset_heard{{"b1", "b1", "hall-b", 9, 9}}, Now);
+  BOOST_TEST(!Follower.status().IsReady);
+  Follower.handle(event::state_received{"b1", New}, Now);
+  BOOST_TEST(Follower.status().IsReady);
+  BOOST_TEST(Follower.status().Accepted == 9U);
+}
+
+// The log still answers a VM that starts, but without the newest change, which
+// its peers have in force. Served from the log alone it would revert a
+// withdrawal. It hears the higher offset first and takes their state.
+BOOST_AUTO_TEST_CASE(a_log_that_is_behind_is_not_served_from) {
+  fleet Fleet = settled();
+  Fleet.Log.put(makeChange("second", "2.toml", versionText(9), 0));
+  Fleet.steps(10);
+  const std::uint64_t InForce = offsetOf(Fleet, "a1");
+  Fleet.Log.dropNewest(1);
+  fleet::vm &New = Fleet.start("b2", "hall-b");
+  Fleet.steps(40);
+  BOOST_TEST(New.Published == InForce);
+  BOOST_TEST(alarmed(Fleet.Vms.at("a1"), "log_regressed"));
+}
+
+// The log comes back from an outage without its last record, and gives its
+// offset to another. Those who applied the first keep it and say so loudly;
+// nothing that follows is applied, since they could not agree on it.
+BOOST_AUTO_TEST_CASE(a_log_with_other_records_changes_nothing) {
+  fleet Fleet = settled();
+  Fleet.Log.put(makeChange("second", "2.toml", versionText(9), 0));
+  Fleet.steps(10);
+  const std::uint64_t InForce = offsetOf(Fleet, "a1");
+  for (auto &[Name, Vm] : Fleet.Vms)
+    Vm.SeesLog = false;
+  Fleet.step();
+  Fleet.Log.dropNewest(1);
+  Fleet.Log.put(makeChange("other", "3.toml", "", 0));
+  Fleet.Log.put(makeChange("more", "4.toml", "", 0));
+  for (auto &[Name, Vm] : Fleet.Vms)
+    Vm.SeesLog = true;
+  Fleet.steps(20);
+  for (const auto &[Name, Vm] : Fleet.Vms) {
+    BOOST_TEST(offsetOf(Fleet, Name) == InForce);
+    BOOST_TEST(alarmed(Vm, "log_regressed"));
+    BOOST_TEST(Vm.Follower.status().IsLogSuspect);
+  }
+}
+
+// A faulty log service answers a read with offsets one too low. Taken as they
+// stand, records would be judged at the wrong place; the answer is dropped and
+// the next right one goes on.
+BOOST_AUTO_TEST_CASE(forged_offsets_are_not_applied) {
+  fleet Fleet = settled();
+  const std::uint64_t Before = offsetOf(Fleet, "a1");
+  Fleet.Log.put(makeChange("second", "2.toml", versionText(9), 0));
+  Fleet.Log.ForgeReads = 3;
+  Fleet.step();
+  BOOST_TEST(offsetOf(Fleet, "a1") == Before);
+  Fleet.steps(10);
+  BOOST_TEST(offsetOf(Fleet, "a1") > Before);
+}
+
+// Every VM is down for longer than the log keeps records, but for a snapshot.
+// Without it the configuration would be lost for good. The new VMs find the
+// snapshot in what is kept and go on from there.
+BOOST_AUTO_TEST_CASE(retention_passes_while_every_vm_is_down) {
+  fleet Fleet = settled(30);
+  std::uint64_t Base = 0;
+  for (int Each = 0; Each < 12; ++Each) {
+    Fleet.Log.put(makeChange("c" + std::to_string(Each), "2.toml",
+                             versionText(Each % 9), Base));
+    Fleet.steps(60);
+    Base = offsetOf(Fleet, "a1");
+  }
+  const std::uint64_t InForce = offsetOf(Fleet, "a1");
+  const std::string Digest =
+      digestOf(Fleet.Vms.at("a1").Follower.replica().state());
+  Fleet.Vms.clear();
+  const std::uint64_t Next = Fleet.Log.bounds(ConfigStream).value().Next;
+  Fleet.Log.dropOldest(Next - 10);
+  fleet::vm &New = Fleet.start("a9", "hall-a");
+  Fleet.steps(20);
+  BOOST_TEST(New.Published == InForce);
+  BOOST_TEST(digestOf(New.Follower.replica().state()) == Digest);
+}
+
+// A snapshot becomes due and every VM sees it at once. If each appended one,
+// 1,100 megabytes would go into the log. The first in rendezvous order does;
+// with its answer slow the second does too, which changes nothing.
+BOOST_AUTO_TEST_CASE(of_all_vms_one_appends_the_snapshot) {
+  fleet Fleet = settled();
+  std::size_t Appended = 0;
+  for (const auto &[Name, Vm] : Fleet.Vms)
+    Appended += Vm.Snapshots.size();
+  BOOST_TEST(Appended == 1U);
+
+  fleet Race(300);
+  Race.AppendsSnapshots = false; // both are under way before either is read
+  Race.start("a1", "hall-a");
+  Race.start("b1", "hall-b");
+  Race.Log.put(makeChange("first", "1.toml", Pool, 0));
+  Race.steps(40);
+  BOOST_REQUIRE(Race.Vms.at("a1").Snapshots.size() == 1U);
+  BOOST_REQUIRE(Race.Vms.at("b1").Snapshots.size() == 1U);
+  const std::uint64_t Before = offsetOf(Race, "a1");
+  Race.Log.put(Race.Vms.at("a1").Snapshots[0]);
+  Race.Log.put(Race.Vms.at("b1").Snapshots[0]);
+  Race.steps(5);
+  BOOST_TEST(offsetOf(Race, "a1") == Before);
+  BOOST_TEST(Race.Vms.at("a1").Follower.counts().SnapshotsDiffering == 0U);
+}
+
+// A VM with a fault folded the log wrongly and appends its state as a
+// snapshot. Whoever has the right state reports it and keeps its own.
+BOOST_AUTO_TEST_CASE(a_snapshot_with_another_digest_is_reported) {
+  fleet Fleet = settled();
+  snapshot_record Wrong;
+  Wrong.Schema = config::ConfigSchema;
+  Wrong.State = Fleet.Vms.at("a1").Follower.replica().state();
+  Wrong.State.Files["1.toml"].Text += "# not in the log\n";
+  Wrong.Digest = digestOf(Wrong.State);
+  Fleet.Log.put(encodeSnapshot(Wrong));
+  std::string Cut = encodeSnapshot(Wrong);
+  Cut.resize(Cut.size() / 2);
+  Fleet.Log.put(Cut);
+  Fleet.Log.put("\x82\xa4Kind\xa5other\xa2Id\xa1x");
+  Fleet.steps(5);
+  const fleet::vm &Vm = Fleet.Vms.at("a1");
+  BOOST_TEST(alarmed(Vm, "snapshot_differs"));
+  BOOST_TEST(Vm.Follower.counts().Unreadable == 2U);
+  BOOST_TEST(Vm.Follower.replica().state().Files.at("1.toml").Text == Pool);
+}
+
+// A newer program publishes under a newer schema. This one can't judge it, and
+// anything it judged after it might differ from its peers' verdicts. It keeps
+// its state, says so, and takes the state that a peer arrived at.
+BOOST_AUTO_TEST_CASE(a_schema_too_new_is_left_to_newer_peers) {
+  fleet Fleet = settled();
+  fleet::vm &Old = Fleet.Vms.at("a1");
+  const std::uint64_t Before = Old.Published;
+  change_record Change;
+  Change.Schema = config::ConfigSchema + 1;
+  Change.Id = "new";
+  Fleet.Log.put(encodeChange(Change));
+  Fleet.Log.put(makeChange("after", "2.toml", versionText(9), 0));
+  Fleet.steps(10);
+  BOOST_TEST(Old.Published == Before);
+  BOOST_TEST(alarmed(Old, "schema_too_new"));
+  BOOST_TEST(Old.Follower.status().IsBehind);
+  BOOST_TEST(!Old.Verdicts.contains("after"));
+
+  config_state Newer = Old.Follower.replica().state();
+  Newer.Next += 2;
+  Newer.Accepted = Newer.Next;
+  Newer.Schema = config::ConfigSchema + 1;
+  Newer.Files["2.toml"] = {versionText(8), Newer.Accepted};
+  const auto Asks = Old.Follower.handle(
+      event::offset_heard{{"n", "n", "hall-b", Newer.Accepted, Newer.Next}},
+      Fleet.Now);
+  BOOST_TEST(std::holds_alternative<action::fetch_state>(Asks.at(0)));
+  Old.Follower.handle(event::state_received{"n", Newer}, Fleet.Now);
+  BOOST_TEST(Old.Follower.status().Accepted == Newer.Accepted);
+  BOOST_TEST(Old.Follower.status().IsSchemaTooNew);
+}
+
+// Judging only what a change touches must come to what a parse of the whole
+// folder comes to, or two program versions would disagree.
+BOOST_AUTO_TEST_CASE(a_change_judged_by_its_items_equals_a_whole_parse) {
+  const std::vector<std::string> Texts{
+      "",
+      Pool,
+      versionText(5),
+      Pool + versionText(7),
+      "[versions.\"m@1\"]\nstate = \"retiring\"\n",
+      "[versions.\"m@1\"]\npool = \"q\"\n",
+      "[work.w]\nversions = [\"m@1\"]\n",
+      "[customers.c]\nallowed = [\"m@*\"]\n",
+      "[versions]\nx = 1\n",
+      "[versions.x]\npool = \"p\"\n",
+      "versions = 3\n",
+      "[broken",
+      "[endpoints.e]\npool = \"q\"\n"};
+  const bool Holds = rc::check([&] {
+    config_replica Replica;
+    const auto Count = *rc::gen::inRange(1, 25);
+    for (int Round = 0; Round < Count; ++Round) {
+      const std::string Name = std::to_string(*rc::gen::inRange(1, 5));
+      const auto Pick = *rc::gen::inRange<std::size_t>(0, Texts.size() + 1);
+      change_record Change;
+      Change.Schema = config::ConfigSchema;
+      Change.Id = std::to_string(Round);
+      const auto File = Replica.state().Files.find(Name);
+      Change.Bases[Name] =
+          File == Replica.state().Files.end() ? 0 : File->second.Offset;
+      if (Pick == Texts.size())
+        Change.Deletes.push_back(Name);
+      else
+        Change.Upserts[Name] = Texts[Pick];
+      config_state Trial = Replica.state();
+      if (Pick == Texts.size())
+        Trial.Files.erase(Name);
+      else
+        Trial.Files[Name].Text = Texts[Pick];
+      const auto Whole = parseConfiguration(filesOf(Trial), 1);
+      const auto Verdict =
+          Replica.apply(Replica.state().Next, encodeChange(Change));
+      RC_ASSERT(!Verdict.Error == (Whole.Config != nullptr));
+      if (!Whole.Config)
+        continue;
+      const configuration &Ours = *Replica.config();
+      RC_ASSERT(Ours.Versions.size() == Whole.Config->Versions.size());
+      RC_ASSERT(Ours.Endpoints.size() == Whole.Config->Endpoints.size());
+      RC_ASSERT(Ours.Customers.size() == Whole.Config->Customers.size());
+      for (const auto &[Version, Spec] : Whole.Config->Versions) {
+        RC_ASSERT(Ours.Versions.at(Version).Quality == Spec.Quality);
+        RC_ASSERT(Ours.Versions.at(Version).Pool == Spec.Pool);
+        RC_ASSERT((Ours.Versions.at(Version).State == Spec.State));
+      }
+    }
+  });
+  BOOST_TEST(Holds);
+}
+
+// Operators race, the log fails in every way it can, VMs are cut off and
+// replaced, in any order. A reader of the whole log is the oracle: every VM
+// that judged a change came to its verdict, of two changes on one base at most
+// one is accepted, and once all is mended all have the same state. That no
+// offset goes down is checked at each event.
+BOOST_AUTO_TEST_CASE(any_faults_in_any_order_leave_all_in_agreement) {
+  const std::vector<std::string> Names{"a1", "a2", "b1"};
+  const bool Holds = rc::check([&] {
+    fleet Fleet = settled(60);
+    config_replica Oracle;
+    std::map<std::string, std::error_code> Expected;
+    const auto Judge = [&] {
+      const std::uint64_t Forged = std::exchange(Fleet.Log.ForgeReads, 0);
+      const auto Batch =
+          Fleet.Log.read(ConfigStream, Oracle.state().Next, 0ms).value();
+      for (const log_record &Record : Batch.Records) {
+        const auto Verdict = Oracle.apply(Record.Offset, Record.Bytes);
+        Expected[Verdict.Id] = Verdict.Error;
+      }
+      Fleet.Log.ForgeReads = Forged;
+    };
+    Judge();
+    const auto Count = *rc::gen::inRange(1, 40);
+    for (int Round = 0; Round < Count; ++Round) {
+      const std::string &Name =
+          Names[*rc::gen::inRange<std::size_t>(0, Names.size())];
+      fleet::vm &Vm = Fleet.Vms.at(Name);
+      switch (*rc::gen::inRange(0, 9)) {
+      case 0:
+        Vm.SeesLog = !Vm.SeesLog;
+        break;
+      case 1:
+        Vm.SeesPeers = !Vm.SeesPeers;
+        break;
+      case 2:
+        if (std::count_if(Fleet.Vms.begin(), Fleet.Vms.end(),
+                          [](const auto &Item) {
+                            return Item.second.Follower.status().IsReady;
+                          }) > 1)
+          Fleet.start(Name, Vm.DataCentre);
+        break;
+      case 3:
+        Fleet.Log.ForgeReads = 2;
+        break;
+      case 4:
+        Fleet.Log.put("\xc1");
+        break;
+      case 5:
+        Fleet.step(5s);
+        break;
+      default: {
+        // Two operators on the view of one VM, on one file or on two.
+        const std::string File = std::to_string(*rc::gen::inRange(2, 4));
+        const std::string Other = std::to_string(*rc::gen::inRange(2, 4));
+        const auto Base = [&](const std::string &Each) {
+          const auto &Files = Vm.Follower.replica().state().Files;
+          const auto Found = Files.find(Each);
+          return Found == Files.end() ? 0 : Found->second.Offset;
+        };
+        const std::string Id = std::to_string(Round);
+        Fleet.Log.put(makeChange(Id + "x", File, versionText(1), Base(File)));
+        Fleet.Log.put(makeChange(Id + "y", Other, versionText(2), Base(Other)));
+        Judge();
+        RC_ASSERT(File != Other || Expected[Id + "x"] || Expected[Id + "y"]);
+      }
+      }
+      Fleet.step();
+      Judge();
+    }
+    for (auto &[Name, Vm] : Fleet.Vms)
+      Vm.SeesLog = Vm.SeesPeers = true;
+    Fleet.Log.ForgeReads = 0;
+    Fleet.steps(60);
+    Judge();
+    for (const auto &[Name, Vm] : Fleet.Vms) {
+      RC_ASSERT(digestOf(Vm.Follower.replica().state()) ==
+                digestOf(Oracle.state()));
+      RC_ASSERT(Vm.Published == Oracle.state().Accepted);
+      for (const auto &[Id, Error] : Vm.Verdicts)
+        RC_ASSERT(Expected[Id] == Error);
+    }
+  });
+  BOOST_TEST(Holds);
+}
--- a/tests/standin/log_stream.h
+++ b/tests/standin/log_stream.h
@@ -10,8 +10,14 @@
 namespace clementinelane::standin {
 
 /// The platform's log: streams with offsets and limited retention.
-/// Faults, by POST /faults?name=..&value=..: `down` (1: refuses all),
-/// `lose_answers` (the next n appends take effect and answer 500).
+/// Faults, by POST /faults?name=..&value=..:
+///   down          1: refuses all
+///   slow_ms       every call takes so much longer
+///   lose_before   the next n appends have no effect and answer 500
+///   lose_answers  the next n appends take effect and answer 500
+///   truncate      the oldest n records of each stream are gone
+///   shorten       the newest n records of each stream are gone
+///   forge         the next n reads give each record an offset one too low
 class log_stream {
 public:
   explicit log_stream(std::uint64_t Retention) : Retention(Retention) {}
@@ -21,10 +27,19 @@
   struct stream {
     std::uint64_t First = 0;
     std::deque<std::string> Records;
+    std::uint64_t next() const { return First + Records.size(); }
   };
-  void append(const std::shared_ptr<http_call> &Call);
-  void read(const std::shared_ptr<http_call> &Call);
-  void setFault(const std::shared_ptr<http_call> &Call);
+  using call = std::shared_ptr<http_call>;
+
+  void append(const call &Call);
+  void read(const call &Call);
+  void answerBounds(const call &Call);
+  void setFault(const call &Call);
+  void dropOldest(std::uint64_t Count);
+  void dropNewest(std::uint64_t Count);
+  /// Sleeps and says whether the log is down.
+  bool suffer();
+  bool takeOne(const std::string &Fault);
 
   std::uint64_t Retention;
   std::mutex Mutex;
