Leases in the log, orders to engines, automatic roll-outs, drain

Cause: nothing loaded versions into engines or took a roll-out on, and two VMs that did so at once would undo each other's work.

A lease is a chain of records in the log: one counts if no other of the lease stands between it and the one it names. A claim waits until all it has read is older than the lease; the holder counts from before its append. engine_orders brings engines to what the configuration wants under that lease, reads state after a lost answer, waits out the last holder's order where an engine ignores fencing, and spreads loads by a token bucket. rollout_driver advances or withdraws what is set to automatic; its brake needs neither lease nor log. control_duties is the shell of all three.

A property test of three holders found one fault while this was written: a claim that did not count hid that another had held the lease, so a takeover was not seen as one and the wait for unfenced engines would have been left out. Fixed by remembering any record of another holder.

An operator port that is not loopback now needs a key.

--- a/src/config.h
+++ b/src/config.h
@@ -78,6 +78,32 @@
 /// Tick of the machines in control.
 constexpr auto ControlTick = 100ms;
 
+// --- leases, orders to engines, roll-outs -----------------------------------
+
+/// A lease lasts so long after its record was sent. Thrice the renewal, so
+/// that two lost renewals do not lose it; one lease a data centre, renewed
+/// every 10 s by one VM, is under two appends a second for 10 data centres.
+constexpr auto LeaseDuration = 30s;
+constexpr auto LeaseRenewInterval = 10s;
+/// Between the VMs that may claim a free lease.
+constexpr auto LeaseRankDelay = 1s;
+/// Drift of two clocks over a lease, with room: 1 s in 30 s is 3%.
+constexpr auto ClockDrift = 1s;
+/// Own lease records that may be under way.
+constexpr std::size_t MaxLeaseRecordsWaiting = 8;
+/// An engine has answered an order, or it is unknown whether it took effect.
+constexpr auto OrderTimeout = 10s;
+/// Before an engine that did not answer is asked again.
+constexpr auto EngineRetryDelay = 5s;
+/// Loads that one data centre asks of the weight store, which is rate limited.
+constexpr double WeightLoadsPerSecond = 0.5;
+constexpr double WeightLoadBurst = 2;
+/// A step stays at least so long, whatever the statistics say: sessions are
+/// long, and their answers are rated late.
+constexpr auto MinRolloutStepTime = 5min;
+/// Before a step whose outcome is not seen is proposed again.
+constexpr auto RolloutRetryDelay = 10s;
+
 // --- our own processes -----------------------------------------------------
 
 /// Bytes of one message between our processes.
--- a/src/config_follower.cpp
+++ b/src/config_follower.cpp
@@ -279,6 +279,11 @@
                          outputs &) {
   Peers = Event.Peers;
   PeersKnown = true;
+  // Seeds are known by address alone; their answers name them.
+  for (const auto &[Vm, Offset] : Offsets)
+    for (peer_info &Peer : Peers)
+      if (Peer.Vm.empty() && Peer.ControlLink == Offset.Address)
+        Peer.Vm = Vm;
 }
 
 void config_follower::on(const follower_event::tick &Event, mono_time Now,
--- a/src/configuration.cpp
+++ b/src/configuration.cpp
@@ -140,6 +140,8 @@
         .text("data_centre", Spec.DataCentre, true)
         .text("pool", Spec.Pool, true)
         .boolean("fenced", Spec.Fenced)
+        .boolean("leaving", Spec.Leaving)
+        .texts("loads", Spec.Loads)
         .finish();
     if (!Spec.Address.empty() && Spec.Address.find(':') == std::string::npos)
       Reader.report("address", "must be an IP number and a port");
@@ -225,6 +227,10 @@
         require(Config.Work.contains(Work), Root, "customers", Name,
                 "quality_targets", Work);
     }
+    for (const auto &[Name, Spec] : Config.Endpoints)
+      for (const std::string &Version : Spec.Loads)
+        require(Config.Versions.contains(Version), Root, "endpoints", Name,
+                "loads", Version);
     for (const auto &[Name, Spec] : Config.Rollouts) {
       require(Config.Versions.contains(Spec.From), Root, "rollouts", Name,
               "from", Spec.From);
--- a/src/configuration.h
+++ b/src/configuration.h
@@ -39,7 +39,9 @@
   std::string Address; ///< IP number and port
   std::string DataCentre;
   std::string Pool;
-  bool Fenced = false; ///< refuses orders with an old fencing number
+  bool Fenced = false;            ///< refuses orders with an old fencing number
+  bool Leaving = false;           ///< takes no new work
+  std::vector<std::string> Loads; ///< versions to load; empty: all of its pool
 };
 
 /// A kind of work, with the versions that can do it.
--- a/src/control.cpp
+++ b/src/control.cpp
@@ -97,6 +97,7 @@
 control::control(const settings &Settings, const runtime_clock &Clock)
     : Settings(Settings), Clock(Clock), Log(Settings.LogAddress),
       Feed(this->Settings, Clock, Log, LinkClient, Peers),
+      Duties(this->Settings, Clock, Log, Feed, Peers),
       Operators(Settings.Address + ":" + std::to_string(Settings.OperatorPort),
                 routes()) {
   Peers.set(seedPeers(Settings));
@@ -104,6 +105,7 @@
 
 control::~control() {
   Link.reset();
+  Duties.stop();
   Feed.stop();
 }
 
@@ -149,11 +151,12 @@
              const link_reply &Reply) { onLink(Path, Body, Reply); });
   Operators.open();
   Feed.start();
+  Duties.start();
 }
 
 void control::onLink(std::string_view Path, std::string_view Body,
                      const link_reply &Reply) {
-  if (!Feed.onLink(Path, Body, Reply))
+  if (!Feed.onLink(Path, Body, Reply) && !Duties.onLink(Path, Body, Reply))
     Reply(error_kind::PeerIncompatible);
 }
 
--- a/src/control.h
+++ b/src/control.h
@@ -2,6 +2,7 @@
 
 #include "clock.h"
 #include "config_feed.h"
+#include "control_duties.h"
 #include "http_server.h"
 #include "link.h"
 #include "log_client.h"
@@ -40,6 +41,7 @@
   http_append_log Log;
   peer_list Peers;
   config_feed Feed;
+  control_duties Duties;
   link_client LinkClient; ///< goes first: its callbacks reach the feed
   http_server Operators;
   std::unique_ptr<link_server> Link;
--- /dev/null
+++ b/src/control_duties.cpp
@@ -0,0 +1,325 @@
+#include "control_duties.h"
+
+#include "config.h"
+#include "logs.h"
+#include "operator_client.h"
+#include "request.h"
+
+#include <algorithm>
+#include <cpprest/http_client.h>
+#include <pplx/pplxtasks.h>
+#include <xxhash.h>
+
+namespace clementinelane {
+
+namespace {
+
+namespace http = web::http;
+
+http::client::http_client engineClient(const std::string &Address) {
+  http::client::http_client_config Config;
+  Config.set_timeout(config::OrderTimeout);
+  return {"http://" + Address, Config};
+}
+
+/// POST /orders {"engine_order", "version", "fence"}: 200 done, 409 fenced.
+order_end sendOrder(const orders_action::send_order &Order) {
+  auto Body = web::json::value::object();
+  Body["engine_order"] =
+      web::json::value::string(std::string(nameOf(Order.Kind)));
+  Body["version"] = web::json::value::string(Order.Version);
+  Body["fence"] = web::json::value::number(Order.Fence);
+  try {
+    const auto Status = engineClient(Order.Address)
+                            .request(http::methods::POST, "/orders", Body)
+                            .get()
+                            .status_code();
+    if (Status == http::status_codes::OK)
+      return order_end::Done;
+    return Status == http::status_codes::Conflict ? order_end::Fenced
+                                                  : order_end::Unknown;
+  } catch (const std::exception &) {
+    return order_end::Unknown;
+  }
+}
+
+/// GET /orders: {"loaded": ["m@1"]}.
+std::optional<std::set<std::string>> readLoaded(const std::string &Address) {
+  try {
+    const auto Response =
+        engineClient(Address).request(http::methods::GET, "/orders").get();
+    if (Response.status_code() != http::status_codes::OK)
+      return std::nullopt;
+    std::set<std::string> Loaded;
+    const web::json::value Body = Response.extract_json().get();
+    for (const auto &Version : Body.at("loaded").as_array())
+      Loaded.insert(Version.as_string());
+    return Loaded;
+  } catch (const std::exception &) {
+    return std::nullopt;
+  }
+}
+
+constexpr std::array<std::string_view, 3> EndNames{"done", "fenced", "unknown"};
+
+} // namespace
+
+control_duties::control_duties(const settings &Settings,
+                               const runtime_clock &Clock, append_log &Log,
+                               config_feed &Feed, const peer_source &Peers)
+    : Settings(Settings), Clock(Clock), Log(Log), Feed(Feed),
+      Peers(Peers), Leases{lease("engines/" + Settings.DataCentre,
+                                 Settings.VmName + "/" + makeRequestId()),
+                           lease("rollouts",
+                                 Settings.VmName + "/" + makeRequestId())} {}
+
+control_duties::~control_duties() { stop(); }
+
+void control_duties::start() {
+  Reader = std::thread([this] { readLeases(); });
+  Ticker = std::thread([this] { tick(); });
+}
+
+void control_duties::stop() {
+  {
+    const std::scoped_lock Lock(Mutex);
+    if (Stopping)
+      return;
+    Stopping = true;
+  }
+  Changed.notify_all();
+  if (Reader.joinable())
+    Reader.join();
+  if (Ticker.joinable())
+    Ticker.join();
+  {
+    std::unique_lock Lock(Mutex);
+    Changed.wait(Lock, [this] { return Tasks == 0; });
+  }
+  // The next holder need not wait until the leases run out.
+  for (lease &Lease : Leases)
+    if (const auto Record = Lease.release(Clock.now()))
+      appendLease(*Record);
+}
+
+bool control_duties::pause(std::chrono::milliseconds For) {
+  std::unique_lock Lock(Mutex);
+  Changed.wait_for(Lock, For, [this] { return Stopping; });
+  return !Stopping;
+}
+
+void control_duties::runTask(std::function<void()> Task) {
+  {
+    const std::scoped_lock Lock(Mutex);
+    ++Tasks;
+  }
+  pplx::create_task([this, Task = std::move(Task)] {
+    Task();
+    const std::scoped_lock Lock(Mutex);
+    --Tasks;
+    Changed.notify_all();
+  });
+}
+
+void control_duties::readLeases() {
+  while (pause(std::chrono::milliseconds(0))) {
+    const auto Batch = Log.read(LeaseStream, Next, config::LogPollWait);
+    if (Batch) {
+      readBatch(Batch.value());
+      continue;
+    }
+    if (Batch.error() == error_kind::LogExpired)
+      if (const auto Bounds = Log.bounds(LeaseStream))
+        Next = Bounds.value().First;
+    pause(config::ReconnectDelay);
+  }
+}
+
+void control_duties::readBatch(const log_batch &Batch) {
+  const std::scoped_lock Lock(Mutex);
+  // A log that came back shorter is read again from its end; the leases of
+  // before it run out by themselves.
+  Next = std::min(Next, Batch.Next);
+  for (const log_record &Record : Batch.Records) {
+    Next = Record.Offset + 1;
+    const auto Decoded = decodeLease(Record.Bytes);
+    if (!Decoded)
+      continue;
+    for (lease &Lease : Leases)
+      if (Lease.name() == Decoded.value().Name)
+        Lease.recordRead(Record.Offset, Decoded.value(), Clock.now());
+  }
+  if (Next == Batch.Next)
+    CaughtUpAt = Clock.now();
+}
+
+/// Our place among the VMs that may claim `Lease`.
+std::size_t control_duties::rankOf(std::string_view Lease,
+                                   bool OwnDataCentre) const {
+  const auto Weight = [&](std::string_view Vm) {
+    return XXH3_64bits_withSeed(Vm.data(), Vm.size(),
+                                XXH3_64bits(Lease.data(), Lease.size()));
+  };
+  const auto Own = Weight(Settings.VmName);
+  const std::vector<peer_info> All = Peers.peers();
+  return static_cast<std::size_t>(
+      std::count_if(All.begin(), All.end(), [&](const peer_info &Peer) {
+        return (!OwnDataCentre || Peer.DataCentre == Settings.DataCentre) &&
+               Weight(Peer.Vm) > Own;
+      }));
+}
+
+void control_duties::appendLease(const lease_record &Record) {
+  // What became of it is read from the stream.
+  if (!Log.append(LeaseStream, encodeLease(Record)))
+    logs::info("lease_append_unknown", {{"lease", Record.Name}});
+}
+
+void control_duties::renewLeases() {
+  const std::size_t Ranks[] = {rankOf(Leases[Engines].name(), true),
+                               rankOf(Leases[Rollouts].name(), false)};
+  const bool IsReady = Feed.status().IsReady;
+  std::vector<lease_record> Records;
+  {
+    const std::scoped_lock Lock(Mutex);
+    const mono_time Now = Clock.now();
+    const bool MayClaim =
+        IsReady && CaughtUpAt && Now - *CaughtUpAt < 2 * config::LogPollWait;
+    for (std::size_t Index = 0; Index < Leases.size(); ++Index)
+      if (auto Record = Leases[Index].tick(Now, MayClaim, Ranks[Index]))
+        Records.push_back(std::move(*Record));
+  }
+  for (lease_record &Record : Records)
+    runTask([this, Record = std::move(Record)] { appendLease(Record); });
+}
+
+void control_duties::takeConfig() {
+  const configuration_ptr Config = Feed.config();
+  if (!Config || Config->Offset == ConfigOffset)
+    return;
+  ConfigOffset = Config->Offset;
+  feed(Orders,
+       orders_event::targets{engineTargets(*Config, Settings.DataCentre)});
+  feed(Driver, driver_event::config_changed{Config});
+}
+
+template <typename Machine, typename Input>
+void control_duties::feed(Machine &Into, const Input &Event) {
+  decltype(Into.handle(Event, Clock.now())) Out;
+  {
+    const std::scoped_lock Lock(Mutex);
+    Out = Into.handle(Event, Clock.now());
+  }
+  for (const auto &Output : Out)
+    std::visit([this](const auto &Action) { perform(Action); }, Output);
+}
+
+void control_duties::tick() {
+  while (pause(config::ControlTick)) {
+    takeConfig();
+    renewLeases();
+    const follower_status Status = Feed.status();
+    std::optional<std::uint64_t> Fence;
+    bool TookOver = false;
+    bool MayDrive = false;
+    {
+      const std::scoped_lock Lock(Mutex);
+      const mono_time Now = Clock.now();
+      Fence = Leases[Engines].fence(Now, config::OrderTimeout);
+      TookOver = Leases[Engines].tookOver();
+      // Cut off from the log, or behind, nothing is proposed.
+      MayDrive = Status.IsReady && Status.IsLogReachable &&
+                 !Status.IsLogSuspect && !Status.IsBehind &&
+                 Leases[Rollouts].fence(Now, config::LogCallTimeout);
+    }
+    feed(Orders, orders_event::tick{Fence, TookOver});
+    feed(Driver, driver_event::tick{MayDrive});
+  }
+}
+
+void control_duties::perform(const orders_action::read_state &Action) {
+  runTask([this, Action] {
+    feed(Orders,
+         orders_event::state_read{Action.Endpoint, readLoaded(Action.Address)});
+  });
+}
+
+void control_duties::perform(const orders_action::send_order &Action) {
+  runTask([this, Action] {
+    bool MaySend = false;
+    {
+      // Asked again here: the task may have waited, or the process stopped.
+      const std::scoped_lock Lock(Mutex);
+      MaySend = Leases[Engines].fence(Clock.now(), config::OrderTimeout) ==
+                Action.Fence;
+    }
+    const order_end End = MaySend ? sendOrder(Action) : order_end::Unknown;
+    logs::decision(
+        "engine_order",
+        {{"endpoint", Action.Endpoint},
+         {"order", std::string(nameOf(Action.Kind))},
+         {"version", Action.Version},
+         {"fence", std::to_string(Action.Fence)},
+         {"sent", MaySend ? "yes" : "lease_lost"},
+         {"end", std::string(EndNames[static_cast<std::size_t>(End)])}});
+    feed(Orders, orders_event::order_ended{Action.Endpoint, End});
+  });
+}
+
+void control_duties::perform(const driver_action::brake &Action) {
+  logs::warning("brake", {{"version", Action.Version}});
+}
+
+void control_duties::perform(const driver_action::release_brake &Action) {
+  logs::info("brake_released", {{"version", Action.Version}});
+}
+
+void control_duties::perform(const driver_action::propose &Action) {
+  runTask([this, Action] {
+    const config_state State = Feed.state();
+    if (State.Accepted != Action.Offset)
+      return; // decided on a state that is no longer in force
+    remote_folder Folder;
+    Folder.Files = State.Files;
+    change_record Change = makeChange(Folder, {Action.File}, false);
+    for (const std::string &Name :
+         filesThatDefine(filesOf(State), Action.Rollout))
+      Change.Bases[Name] = State.Files.at(Name).Offset;
+    Change.Author = Settings.VmName;
+    const auto Offset = Log.append(ConfigStream, encodeChange(Change));
+    logs::decision("rollout_step", {{"rollout", Action.Rollout},
+                                    {"reason", Action.Reason},
+                                    {"file", Action.File.Name},
+                                    {"id", Change.Id},
+                                    {"appended", Offset ? "yes" : "unknown"}});
+  });
+}
+
+bool control_duties::onLink(std::string_view Path, std::string_view Body,
+                            const link_reply &Reply) {
+  if (Path != "/verdict")
+    return false;
+  verdict_message Message;
+  try {
+    Message =
+        msgpack::unpack(Body.data(), Body.size()).get().as<verdict_message>();
+  } catch (const std::exception &) {
+    Reply(error_kind::PeerIncompatible);
+    return true;
+  }
+  const auto Verdict = std::min<std::uint8_t>(
+      Message.Verdict, static_cast<std::uint8_t>(candidate_verdict::Bad));
+  feed(Driver, driver_event::judged{Message.Rollout, Message.Step,
+                                    static_cast<candidate_verdict>(Verdict)});
+  std::vector<std::string> Braked;
+  {
+    const std::scoped_lock Lock(Mutex);
+    Braked.assign(Driver.braked().begin(), Driver.braked().end());
+  }
+  msgpack::sbuffer Buffer;
+  msgpack::pack(Buffer, Braked);
+  Reply(std::string(Buffer.data(), Buffer.size()));
+  return true;
+}
+
+} // namespace clementinelane
--- /dev/null
+++ b/src/control_duties.h
@@ -0,0 +1,86 @@
+#pragma once
+
+#include "clock.h"
+#include "config_feed.h"
+#include "engine_orders.h"
+#include "lease.h"
+#include "link.h"
+#include "log_client.h"
+#include "peers.h"
+#include "rollout_driver.h"
+#include "settings.h"
+
+#include <array>
+#include <condition_variable>
+#include <functional>
+#include <mutex>
+#include <thread>
+
+namespace clementinelane {
+
+/// What an entry judged of a roll-out; the reply lists the braked versions.
+struct verdict_message {
+  std::string Rollout;
+  std::uint64_t Step = 0;
+  std::uint8_t Verdict = 0; ///< candidate_verdict
+  MSGPACK_DEFINE_MAP(Rollout, Step, Verdict)
+};
+
+/// The I/O around leases, orders to engines and automatic roll-outs: one VM of
+/// a data centre orders its engines, one VM of all drives roll-outs.
+class control_duties {
+public:
+  control_duties(const settings &Settings, const runtime_clock &Clock,
+                 append_log &Log, config_feed &Feed, const peer_source &Peers);
+  ~control_duties();
+  control_duties(const control_duties &) = delete;
+  control_duties &operator=(const control_duties &) = delete;
+
+  void start();
+  /// Gives up the leases and ends the threads.
+  void stop();
+  /// Takes the call "/verdict"; false for any other path.
+  bool onLink(std::string_view Path, std::string_view Body,
+              const link_reply &Reply);
+
+private:
+  static constexpr std::size_t Engines = 0;
+  static constexpr std::size_t Rollouts = 1;
+
+  void readLeases();
+  void readBatch(const log_batch &Batch);
+  void tick();
+  void renewLeases();
+  void takeConfig();
+  void appendLease(const lease_record &Record);
+  std::size_t rankOf(std::string_view Lease, bool OwnDataCentre) const;
+  void perform(const orders_action::read_state &Action);
+  void perform(const orders_action::send_order &Action);
+  void perform(const driver_action::brake &Action);
+  void perform(const driver_action::release_brake &Action);
+  void perform(const driver_action::propose &Action);
+  template <typename Machine, typename Input>
+  void feed(Machine &Into, const Input &Event);
+  void runTask(std::function<void()> Task);
+  bool pause(std::chrono::milliseconds For);
+
+  const settings &Settings;
+  const runtime_clock &Clock;
+  append_log &Log;
+  config_feed &Feed;
+  const peer_source &Peers;
+  std::mutex Mutex;
+  std::condition_variable Changed;
+  std::array<lease, 2> Leases;
+  engine_orders Orders;
+  rollout_driver Driver;
+  std::uint64_t Next = 0; ///< of the stream of leases
+  std::optional<mono_time> CaughtUpAt;
+  std::uint64_t ConfigOffset = 0;
+  bool Stopping = false;
+  unsigned Tasks = 0;
+  std::thread Reader;
+  std::thread Ticker;
+};
+
+} // namespace clementinelane
--- /dev/null
+++ b/src/lease.cpp
@@ -0,0 +1,99 @@
+#include "lease.h"
+
+#include "config.h"
+
+namespace clementinelane {
+
+std::string encodeLease(const lease_record &Record) {
+  msgpack::sbuffer Buffer;
+  msgpack::pack(Buffer, Record);
+  return {Buffer.data(), Buffer.size()};
+}
+
+result<lease_record> decodeLease(std::string_view Bytes) {
+  try {
+    return msgpack::unpack(Bytes.data(), Bytes.size()).get().as<lease_record>();
+  } catch (const std::exception &) {
+    return error_kind::RecordCorrupt;
+  }
+}
+
+void lease::recordRead(std::uint64_t Offset, const lease_record &Record,
+                       mono_time Now) {
+  const bool Counts = Record.Previous == Last && Offset >= Last;
+  const auto Own = Sent.extract(Record.Id);
+  // Also one that does not count here may have been acted on by its holder.
+  OtherSeen = OtherSeen || Record.Holder != Holder;
+  Last = Offset + 1;
+  FreeSince.reset();
+  // Also a record that does not count holds claims back: another reader may
+  // have seen less than we, and hold it for a grant.
+  LastReadAt = Now;
+  Released = Counts && Record.IsRelease;
+  if (!Counts)
+    return;
+  if (Own.empty() || Record.IsRelease) {
+    ValidUntil = mono_time{};
+    return;
+  }
+  TookOver = OtherSeen;
+  OtherSeen = false;
+  Term = Last;
+  ValidUntil = Own.mapped() + config::LeaseDuration;
+}
+
+lease_record lease::makeRecord(mono_time Now, bool IsRelease) {
+  lease_record Record{Holder + "#" + std::to_string(++Counter), Name, Holder,
+                      Last, IsRelease};
+  // Taken before the append is sent, so that the time it travels is ours to
+  // lose.
+  SentAt = Now;
+  Sent[Record.Id] = Now;
+  if (Sent.size() > config::MaxLeaseRecordsWaiting)
+    Sent.erase(Sent.begin());
+  return Record;
+}
+
+std::optional<lease_record> lease::tick(mono_time Now, bool MayClaim,
+                                        std::size_t Rank) {
+  const bool Held = Now < ValidUntil;
+  if (Held) {
+    if (SentAt && Now - *SentAt < config::LeaseRenewInterval)
+      return std::nullopt;
+    return makeRecord(Now, false);
+  }
+  const bool Waited =
+      !LastReadAt || Released ||
+      Now - *LastReadAt >= config::LeaseDuration + config::ClockDrift;
+  if (!MayClaim || !Waited) {
+    FreeSince.reset();
+    return std::nullopt;
+  }
+  if (!FreeSince)
+    FreeSince = Now;
+  if (Now - *FreeSince < config::LeaseRankDelay * Rank)
+    return std::nullopt;
+  if (SentAt && Now - *SentAt < config::LeaseRenewInterval)
+    return std::nullopt;
+  return makeRecord(Now, false);
+}
+
+std::optional<lease_record> lease::release(mono_time Now) {
+  if (Now >= ValidUntil)
+    return std::nullopt;
+  ValidUntil = mono_time{};
+  return makeRecord(Now, true);
+}
+
+std::optional<std::uint64_t> lease::fence(mono_time Now,
+                                          duration Needed) const {
+  // Guard: a holder that was stopped, or whose append took long, would act
+  // after another has taken the lease. It shows as two orders at one engine;
+  // the time left is computed anew at each call, from a clock that goes on
+  // while the process is stopped.
+  if (Now + Needed + config::ClockDrift > ValidUntil)
+    return std::nullopt;
+  return Term;
+}
+
+} // namespace clementinelane
--- a/src/placement.cpp
+++ b/src/placement.cpp
@@ -12,7 +12,8 @@
     const bool Excluded =
         std::find(Request.Exclude.begin(), Request.Exclude.end(), Name) !=
         Request.Exclude.end();
-    if (Endpoint.Pool != Request.Pool || Excluded || Loads[Name].Leaving)
+    if (Endpoint.Pool != Request.Pool || Excluded || Endpoint.Leaving ||
+        Loads[Name].Leaving)
       continue;
     if (Request.Only.empty() || Request.Only == Name)
       Found.push_back(&Endpoint);
--- /dev/null
+++ b/src/rollout_driver.cpp
@@ -0,0 +1,103 @@
+#include "rollout_driver.h"
+
+#include "config.h"
+
+namespace clementinelane {
+
+namespace {
+
+bool isSameStep(const rollout_spec &A, const rollout_spec &B) {
+  return A.From == B.From && A.To == B.To && A.Step == B.Step &&
+         A.StepsPercent == B.StepsPercent && A.Paused == B.Paused;
+}
+
+} // namespace
+
+std::vector<driver_output> rollout_driver::handle(const driver_input &Input,
+                                                  mono_time Now) {
+  outputs Out;
+  std::visit([&](const auto &Event) { on(Event, Now, Out); }, Input);
+  return Out;
+}
+
+bool rollout_driver::isActive(const std::string &Version) const {
+  const auto Found = Config->Versions.find(Version);
+  return Found != Config->Versions.end() &&
+         Found->second.State == version_state::Active;
+}
+
+void rollout_driver::on(const driver_event::config_changed &Event,
+                        mono_time Now, outputs &Out) {
+  if (Config && Event.Config->Offset <= Config->Offset)
+    return;
+  Config = Event.Config;
+  std::map<std::string, watch> Newer;
+  for (const auto &[Name, Spec] : Config->Rollouts) {
+    const auto Old = Watches.find(Name);
+    if (Old != Watches.end() && isSameStep(Old->second.Spec, Spec)) {
+      Newer[Name] = Old->second;
+      Newer[Name].Spec = Spec;
+      continue;
+    }
+    // A new step, by whomever: it is judged by answers of its own. Only this,
+    // which stands in the log, lifts a brake.
+    Newer[Name] = {Spec, Now, candidate_verdict::Undecided, std::nullopt};
+    if (Braked.erase(Spec.To) > 0)
+      Out.push_back(driver_action::release_brake{Spec.To});
+  }
+  Watches = std::move(Newer);
+}
+
+void rollout_driver::on(const driver_event::judged &Event, mono_time,
+                        outputs &Out) {
+  const auto Found = Watches.find(Event.Rollout);
+  // A verdict on another step says nothing of this one.
+  if (Found == Watches.end() || Found->second.Spec.Step != Event.Step)
+    return;
+  watch &Watch = Found->second;
+  // A bad verdict stays: later good answers come from less exposure.
+  if (Watch.Verdict != candidate_verdict::Bad)
+    Watch.Verdict = Event.Verdict;
+  if (Watch.Verdict == candidate_verdict::Bad &&
+      Braked.insert(Watch.Spec.To).second)
+    Out.push_back(driver_action::brake{Watch.Spec.To});
+}
+
+std::optional<driver_action::propose>
+rollout_driver::next(const watch &Watch, mono_time Now) const {
+  const rollout_spec &Spec = Watch.Spec;
+  if (!Spec.Automatic || !isActive(Spec.To))
+    return std::nullopt;
+  if (Watch.Verdict == candidate_verdict::Bad)
+    return driver_action::propose{Spec.Name,
+                                  stateFile(Spec.To, version_state::Withdrawn),
+                                  Config->Offset, "candidate_bad"};
+  if (Watch.Verdict != candidate_verdict::Good ||
+      Now - Watch.SteppedAt < config::MinRolloutStepTime)
+    return std::nullopt;
+  const auto Advanced = applyOrder(Spec, rollout_order::Advance);
+  if (!Advanced)
+    return std::nullopt;
+  return driver_action::propose{Spec.Name, rolloutFile(Advanced.value()),
+                                Config->Offset, "candidate_good"};
+}
+
+// Guard: the append of a step may be lost, or its answer, or this VM may stop
+// halfway. Nothing is remembered of it but when it was tried: what came of it
+// is read from the configuration, and a step proposed twice rests on the same
+// base, so the second is not accepted.
+void rollout_driver::on(const driver_event::tick &Event, mono_time Now,
+                        outputs &Out) {
+  if (!Event.MayAct || !Config)
+    return;
+  for (auto &[Name, Watch] : Watches) {
+    if (Watch.ProposedAt && Now - *Watch.ProposedAt < config::RolloutRetryDelay)
+      continue;
+    if (auto Proposal = next(Watch, Now)) {
+      Watch.ProposedAt = Now;
+      Out.push_back(std::move(*Proposal));
+    }
+  }
+}
+
+} // namespace clementinelane
--- a/src/rollout_steps.cpp
+++ b/src/rollout_steps.cpp
@@ -63,37 +63,61 @@
          ".toml";
 }
 
+namespace {
+
+config_file tableFile(std::string Name, std::string_view Section,
+                      std::string_view Item, toml::table Keys) {
+  toml::table Items;
+  Items.insert(Item, std::move(Keys));
+  toml::table Root;
+  Root.insert(Section, std::move(Items));
+  std::ostringstream Text;
+  Text << Root << '\n';
+  return {std::move(Name), std::move(Text).str()};
+}
+
+} // namespace
+
 config_file rolloutFile(const rollout_spec &Spec) {
   toml::array Steps;
   for (const double Percent : Spec.StepsPercent)
     Steps.push_back(Percent);
-  const toml::table Root{
-      {"rollouts",
-       toml::table{{Spec.Name,
-                    toml::table{{"from", Spec.From},
-                                {"to", Spec.To},
-                                {"steps_percent", std::move(Steps)},
-                                {"step", static_cast<std::int64_t>(Spec.Step)},
-                                {"automatic", Spec.Automatic},
-                                {"paused", Spec.Paused}}}}}};
-  std::ostringstream Text;
-  Text << Root << '\n';
-  return {rolloutFileName(Spec.Name), std::move(Text).str()};
+  return tableFile(rolloutFileName(Spec.Name), "rollouts", Spec.Name,
+                   toml::table{{"from", Spec.From},
+                               {"to", Spec.To},
+                               {"steps_percent", std::move(Steps)},
+                               {"step", static_cast<std::int64_t>(Spec.Step)},
+                               {"automatic", Spec.Automatic},
+                               {"paused", Spec.Paused}});
 }
 
 config_file stateFile(std::string_view Version, version_state State) {
-  const toml::table Root{
-      {"versions",
-       toml::table{{Version, toml::table{{"state", nameOf(State)}}}}}};
-  std::ostringstream Text;
-  Text << Root << '\n';
-  return {stateFileName(Version), std::move(Text).str()};
+  return tableFile(stateFileName(Version), "versions", Version,
+                   toml::table{{"state", nameOf(State)}});
+}
+
+config_file drainFile(std::string_view Endpoint, bool IsLeaving) {
+  return tableFile(std::string(StepFilePrefix) + "drain-" +
+                       std::string(Endpoint) + ".toml",
+                   "endpoints", Endpoint, toml::table{{"leaving", IsLeaving}});
 }
 
 result<rollout_spec> applyOrder(const rollout_spec &Spec, rollout_order Order) {
   return Orders[static_cast<std::size_t>(Order)](Spec);
 }
 
+std::vector<std::string> filesThatDefine(std::span<const config_file> Files,
+                                         std::string_view Rollout) {
+  std::vector<std::string> Names;
+  for (const config_file &File : Files) {
+    std::vector<file_error> Errors;
+    const toml::table Root = parseToml(File.Name, File.Text, Errors);
+    if (Root["rollouts"][Rollout])
+      Names.push_back(File.Name);
+  }
+  return Names;
+}
+
 double exposureOf(const rollout_spec &Spec) {
   return Spec.StepsPercent.empty() ? 0 : Spec.StepsPercent[Spec.Step];
 }
--- a/src/rollout_steps.h
+++ b/src/rollout_steps.h
@@ -32,10 +32,17 @@
 /// The file that puts `Version` into `State`.
 config_file stateFile(std::string_view Version, version_state State);
 
+/// The file that says whether the endpoint takes new work.
+config_file drainFile(std::string_view Endpoint, bool IsLeaving);
+
 /// The roll-out after `Order`, or why it can't be: ConfigInvalid where it is
 /// paused or at its last step.
 result<rollout_spec> applyOrder(const rollout_spec &Spec, rollout_order Order);
 
+/// The files that say something of the roll-out; a step relies on all of them.
+std::vector<std::string> filesThatDefine(std::span<const config_file> Files,
+                                         std::string_view Rollout);
+
 /// Share of new sessions that the roll-out sends to its target, in percent.
 double exposureOf(const rollout_spec &Spec);
 
--- a/src/settings.cpp
+++ b/src/settings.cpp
@@ -1,5 +1,6 @@
 #include "settings.h"
 
+#include <cstdlib>
 #include <fstream>
 #include <sstream>
 
@@ -20,8 +21,22 @@
 constexpr std::uint64_t MaxPort = 65535;
 constexpr std::uint64_t MaxRetentionRecords = 1'000'000'000;
 constexpr std::uint64_t MaxRetentionHours = 24 * 365;
+constexpr std::size_t Sha256HexBytes = 64;
 constexpr std::size_t MinSecretBytes = 16;
 
+/// Relative paths of secrets are below CLEMENTINE_SECRETS where it is set, so
+/// that one settings file serves platforms that lay secrets down elsewhere.
+std::string secretPath(const std::string &Path) {
+  const char *Folder = std::getenv("CLEMENTINE_SECRETS");
+  if (!Folder || *Folder == '\0' || Path.empty() || Path.front() == '/')
+    return Path;
+  return std::string(Folder) + "/" + Path;
+}
+
+bool isLoopback(std::string_view Address) {
+  return Address.substr(0, 4) == "127." || Address == "::1";
+}
+
 void readKeys(const toml::table &Table, const std::string &Path, settings &Out,
               std::vector<file_error> &Errors) {
   section_reader Reader(Table, Path, Errors);
@@ -29,11 +44,14 @@
   Reader.texts("session", Pairs)
       .text("operator_key_sha256", Out.OperatorKeySha256)
       .finish();
+  if (!Out.OperatorKeySha256.empty() &&
+      Out.OperatorKeySha256.size() != Sha256HexBytes)
+    Reader.report("operator_key_sha256", "must be a SHA-256 sum in hex");
   for (const std::string &Pair : Pairs) {
     const auto Colon = Pair.find(':');
     std::string Secret;
     if (Colon == std::string::npos ||
-        !readFile(Pair.substr(Colon + 1), Secret)) {
+        !readFile(secretPath(Pair.substr(Colon + 1)), Secret)) {
       Reader.report("session", "must be a list of \"id:readable file\"");
       continue;
     }
@@ -103,6 +121,15 @@
                  Logs.report("format", "must be keyvalue or json");
              })
       .finish();
+  // Guard: an operator port that others reach, without a key, would let anyone
+  // read customers' plans and drain endpoints.
+  if (!Out.Address.empty() && !isLoopback(Out.Address) &&
+      Out.OperatorKeySha256.empty())
+    Errors.push_back({std::string(File), 0, "keys.operator_key_sha256",
+                      "is needed where vm.address is not loopback"});
+  if (!Out.LogAddress.empty() && Out.LogAddress.find(':') == std::string::npos)
+    Errors.push_back({std::string(File), 0, "platform.log",
+                      "must be an IP number and a port"});
   if (Errors.empty() && (Out.VmName.empty() || Out.LogAddress.empty()))
     Errors.push_back(
         {std::string(File), 0, "", "needs the tables [vm] and [platform]"});
--- a/tests/control_test.sh
+++ b/tests/control_test.sh
@@ -41,6 +41,8 @@
 expect "a paused roll-out does not advance" 1 "is paused" "$ctl" rollout advance r1
 expect "a folder published later keeps the steps" 0 "nothing to publish" \
   "$ctl" publish "$root/examples/01-two-data-centres/config"
+expect "an endpoint is drained" 0 "accepted" "$ctl" drain runner-a1
+expect "a drain of no endpoint is refused" 1 "no endpoint nobody" "$ctl" drain nobody
 expect "explain names version and reason" 0 "version=match-small@1 reason=cheapest_meeting_target" \
   "$ctl" explain valadares care-question
 
--- a/tools/ctl/rollout.cpp
+++ b/tools/ctl/rollout.cpp
@@ -3,7 +3,7 @@
 #include "rollout_steps.h"
 
 #include <array>
-#include <charconv>
+#include <cstdlib>
 #include <gflags/gflags.h>
 #include <iostream>
 #include <sstream>
@@ -17,19 +17,6 @@
 
 namespace {
 
-/// The files that say something of the roll-out; a step relies on all of them.
-std::vector<std::string> definers(const remote_folder &Folder,
-                                  const std::string &Rollout) {
-  std::vector<std::string> Names;
-  for (const auto &[Name, File] : Folder.Files) {
-    std::vector<file_error> Errors;
-    const toml::table Root = parseToml(Name, File.Text, Errors);
-    if (Root["rollouts"][Rollout])
-      Names.push_back(Name);
-  }
-  return Names;
-}
-
 bool readSteps(std::vector<double> &Steps) {
   std::istringstream Stream(FLAGS_steps);
   for (std::string Word; std::getline(Stream, Word, ',');) {
@@ -45,8 +32,10 @@
   std::cout << "rollout " << Spec.Name << " step " << Spec.Step << " exposure "
             << exposureOf(Spec) << "%" << (Spec.Paused ? " paused" : "")
             << '\n';
+  config_state State;
+  State.Files = Remote.Folder.Files;
   return publishFiles(Remote.Folder, {rolloutFile(Spec)}, false,
-                      definers(Remote.Folder, Spec.Name));
+                      filesThatDefine(filesOf(State), Spec.Name));
 }
 
 int start(const remote_configuration &Remote, const std::string &Name) {
@@ -103,7 +92,20 @@
   return setState(Args[0], version_state::Active);
 }
 
-constexpr std::array<command, 4> Commands{{
+int setLeaving(const std::string &Endpoint, bool IsLeaving) {
+  const auto Remote = fetchConfiguration();
+  if (!Remote)
+    return failCall(Remote.error());
+  if (!Remote.value().Config->Endpoints.contains(Endpoint))
+    return fail(ExitRefused, "no endpoint " + Endpoint);
+  return publishFiles(Remote.value().Folder, {drainFile(Endpoint, IsLeaving)},
+                      false);
+}
+
+int drain(arguments Args) { return setLeaving(Args[0], true); }
+int undrain(arguments Args) { return setLeaving(Args[0], false); }
+
+constexpr std::array<command, 6> Commands{{
     {"rollout", 2, 2, &rollout,
      "rollout ORDER NAME        start, advance, pause, resume or abort"},
     {"withdraw", 1, 1, &withdraw,
@@ -112,6 +114,8 @@
      "retire M@V                no new sessions for a version"},
     {"reactivate", 1, 1, &reactivate,
      "reactivate M@V            undo withdraw or retire"},
+    {"drain", 1, 1, &drain, "drain ENDPOINT            no new work for it"},
+    {"undrain", 1, 1, &undrain, "undrain ENDPOINT          undo drain"},
 }};
 
 } // namespace
