Stand-ins: rater, late and partial, and a rate-limited weight store

The next wave's statistics need ratings that come late and not for all; loads need a store that refuses.

--- a/tests/standin/main.cpp
+++ b/tests/standin/main.cpp
@@ -1,14 +1,16 @@
 #include "log_stream.h"
 #include "model_engine.h"
 #include "plain_service.h"
+#include "rater.h"
 
 #include <csignal>
 #include <gflags/gflags.h>
 #include <iostream>
 
 DEFINE_string(listen, "127.0.0.1:7000", "IP number and port");
-DEFINE_string(role, "log", "log, engine or service");
+DEFINE_string(role, "log", "log, engine, service, rater or weights");
 DEFINE_uint64(retention, 100000, "log: records kept of each stream");
+DEFINE_uint64(loads_per_second, 2, "weights: loads it lets through");
 DEFINE_uint64(token_delay_us, 2000, "engine: time between tokens");
 
 int main(int ArgCount, char **Args) {
@@ -25,12 +27,18 @@
   standin::log_stream Log(FLAGS_retention);
   standin::model_engine Engine{std::chrono::microseconds(FLAGS_token_delay_us)};
   standin::plain_service Service;
+  standin::rater Rater;
+  standin::weight_store Weights(FLAGS_loads_per_second);
   if (FLAGS_role == "log")
     Routes = Log.routes();
   else if (FLAGS_role == "engine")
     Routes = Engine.routes();
   else if (FLAGS_role == "service")
     Routes = Service.routes();
+  else if (FLAGS_role == "rater")
+    Routes = Rater.routes();
+  else if (FLAGS_role == "weights")
+    Routes = Weights.routes();
   else {
     std::cerr << "clementine_standin: no role " << FLAGS_role << '\n';
     return 2;
--- /dev/null
+++ b/tests/standin/rater.h
@@ -0,0 +1,59 @@
+#pragma once
+
+#include "http_server.h"
+
+#include <chrono>
+#include <map>
+#include <mutex>
+
+namespace clementinelane::standin {
+
+/// The service that rates answers, late and only some of them:
+///   POST /v1/ratings {"request_id","version","work","answer"} -> 202
+///   GET  /v1/ratings?from=n -> {"next": n, "ratings": [{"request_id",
+///        "version", "work", "good"}]}
+/// Faults, by POST /faults?name=..&value=..:
+///   late_ms   a rating is given out so much later
+///   partial   percent of answers that are never rated
+///   down      1: refuses all
+///   VERSION   percent of its answers that are good (90 unless set)
+class rater {
+public:
+  std::vector<http_route> routes();
+
+private:
+  struct rating {
+    std::string RequestId;
+    std::string Version;
+    std::string Work;
+    bool IsGood = true;
+    std::chrono::steady_clock::time_point VisibleAt;
+  };
+  using call = std::shared_ptr<http_call>;
+
+  void take(const call &Call);
+  void give(const call &Call);
+  void setFault(const call &Call);
+
+  std::mutex Mutex;
+  std::vector<rating> Ratings;
+  std::map<std::string, std::uint64_t> Faults;
+};
+
+/// The store of weights: GET /v1/weights/VERSION answers 200, or 429 when more
+/// than so many were asked for within a second.
+class weight_store {
+public:
+  explicit weight_store(std::uint64_t PerSecond) : PerSecond(PerSecond) {}
+  std::vector<http_route> routes();
+
+private:
+  void give(const std::shared_ptr<http_call> &Call);
+
+  std::uint64_t PerSecond;
+  std::mutex Mutex;
+  std::chrono::steady_clock::time_point SecondAt;
+  std::uint64_t Given = 0; ///< within that second
+};
+
+} // namespace clementinelane::standin
