--- a/src/config_feed.cpp
+++ b/src/config_feed.cpp
@@ -40,8 +40,10 @@
 
 config_feed::config_feed(const settings &Settings, const runtime_clock &Clock,
                          append_log &Log, link_client &Link,
-                         const peer_source &Peers)
+                         const peer_source &Peers,
+                         std::function<void(std::uint64_t)> OnPublished)
     : Settings(Settings), Clock(Clock), Log(Log), Link(Link), Peers(Peers),
+      OnPublished(std::move(OnPublished)),
       Follower(followerSettings(Settings), Clock.now()) {}
 
 config_feed::~config_feed() { stop(); }
@@ -190,6 +192,7 @@
     EncodedOffset = Follower.replica().state().Accepted;
   }
   Changed.notify_all();
+  OnPublished(Action.Offset);
   logs::info("configuration", {{"offset", std::to_string(Action.Offset)}});
 }
 
@@ -229,6 +232,11 @@
   return true;
 }
 
+void config_feed::heardOffset(const std::string &Address,
+                              std::uint64_t Accepted) {
+  handle(follower_event::offset_told{Address, Accepted});
+}
+
 void config_feed::replyState(std::uint64_t Known, const link_reply &Reply) {
   // The wait must not hold the link's only thread.
   runTask([this, Known, Reply] {
--- a/src/config_feed.h
+++ b/src/config_feed.h
@@ -8,6 +8,7 @@
 
 #include <condition_variable>
 #include <deque>
+#include <functional>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -37,7 +38,8 @@
 class config_feed final : public member_offsets {
 public:
   config_feed(const settings &Settings, const runtime_clock &Clock,
-              append_log &Log, link_client &Link, const peer_source &Peers);
+              append_log &Log, link_client &Link, const peer_source &Peers,
+              std::function<void(std::uint64_t)> OnPublished);
   ~config_feed() override;
   config_feed(const config_feed &) = delete;
   config_feed &operator=(const config_feed &) = delete;
@@ -50,6 +52,9 @@
   bool onLink(std::string_view Path, std::string_view Body,
               const link_reply &Reply);
 
+  /// Membership has heard of a peer with a higher offset.
+  void heardOffset(const std::string &Address, std::uint64_t Accepted);
+
   follower_status status() const;
   follower_counts counts() const;
   config_state state() const;
@@ -79,6 +84,7 @@
   append_log &Log;
   link_client &Link;
   const peer_source &Peers;
+  const std::function<void(std::uint64_t)> OnPublished;
   config_source Source;
   mutable std::mutex Mutex;
   std::condition_variable Changed;
--- a/src/config_follower.cpp
+++ b/src/config_follower.cpp
@@ -234,6 +234,12 @@
   fetchIfBehind(Offset, Now, Out);
 }
 
+void config_follower::on(const follower_event::offset_told &Event,
+                         mono_time Now, outputs &Out) {
+  Heard = std::max(Heard, Event.Accepted);
+  fetchIfBehind({Event.Address, "", "", Event.Accepted, 0}, Now, Out);
+}
+
 // Load: each change makes every VM lag its peers for a moment, and a state of
 // a large folder is a megabyte. Harm prevented: 1,100 VMs that fetch states
 // from one another at each change, 0.3 a second. So a reader that follows the
--- a/src/config_follower.h
+++ b/src/config_follower.h
@@ -48,6 +48,11 @@
 struct offset_heard {
   peer_offset Offset;
 };
+/// Membership tells of a peer's offset; the peer itself was not asked.
+struct offset_told {
+  std::string Address;
+  std::uint64_t Accepted = 0;
+};
 struct state_received {
   std::string Address;
   config_state State;
@@ -67,8 +72,9 @@
 using follower_input =
     std::variant<follower_event::log_read, follower_event::log_bounds_read,
                  follower_event::log_failed, follower_event::offset_heard,
-                 follower_event::state_received, follower_event::peer_failed,
-                 follower_event::peers_known, follower_event::tick>;
+                 follower_event::offset_told, follower_event::state_received,
+                 follower_event::peer_failed, follower_event::peers_known,
+                 follower_event::tick>;
 
 namespace follower_action {
 struct ask_offset {
@@ -168,6 +174,8 @@
   void on(const follower_event::log_failed &Event, mono_time Now, outputs &Out);
   void on(const follower_event::offset_heard &Event, mono_time Now,
           outputs &Out);
+  void on(const follower_event::offset_told &Event, mono_time Now,
+          outputs &Out);
   void on(const follower_event::state_received &Event, mono_time Now,
           outputs &Out);
   void on(const follower_event::peer_failed &Event, mono_time Now,
--- a/src/control.cpp
+++ b/src/control.cpp
@@ -96,15 +96,20 @@
 
 control::control(const settings &Settings, const runtime_clock &Clock)
     : Settings(Settings), Clock(Clock), Log(Settings.LogAddress),
-      Feed(this->Settings, Clock, Log, LinkClient, Peers),
+      Gossip(Settings, Clock,
+             [this](const std::string &Peer, std::uint64_t Offset) {
+               Feed.heardOffset(Peer, Offset);
+             }),
+      Peers(Gossip, seedPeers(Settings)),
+      Feed(this->Settings, Clock, Log, LinkClient, Peers,
+           [this](std::uint64_t Offset) { Gossip.setOffset(Offset); }),
       Duties(this->Settings, Clock, Log, Feed, Peers),
       Operators(Settings.Address + ":" + std::to_string(Settings.OperatorPort),
-                routes()) {
-  Peers.set(seedPeers(Settings));
-}
+                routes()) {}
 
 control::~control() {
   Link.reset();
+  Gossip.close();
   Duties.stop();
   Feed.stop();
 }
@@ -138,6 +143,7 @@
       {"GET", {"v1", "files"}, To(&control::answerFiles)},
       {"GET", {"v1", "verdicts", "*"}, To(&control::answerVerdict)},
       {"GET", {"v1", "members"}, To(&control::answerMembers)},
+      {"GET", {"v1", "offsets"}, To(&control::answerOffsets)},
       {"GET", {"metrics"}, [this](const call &Call) { answerMetrics(Call); }},
       {"GET", {"readyz"}, [this](const call &Call) { answerReady(Call); }},
       {"GET", {"healthz"}, [](const call &Call) { Call->text("ok\n"); }},
@@ -150,12 +156,19 @@
       [this](std::string_view Path, const std::string &Body,
              const link_reply &Reply) { onLink(Path, Body, Reply); });
   Operators.open();
+  Gossip.open();
   Feed.start();
   Duties.start();
 }
 
+void control::leave() { Gossip.leave(); }
+
 void control::onLink(std::string_view Path, std::string_view Body,
                      const link_reply &Reply) {
+  if (Path == "/gossip")
+    return Gossip.onMessage(Body, Reply);
+  if (Path == "/peers")
+    return Reply(encodePeers(Gossip.peers()));
   if (!Feed.onLink(Path, Body, Reply) && !Duties.onLink(Path, Body, Reply))
     Reply(error_kind::PeerIncompatible);
 }
@@ -216,6 +229,10 @@
 }
 
 void control::answerMembers(const call &Call) {
+  Call->json(Gossip.membersJson());
+}
+
+void control::answerOffsets(const call &Call) {
   auto Members = value::array();
   for (const member_offset &Member : Feed.offsets()) {
     auto Item = value::object();
@@ -244,7 +261,8 @@
     Families.push_back(makeFamily(Each.Name, Each.Help,
                                   prometheus::MetricType::Gauge,
                                   Each.Read(Status)));
-  Call->text(prometheus::TextSerializer().Serialize(Families),
+  Call->text(prometheus::TextSerializer().Serialize(Families) +
+                 Gossip.metricsText(),
              "text/plain; version=0.0.4");
 }
 
--- a/src/control.h
+++ b/src/control.h
@@ -3,6 +3,7 @@
 #include "clock.h"
 #include "config_feed.h"
 #include "control_duties.h"
+#include "gossip_runner.h"
 #include "http_server.h"
 #include "link.h"
 #include "log_client.h"
@@ -11,6 +12,21 @@
 
 namespace clementinelane {
 
+/// Peers as membership knows them; the seeds until it does.
+class gossip_peers final : public peer_source {
+public:
+  gossip_peers(const gossip_runner &Gossip, std::vector<peer_info> Seeds)
+      : Gossip(Gossip), Seeds(std::move(Seeds)) {}
+  std::vector<peer_info> peers() const override {
+    std::vector<peer_info> Known = Gossip.peers();
+    return Known.empty() ? Seeds : Known;
+  }
+
+private:
+  const gossip_runner &Gossip;
+  const std::vector<peer_info> Seeds;
+};
+
 /// The control process of one VM: follows the log, keeps the configuration in
 /// force and hands it to entry.
 class control {
@@ -21,6 +37,8 @@
   control &operator=(const control &) = delete;
 
   void open();
+  /// A planned stop: peers are told first.
+  void leave();
 
 private:
   using call = std::shared_ptr<http_call>;
@@ -34,12 +52,14 @@
   void answerFiles(const call &Call);
   void answerVerdict(const call &Call);
   void answerMembers(const call &Call);
+  void answerOffsets(const call &Call);
   void answerMetrics(const call &Call);
 
   settings Settings;
   const runtime_clock &Clock;
   http_append_log Log;
-  peer_list Peers;
+  gossip_runner Gossip;
+  gossip_peers Peers;
   config_feed Feed;
   control_duties Duties;
   link_client LinkClient; ///< goes first: its callbacks reach the feed
--- a/tools/ctl/publish.cpp
+++ b/tools/ctl/publish.cpp
@@ -38,7 +38,7 @@
 
 /// Names the members that have not reported `Offset`; empty: all have.
 result<std::vector<std::string>> laggards(std::uint64_t Offset) {
-  const auto Body = makeClient().get("/v1/members");
+  const auto Body = makeClient().get("/v1/offsets");
   if (!Body)
     return Body.error();
   std::vector<std::string> Names;
--- a/tools/ctl/query.cpp
+++ b/tools/ctl/query.cpp
@@ -26,7 +26,7 @@
 }
 
 int members(arguments) {
-  const auto Body = makeClient().get("/v1/members");
+  const auto Body = makeClient().get("/v1/offsets");
   if (!Body)
     return failCall(Body.error());
   constexpr std::array<std::string_view, 5> Keys{"vm", "data_centre", "address",
