--- a/src/config.h
+++ b/src/config.h
@@ -158,6 +158,60 @@
 /// How often peers and times are looked at.
 constexpr auto UsageTick = 250ms;
 
+// --- configuration from the log --------------------------------------------
+
+/// How long a reader that follows the log may lag a peer before it fetches the
+/// peer's state; a read takes under LogPollWait.
+constexpr auto BehindPatience = 1500ms;
+/// Between questions for a peer's offset; far below the 8 s in which a change
+/// must be in force, and 100 bytes each.
+constexpr auto PeerCheckInterval = 2s;
+/// The same while a VM starts, which must not wait for rounds.
+constexpr auto StartPeerInterval = 100ms;
+/// How long a VM that starts waits for peers before it goes on with the log
+/// alone; more than one LinkCallTimeout.
+constexpr auto StartPeerWait = 3s;
+/// Between the VMs that may append a snapshot, in rendezvous order; an append
+/// and a read of it fit in.
+constexpr auto SnapshotRankDelay = 2s;
+/// Before the same VM tries again.
+constexpr auto SnapshotRetryDelay = 30s;
+/// Between searches of the log for a snapshot.
+constexpr auto SnapshotScanPause = 5s;
+/// One call of an operator; control may ask all its peers in it.
+constexpr auto OperatorCallTimeout = 5s;
+/// Verdicts that control keeps for `publish` to ask for: two hours of a day of
+/// 25,000 changes.
+constexpr std::size_t MaxVerdicts = 2000;
+/// Tick of the machines in control.
+constexpr auto ControlTick = 100ms;
+
+// --- leases, orders to engines, roll-outs -----------------------------------
+
+/// A lease lasts so long after its record was sent. Thrice the renewal, so
+/// that two lost renewals do not lose it; one lease a data centre, renewed
+/// every 10 s by one VM, is under two appends a second for 10 data centres.
+constexpr auto LeaseDuration = 30s;
+constexpr auto LeaseRenewInterval = 10s;
+/// Between the VMs that may claim a free lease.
+constexpr auto LeaseRankDelay = 1s;
+/// Drift of two clocks over a lease, with room: 1 s in 30 s is 3%.
+constexpr auto ClockDrift = 1s;
+/// Own lease records that may be under way.
+constexpr std::size_t MaxLeaseRecordsWaiting = 8;
+/// An engine has answered an order, or it is unknown whether it took effect.
+constexpr auto OrderTimeout = 10s;
+/// Before an engine that did not answer is asked again.
+constexpr auto EngineRetryDelay = 5s;
+/// Loads that one data centre asks of the weight store, which is rate limited.
+constexpr double WeightLoadsPerSecond = 0.5;
+constexpr double WeightLoadBurst = 2;
+/// A step stays at least so long, whatever the statistics say: sessions are
+/// long, and their answers are rated late.
+constexpr auto MinRolloutStepTime = 5min;
+/// Before a step whose outcome is not seen is proposed again.
+constexpr auto RolloutRetryDelay = 10s;
+
 // --- our own processes -----------------------------------------------------
 
 /// Bytes of one message between our processes.
--- a/src/control.h
+++ b/src/control.h
@@ -1,21 +1,32 @@
 #pragma once
 
-#include "change.h"
 #include "clock.h"
+#include "config_feed.h"
+#include "control_duties.h"
 #include "gossip_runner.h"
 #include "http_server.h"
 #include "link.h"
 #include "log_client.h"
+#include "peers.h"
 #include "settings.h"
 
-#include <condition_variable>
-#include <deque>
-#include <map>
-#include <mutex>
-#include <thread>
-
 namespace clementinelane {
 
+/// Peers as membership knows them; the seeds until it does.
+class gossip_peers final : public peer_source {
+public:
+  gossip_peers(const gossip_runner &Gossip, std::vector<peer_info> Seeds)
+      : Gossip(Gossip), Seeds(std::move(Seeds)) {}
+  std::vector<peer_info> peers() const override {
+    std::vector<peer_info> Known = Gossip.peers();
+    return Known.empty() ? Seeds : Known;
+  }
+
+private:
+  const gossip_runner &Gossip;
+  const std::vector<peer_info> Seeds;
+};
+
 /// The control process of one VM: follows the log, keeps the configuration in
 /// force and hands it to entry.
 class control {
@@ -30,30 +41,28 @@
   void leave();
 
 private:
-  void followLog();
-  void applyBatch(const log_batch &Batch);
+  using call = std::shared_ptr<http_call>;
+
+  std::vector<http_route> routes();
+  bool isOperator(const http_call &Call) const;
   void onLink(std::string_view Path, std::string_view Body,
               const link_reply &Reply);
-  void replyState(std::uint64_t Known, const link_reply &Reply);
-  void fetchFrom(const std::string &Peer, std::uint64_t Offset);
-  void adopt(const std::string &Peer, std::string_view Bytes);
-  void answerStatus(const std::shared_ptr<http_call> &Call);
-  void answerFiles(const std::shared_ptr<http_call> &Call);
-  void answerVerdict(const std::shared_ptr<http_call> &Call);
+  void answerStatus(const call &Call);
+  void answerReady(const call &Call);
+  void answerFiles(const call &Call);
+  void answerVerdict(const call &Call);
+  void answerMembers(const call &Call);
+  void answerOffsets(const call &Call);
+  void answerMetrics(const call &Call);
 
   settings Settings;
   const runtime_clock &Clock;
   http_append_log Log;
-  std::mutex Mutex;
-  std::condition_variable Changed;
-  config_replica Replica;
-  std::map<std::string, change_verdict> Verdicts; ///< by change id
-  std::deque<std::string> VerdictOrder;
-  bool LogReachable = false;
-  bool Stopping = false;
-  std::thread Follower;
   gossip_runner Gossip;
-  link_client Peers;
+  gossip_peers Peers;
+  config_feed Feed;
+  control_duties Duties;
+  link_client LinkClient; ///< goes first: its callbacks reach the feed
   http_server Operators;
   std::unique_ptr<link_server> Link;
 };
--- a/tests/standin/main.cpp
+++ b/tests/standin/main.cpp
@@ -2,6 +2,7 @@
 #include "log_stream.h"
 #include "model_engine.h"
 #include "plain_service.h"
+#include "rater.h"
 #include "vm_list.h"
 
 #include <boost/algorithm/string/split.hpp>
@@ -10,10 +11,12 @@
 #include <iostream>
 
 DEFINE_string(listen, "127.0.0.1:7000", "IP number and port");
-DEFINE_string(role, "log", "log, engine, service, caller or vmlist");
+DEFINE_string(role, "log",
+              "log, engine, service, caller, vmlist, rater or weights");
 DEFINE_string(entries, "", "caller: addresses of entries, by comma");
 DEFINE_string(key, "kasbalans-demo-key", "caller: the customer key");
 DEFINE_uint64(retention, 100000, "log: records kept of each stream");
+DEFINE_uint64(loads_per_second, 2, "weights: loads it lets through");
 DEFINE_uint64(token_delay_us, 2000, "engine: time between tokens");
 
 int main(int ArgCount, char **Args) {
@@ -40,6 +43,8 @@
   standin::log_stream Log(FLAGS_retention);
   standin::model_engine Engine{std::chrono::microseconds(FLAGS_token_delay_us)};
   standin::plain_service Service;
+  standin::rater Rater;
+  standin::weight_store Weights(FLAGS_loads_per_second);
   standin::vm_list VmList;
   if (FLAGS_role == "log")
     Routes = Log.routes();
@@ -47,6 +52,10 @@
     Routes = Engine.routes();
   else if (FLAGS_role == "service")
     Routes = Service.routes();
+  else if (FLAGS_role == "rater")
+    Routes = Rater.routes();
+  else if (FLAGS_role == "weights")
+    Routes = Weights.routes();
   else if (FLAGS_role == "vmlist")
     Routes = VmList.routes();
   else {
