Break engines in the middle of answers, and give leaving ones work again

Cause: the stand-in engine could not fail, so no whole path showed that resume, silence, trickling and leaving work with real processes. Writing that test showed that an endpoint that once said it leaves never got work again: it had no answer left to say otherwise in.

Ruled out: letting the sign lapse after a fixed time.

The stand-in takes faults over POST /faults, cancels by name, reports load with a lag, counts priorities, and takes orders with fencing numbers, honoured or not.

Conclusion: endpoints that leave are asked by their health route.

--- a/src/config.h
+++ b/src/config.h
@@ -41,6 +41,9 @@
 constexpr auto AtMostOnceTimeout = 60s;
 /// Telling an engine to stop an attempt; past it the engine finds out itself.
 constexpr auto CancelCallTimeout = 2s;
+/// Between two looks at an endpoint that said it is leaving. Few leave at one
+/// time, and one that stays after all may wait this long for work.
+constexpr auto LeavingProbePause = 2s;
 /// Bytes taken from a stream at once.
 constexpr std::size_t StreamReadBytes = 8192;
 /// Bytes of one event of a stream; a token's event is under 1 KiB.
--- a/src/entry.cpp
+++ b/src/entry.cpp
@@ -20,10 +20,17 @@
     : Settings(Settings), Clock(Clock), Tokens(Settings.SessionKeys),
       Placer(Settings.DataCentre, std::random_device{}()),
       Log(Settings.LogAddress), Intents(Log), Usage(Log),
-      Transport(Timers, Clock,
-                [this](const std::string &Endpoint, bool IsLeaving) {
-                  Placer.markLeaving(Endpoint, IsLeaving);
-                }),
+
+      LeavingProbe(std::make_shared<leaving_probe>(
+          Timers, Config,
+          [this](const std::string &Endpoint, bool IsLeaving) {
+            Placer.markLeaving(Endpoint, IsLeaving);
+          })),
+      Transport(
+          Timers, Clock,
+          [Probe = LeavingProbe](const std::string &Endpoint, bool IsLeaving) {
+            Probe->sign(Endpoint, IsLeaving);
+          }),
       Server(Settings.Address + ":" + std::to_string(Settings.EntryPort),
              routes()) {}
 
--- a/src/entry.h
+++ b/src/entry.h
@@ -4,6 +4,7 @@
 #include "config_source.h"
 #include "endpoint_client.h"
 #include "http_server.h"
+#include "leaving_probe.h"
 #include "link.h"
 #include "log_intents.h"
 #include "log_usage.h"
@@ -54,6 +55,7 @@
   log_intent_service Intents;
   log_usage_service Usage;
   timer_service Timers;
+  std::shared_ptr<leaving_probe> LeavingProbe;
   http_endpoint_transport Transport;
   std::atomic<std::uint64_t> Open{0};
   std::atomic<std::uint64_t> Taken{0};
--- a/tests/standin/model_engine.cpp
+++ b/tests/standin/model_engine.cpp
@@ -1,6 +1,11 @@
 #include "model_engine.h"
 
+#include "config.h"
+
+#include <algorithm>
+#include <array>
 #include <cpprest/json.h>
+#include <functional>
 
 namespace clementinelane::standin {
 
@@ -10,7 +15,10 @@
   std::uint64_t Next = 0;
   std::uint64_t Count = 0;
   std::uint64_t PromptTokens = 0;
+  std::uint64_t DieAfter = 0;
+  bool Trickles = false;
   std::atomic<bool> Gone{false};
+  std::function<void()> OnEnd;
 };
 
 namespace {
@@ -32,52 +40,206 @@
 }
 
 constexpr std::uint64_t DefaultTokens = 16;
+/// How far the reported load is behind.
+constexpr auto LoadLag = std::chrono::milliseconds(500);
+constexpr auto TricklePace = std::chrono::milliseconds(100);
+
+struct fault_name {
+  std::string_view Name;
+  std::uint64_t engine_faults::*Field;
+};
+
+constexpr std::array<fault_name, 9> FaultNames{{
+    {"die_after", &engine_faults::DieAfter},
+    {"silent", &engine_faults::Silent},
+    {"slow_start", &engine_faults::SlowStart},
+    {"repeat_tokens", &engine_faults::RepeatTokens},
+    {"skip_tokens", &engine_faults::SkipTokens},
+    {"refuse", &engine_faults::Refuse},
+    {"leaving", &engine_faults::Leaving},
+    {"trickle", &engine_faults::Trickle},
+    {"fenced", &engine_faults::Fenced},
+}};
+
+std::uint64_t numberOr(const web::json::value &Json, const std::string &Name,
+                       std::uint64_t Otherwise) {
+  return Json.has_field(Name) ? Json.at(Name).as_number().to_uint64()
+                              : Otherwise;
+}
+
+std::string textOr(const web::json::value &Json, const std::string &Name) {
+  return Json.has_string_field(Name) ? Json.at(Name).as_string() : "";
+}
+
+std::string generationId(const web::json::value &Json) {
+  return textOr(Json, "request_id") + "#" +
+         std::to_string(numberOr(Json, "attempt", 0));
+}
 
 } // namespace
 
 std::vector<http_route> model_engine::routes() {
-  return {{"POST",
-           {"v1", "chat", "completions"},
-           [this](const auto &Call) { complete(Call); }},
-          {"GET", {"counts"}, [this](const auto &Call) { answerCount(Call); }},
-          {"GET", {"healthz"}, [](const auto &Call) { Call->text("ok\n"); }}};
+  const auto To = [this](void (model_engine::*Answer)(const call_ptr &)) {
+    return [this, Answer](const call_ptr &Call) { (this->*Answer)(Call); };
+  };
+  return {{"POST", {"v1", "chat", "completions"}, To(&model_engine::complete)},
+          {"POST", {"v1", "cancel"}, To(&model_engine::cancel)},
+          {"POST", {"faults"}, To(&model_engine::setFault)},
+          {"POST", {"orders"}, To(&model_engine::takeOrder)},
+          {"GET", {"orders"}, To(&model_engine::answerOrders)},
+          {"GET", {"load"}, To(&model_engine::answerLoad)},
+          {"GET", {"counts"}, To(&model_engine::answerCount)},
+          {"GET", {"healthz"}, [this](const call_ptr &Call) {
+             const std::scoped_lock Lock(Mutex);
+             const answer_header Leaving{"X-Leaving",
+                                         Faults.Leaving ? "true" : "false"};
+             Call->Writer->whole(200, {&Leaving, 1}, "ok\n");
+           }}};
+}
+
+void model_engine::setFault(const call_ptr &Call) {
+  const std::string Name = Call->query("name");
+  const auto *Found =
+      std::find_if(FaultNames.begin(), FaultNames.end(),
+                   [&](const fault_name &Each) { return Each.Name == Name; });
+  if (Found == FaultNames.end())
+    return Call->fail(error_kind::BadRequest);
+  const std::scoped_lock Lock(Mutex);
+  Faults.*Found->Field = std::stoull(Call->query("value"));
+  Call->text("ok\n");
+}
+
+void model_engine::cancel(const call_ptr &Call) {
+  const auto Id = generationId(web::json::value::parse(Call->Body));
+  const std::scoped_lock Lock(Mutex);
+  const auto Node = Running.extract(Id);
+  const auto Generation = Node.empty() ? nullptr : Node.mapped().lock();
+  if (Generation && !Generation->Gone.exchange(true))
+    ++Cancelled;
+  Call->text("ok\n");
+}
+
+void model_engine::takeOrder(const call_ptr &Call) {
+  const auto Json = web::json::value::parse(Call->Body);
+  const std::uint64_t Number = numberOr(Json, "fence", 0);
+  const std::string Order = textOr(Json, "engine_order");
+  const std::scoped_lock Lock(Mutex);
+  if (Faults.Fenced && Number < Fence)
+    return Call->fail(error_kind::Fenced);
+  Fence = std::max(Fence, Number);
+  if (Order == "load")
+    Loaded.insert(textOr(Json, "version"));
+  else if (Order == "unload")
+    Loaded.erase(textOr(Json, "version"));
+  else if (Order == "role")
+    Role = textOr(Json, "role");
+  else
+    return Call->fail(error_kind::BadRequest);
+  Call->text("ok\n");
 }
 
-void model_engine::answerCount(const std::shared_ptr<http_call> &Call) {
+void model_engine::answerOrders(const call_ptr &Call) {
+  const std::scoped_lock Lock(Mutex);
+  auto Body = web::json::value::object();
+  Body["fence"] = web::json::value::number(Fence);
+  Body["role"] = web::json::value::string(Role);
+  Body["versions"] = web::json::value::array();
+  for (const std::string &Version : Loaded)
+    Body["versions"][Body["versions"].size()] =
+        web::json::value::string(Version);
+  Call->json(Body);
+}
+
+void model_engine::answerLoad(const call_ptr &Call) {
+  const std::scoped_lock Lock(Mutex);
+  auto Body = web::json::value::object();
+  Body["running"] = web::json::value::number(ReportedLoad);
+  Call->json(Body);
+}
+
+void model_engine::answerCount(const call_ptr &Call) {
   const std::scoped_lock Lock(Mutex);
   auto Body = web::json::value::object();
   for (const auto &[Version, Count] : Runs)
     Body[Version] = web::json::value::number(Count);
+  for (const auto &[Priority, Count] : Priorities)
+    Body["priority_" + Priority] = web::json::value::number(Count);
+  Body["cancelled"] = web::json::value::number(Cancelled);
   Call->json(Body);
 }
 
-void model_engine::complete(const std::shared_ptr<http_call> &Call) {
+/// Takes one off a fault that is counted by requests.
+bool model_engine::takeOne(std::uint64_t engine_faults::*Fault) {
+  if (Faults.*Fault == 0)
+    return false;
+  --(Faults.*Fault);
+  return true;
+}
+
+void model_engine::complete(const call_ptr &Call) {
   const auto Json = web::json::value::parse(Call->Body);
   auto Generation = std::make_shared<generation>();
   Generation->Writer = Call->Writer;
   Generation->Version = Json.at("model").as_string();
-  Generation->Count = Json.has_field("max_tokens")
-                          ? Json.at("max_tokens").as_number().to_uint64()
-                          : DefaultTokens;
+  Generation->Count = numberOr(Json, "max_tokens", DefaultTokens);
   Generation->PromptTokens = Call->Body.size() / 4;
-  if (Json.has_field("resume_from"))
-    Generation->Next = Json.at("resume_from").as_number().to_uint64();
+  Generation->Next = numberOr(Json, "resume_from", 0);
+  std::vector<answer_header> Headers{{"Content-Type", "text/event-stream"}};
+  std::chrono::microseconds Start = TokenDelay;
   {
     const std::scoped_lock Lock(Mutex);
+    if (Faults.Leaving)
+      Headers.emplace_back("X-Leaving", "true");
+    if (takeOne(&engine_faults::Refuse))
+      return Call->Writer->whole(503, Headers, "");
+    // The request is kept, and its connection with it, but no byte is sent.
+    if (takeOne(&engine_faults::Silent))
+      return static_cast<void>(Timers.after(config::MaxDeadline, [Call] {}));
+    if (Generation->Next > 0) {
+      Generation->Next -= std::min(Generation->Next, Faults.RepeatTokens);
+      Generation->Next += Faults.SkipTokens;
+    }
+    if (Faults.DieAfter > 0)
+      Generation->DieAfter = Generation->Next + Faults.DieAfter;
+    Generation->Trickles = takeOne(&engine_faults::Trickle);
+    Start = std::chrono::milliseconds(Faults.SlowStart);
     ++Runs[Generation->Version];
+    ++Priorities[textOr(Json, "priority")];
+    Running[generationId(Json)] = Generation;
+    Timers.after(LoadLag, [this, Load = Running.size()] {
+      const std::scoped_lock Later(Mutex);
+      ReportedLoad = Load;
+    });
   }
+  const std::string Id = generationId(Json);
+  Generation->OnEnd = [this, Id] {
+    const std::scoped_lock Lock(Mutex);
+    Running.erase(Id);
+  };
   Call->Writer->onGone([Weak = std::weak_ptr(Generation)] {
     if (const auto Strong = Weak.lock())
       Strong->Gone = true;
   });
-  const answer_header Type{"Content-Type", "text/event-stream"};
-  Call->Writer->begin(200, {&Type, 1});
-  step(Generation);
+  Call->Writer->begin(200, Headers);
+  Timers.after(Start, [this, Generation] { step(Generation); });
+}
+
+void model_engine::finish(const std::shared_ptr<generation> &Generation) {
+  Generation->OnEnd();
+  Generation->Writer->end();
 }
 
 void model_engine::step(const std::shared_ptr<generation> &Generation) {
   if (Generation->Gone)
-    return Generation->Writer->end();
+    return finish(Generation);
+  if (Generation->Trickles) {
+    Generation->Writer->write(": waiting\n\n");
+    Timers.after(TricklePace, [this, Generation] { step(Generation); });
+    return;
+  }
+  // Ends without the last event, as an engine that died would.
+  if (Generation->DieAfter > 0 && Generation->Next >= Generation->DieAfter)
+    return finish(Generation);
   auto Event = makeEvent(Generation->Version);
   auto &Choice = Event["choices"][0];
   if (Generation->Next < Generation->Count) {
@@ -96,7 +258,7 @@
       web::json::value::number(Generation->Count);
   writeEvent(*Generation->Writer, Event);
   Generation->Writer->write("data: [DONE]\n\n");
-  Generation->Writer->end();
+  finish(Generation);
 }
 
 } // namespace clementinelane::standin
