Give up callers that don't read, and name the methods a route takes

Cause: a streamed answer was buffered without a limit for a caller that stopped reading, so a few of them could take all memory of a VM; a wrong method was refused without Allow.

Ruled out: 408 for a slow body. A trial with a timer sent no byte within 8 s: the HTTP library holds the answer back until the body is whole and has no way to close the connection.

Seen to fail: without the limit 64 MiB were buffered and the caller was not given up; without Allow the second test failed.

Conclusion: a slow reader counts as a caller who left.

--- a/src/config.h
+++ b/src/config.h
@@ -21,6 +21,9 @@
 /// Deadline of a request that names none, and the longest one it may name.
 constexpr auto DefaultDeadline = 60s;
 constexpr auto MaxDeadline = 600s;
+/// Bytes of a streamed answer that wait for a caller that reads slowly: some
+/// 150 events, or 6 s at 41 ms a token. Two hundred such callers hold 8 MiB.
+constexpr std::size_t MaxUnreadBytes = 40U << 10U;
 /// Open requests of one customer on one VM, above which it is refused.
 constexpr std::size_t MaxOpenPerCustomer = 4096;
 
--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -43,17 +43,36 @@
     send(Response);
   }
 
+  // Load: many streams whose callers stopped reading. Harm prevented: each
+  // stream buffering its whole answer until the VM has no memory left. Past the
+  // limit the caller counts as gone, which cancels the work.
   void write(std::string_view Bytes) override {
+    if (IsBroken)
+      return;
+    if (Stream.in_avail() > config::MaxUnreadBytes) {
+      IsBroken = true;
+      Stream.close(std::ios_base::out,
+                   std::make_exception_ptr(http::http_exception("unread")));
+      return tellGone();
+    }
     Stream.putn_nocopy(reinterpret_cast<const uint8_t *>(Bytes.data()),
                        Bytes.size());
     Stream.sync();
   }
 
-  void end() override { Stream.close(std::ios_base::out); }
+  void end() override {
+    if (!IsBroken)
+      Stream.close(std::ios_base::out);
+  }
 
   void onGone(std::function<void()> Call) override { Gone = std::move(Call); }
 
 private:
+  void tellGone() {
+    if (Gone && !IsGoneTold.exchange(true))
+      Gone();
+  }
+
   static void addHeaders(http::http_response &Response,
                          std::span<const answer_header> Headers) {
     for (const auto &[Name, Value] : Headers)
@@ -72,8 +91,7 @@
           try {
             Task.get();
           } catch (const std::exception &) {
-            if (Self->Gone)
-              Self->Gone();
+            Self->tellGone();
           }
         });
   }
@@ -83,6 +101,8 @@
   std::shared_ptr<std::atomic<bool>> IsClosing;
   stream_buffer Stream;
   std::function<void()> Gone;
+  std::atomic<bool> IsGoneTold{false};
+  bool IsBroken = false;
 };
 
 bool matches(const http_route &Route, const std::vector<std::string> &Path) {
@@ -173,12 +193,12 @@
 }
 
 void http_server::route(const std::shared_ptr<http_call> &Call) const {
-  bool IsPathKnown = false;
+  std::string Allowed;
   const std::string Method = Call->Request.method();
   for (const http_route &Route : Routes) {
     if (!matches(Route, Call->Path))
       continue;
-    IsPathKnown = true;
+    Allowed += (Allowed.empty() ? "" : ", ") + Route.Method;
     if (Route.Method != "*" && Route.Method != Method)
       continue;
     try {
@@ -188,8 +208,13 @@
       return Call->fail(error_kind::Internal);
     }
   }
-  Call->fail(IsPathKnown ? error_kind::MethodNotAllowed
-                         : error_kind::UnknownRoute);
+  if (Allowed.empty())
+    return Call->fail(error_kind::UnknownRoute);
+  const error_kind Kind = error_kind::MethodNotAllowed;
+  auto Headers = errorHeaders(Kind, run_state::NotRun);
+  Headers.emplace_back("Allow", Allowed);
+  Call->Writer->whole(answerOf(Kind).HttpStatus, Headers,
+                      errorBody(Kind, run_state::NotRun, ""));
 }
 
 } // namespace clementinelane
--- /dev/null
+++ b/tests/http_server_test.cpp
@@ -0,0 +1,74 @@
+#define BOOST_TEST_MODULE http_server
+#include <utility>
+
+#include <boost/asio.hpp>
+#include <boost/test/unit_test.hpp>
+#include <future>
+
+// After Boost.Test, whose templates use a name that cpprest defines as a macro.
+#include "http_server.h"
+
+using namespace clementinelane;
+
+namespace {
+
+constexpr auto Address = "127.0.0.1:17391";
+constexpr int MostEvents = 64 * 1024;
+
+struct fixture {
+  std::promise<void> Flooded;
+  std::atomic<bool> IsGone{false};
+  http_server Server{
+      Address,
+      {{"POST", {"echo"}, [](const auto &Call) { Call->text(Call->Body); }},
+       {"GET", {"flood"}, [this](const auto &Call) { flood(*Call); }}}};
+  boost::asio::io_context Context;
+  boost::asio::ip::tcp::socket Socket{Context};
+
+  fixture() {
+    Server.open();
+    Socket.connect({boost::asio::ip::make_address("127.0.0.1"), 17391});
+  }
+  /// Writes until the server says that the caller is gone, or 64 MiB.
+  void flood(const http_call &Call) {
+    Call.Writer->onGone([this] { IsGone = true; });
+    Call.Writer->begin(200, {});
+    const std::string Event(1024, 'x');
+    for (int Sent = 0; Sent < MostEvents && !IsGone; ++Sent)
+      Call.Writer->write(Event);
+    Call.Writer->end();
+    Flooded.set_value();
+  }
+  void send(std::string_view Bytes) {
+    boost::asio::write(Socket, boost::asio::buffer(Bytes));
+  }
+  std::string head() {
+    std::string Bytes;
+    const auto End = boost::asio::read_until(
+        Socket, boost::asio::dynamic_buffer(Bytes), "\r\n\r\n");
+    return Bytes.substr(0, End);
+  }
+};
+
+bool has(const std::string &Text, std::string_view Part) {
+  return Text.find(Part) != std::string::npos;
+}
+
+} // namespace
+
+// A caller asks for a long stream and stops reading. Its answer piles up in
+// the entry until the VM has no memory left for anyone else.
+BOOST_FIXTURE_TEST_CASE(caller_that_does_not_read_is_given_up, fixture) {
+  send("GET /flood HTTP/1.1\r\nHost: e\r\n\r\n");
+  Flooded.get_future().wait();
+  BOOST_TEST(IsGone.load());
+}
+
+// A caller uses a method that a route doesn't take. Without Allow, as HTTP
+// wants it, it can't tell a wrong method from a wrong address.
+BOOST_FIXTURE_TEST_CASE(wrong_method_names_the_right_ones, fixture) {
+  send("DELETE /echo HTTP/1.1\r\nHost: e\r\nContent-Length: 0\r\n\r\n");
+  const std::string Head = head();
+  BOOST_TEST(has(Head, " 405 "));
+  BOOST_TEST(has(Head, "Allow: POST"));
+}
