--- a/src/config.h
+++ b/src/config.h
@@ -95,6 +95,127 @@
 /// Wait between tries when a peer or the log does not answer.
 constexpr auto ReconnectDelay = 200ms;
 
+// --- quality ---------------------------------------------------------------
+
+/// Probability that a version's quality is below its lower bound. One in
+/// twenty, since the target must hold in nearly all windows of a customer.
+constexpr double QualityDoubt = 0.05;
+/// Rated answers by which sums may differ before a bound is worked out anew.
+constexpr double BoundTolerance = 0.25;
+/// Rated answers after which an old one has faded to a third. Enough to tell
+/// 0.95 from 0.97, few enough to see a change within a morning.
+constexpr double RatingMemory = 600;
+/// Rated answers that the operators' prior and all other customers' ratings
+/// count for at most, beside a customer's own. Tried on seeds 1001 to 1003: at
+/// 150 a customer with harder documents stays too long (0.987 of windows
+/// good), at 50 others pay more (1.03 of the clairvoyant cost, 75: 0.99).
+constexpr double CustomerPriorWeight = 75;
+/// Share of requests that may try a cheaper version not yet proved good
+/// enough. Two in a hundred bounds both the cost of learning and the harm.
+constexpr double ExplorationShare = 0.02;
+/// Probability that a good roll-out is stopped within 1,920 ratings. The users
+/// allow one in a hundred; half is left for what is assumed of the old version.
+/// Tried on seeds 1001 to 1400: 0.005 to 0.01, restart 10 to 25, margin 0.02
+/// and 0.03, equal and falling weights.
+constexpr double RolloutFalseStops = 0.005;
+/// How much worse than the old version a new one may be.
+constexpr double RolloutMargin = 0.02;
+/// Rated answers at a step before the next; a version that fell to 0.60 is
+/// found within 60 of them.
+constexpr std::uint64_t RolloutStepRatings = 100;
+/// Ratings between two new bets of the sequential test; a drop is noticed as
+/// if the test had begun at most so many ratings earlier.
+constexpr std::size_t SequentialRestart = 20;
+/// Bets kept; bounds memory and time of one rating.
+constexpr std::size_t MaxSequentialBets = 96;
+/// Bounds of the null mean, so that one rating can't decide alone.
+constexpr double SmallestNullMean = 0.05;
+constexpr double LargestNullMean = 0.95;
+/// Share of answers sent to the rating service, beside all that explore.
+constexpr double RatingShare = 0.1;
+/// Answers that wait to be sent; more are dropped, since ratings are only
+/// evidence. At 50 requests a second this is over a minute of outage.
+constexpr std::size_t MaxSamplesWaiting = 512;
+constexpr auto RaterCallTimeout = 5s;
+/// Time between two reads of ratings, which are tens of seconds late anyway.
+constexpr auto RatingPoll = 500ms;
+/// Rated answers in a bin of the engine's signal before it counts.
+constexpr double CascadeBinRatings = 20;
+/// How far below the target a bin may be if surer answers make up for it.
+constexpr double CascadeBinSlack = 0.05;
+
+// --- membership and gossip -------------------------------------------------
+
+/// One probe of each member a period. Shorter finds a dead VM sooner and costs
+/// messages in proportion.
+constexpr auto GossipPeriod = 1s;
+/// Reply to a direct probe. 1.5 ms between data centres is usual; half a second
+/// rides out a pause of the other process.
+constexpr auto ProbeTimeout = 500ms;
+/// Time for the members asked to probe in our place to vouch for the target.
+constexpr auto IndirectProbeTimeout = 1500ms;
+/// Members asked to probe in our place; three paths seldom fail together.
+constexpr std::size_t IndirectProbes = 3;
+/// Time in which a suspect may refute. Below it lies a lost second of a VM
+/// that is moved; above it the 8 s in which callers notice a dead peer.
+constexpr auto SuspicionTimeout = 5s;
+/// Suspects that one member asks itself in a period; bounds the burst when a
+/// whole rack is suspected at once.
+constexpr std::size_t MaxSuspectsAsked = 4;
+/// Others that it asks about each of them. With a fifth of all messages lost,
+/// no path is open in 5 s in 3 of 100,000 cases (computed).
+constexpr std::size_t SuspectHelpers = 2;
+/// Dead members, seeds and listed VMs that are tried again, one each time.
+constexpr auto RecontactEvery = 5s;
+/// Full exchange of what differs; repairs what lost messages left behind.
+constexpr auto SyncEvery = 10s;
+/// Members of each data centre that talk to the others. Two, so that one may
+/// die; more would multiply the traffic between data centres.
+constexpr std::size_t RelaysPerDataCentre = 2;
+/// Other data centres that a relay talks to in each period.
+constexpr std::size_t RelayFanout = 2;
+/// A data centre with no contact for this long is unreachable from here. Both
+/// relays may die (about 10 s to replace them) without a false alarm.
+constexpr auto DataCentreLostAfter = 30s;
+/// Least time between two signs of contact that a relay passes on.
+constexpr auto ReachReportEvery = 5s;
+/// Least time between two reports of a member's own offset: at 25,000 changes
+/// a day and 110 members of a data centre, each change reported at once would
+/// be 32 entries a second.
+constexpr auto OffsetReportEvery = 4s;
+/// A dead member is forgotten after a day: longer than any cut we expect, so
+/// that a data centre that comes back can't bring it back as alive. For the
+/// second half of that time it is no longer told to others.
+constexpr auto ForgetDeadAfter = 24h;
+/// A leaving endpoint is told for an hour; by then it is gone or configured
+/// out.
+constexpr auto LeavingEndpointFor = 1h;
+/// A load digest older than this says nothing about now.
+constexpr auto LoadDigestFor = 60s;
+/// Bytes a second that one member may send; as much comes in, which together
+/// is the 8 KB a second that a node may spend on control.
+constexpr std::size_t GossipBytesPerSecond = 4096;
+/// Bytes that may go out at once after a quiet time: a few replies to members
+/// that join.
+constexpr std::size_t GossipBurstBytes = 32U << 10U;
+/// Bytes of entries in one probe or reply; one packet.
+constexpr std::size_t GossipEntryBytes = 1200;
+/// Bytes of entries in the reply to one exchange.
+constexpr std::size_t SyncReplyBytes = 16U << 10U;
+/// Bytes of fast-changing entries, chosen at random, in that reply.
+constexpr std::size_t SyncSliceBytes = 1024;
+/// Groups of entries whose hashes are compared in an exchange; at 1,100 members
+/// one difference then costs about 35 entries.
+constexpr std::size_t SyncBuckets = 32;
+/// Times that a member passes on one entry; each misses e^-n of the members.
+constexpr unsigned GossipTransmits = 4;
+/// How long a stopping control keeps telling that it leaves.
+constexpr auto LeaveNotice = 1500ms;
+/// Between two reads of the platform's list of VMs, which lags anyway.
+constexpr auto VmListEvery = 10s;
+/// Version of the messages between control processes.
+constexpr std::uint32_t GossipProtocol = 1;
+
 // --- sessions --------------------------------------------------------------
 
 /// Age at which a session token is no longer taken. A working day and a night.
--- a/src/entry.cpp
+++ b/src/entry.cpp
@@ -17,7 +17,9 @@
 } // namespace
 
 entry::entry(const settings &Settings, const runtime_clock &Clock)
-    : Settings(Settings), Clock(Clock), Tokens(Settings.SessionKeys),
+    : Settings(Settings), Clock(Clock),
+      Rater(Settings.RaterAddress, Config, Quality),
+      Tokens(Settings.SessionKeys),
       Placer(Settings.DataCentre, std::random_device{}()),
       Log(Settings.LogAddress), Intents(Log), Usage(Log),
 
@@ -98,9 +100,9 @@
     return Call->fail(error_kind::Draining);
   if (!Request)
     return Call->fail(kindOf(Request.error()));
-  const request_services Services{Clock,     Config, Quality,         Tokens,
-                                  Admission, Placer, Intents,         Usage,
-                                  Transport, Timers, Settings.VmName, Open};
+  const request_services Services{
+      Clock, Config, Quality,   Tokens, Admission,       Placer, Intents,
+      Usage, Rater,  Transport, Timers, Settings.VmName, Open};
   runRequest(Services, std::move(Request).value(), Call->Writer);
 }
 
@@ -165,6 +167,14 @@
              "\n");
 }
 
+void entry::followPeers(const std::string &Control) {
+  const auto Reply =
+      Link.callSync(Control, "/peers", "", config::LinkCallTimeout);
+  if (auto List = Reply ? decodePeers(Reply.value())
+                        : result<std::vector<peer_info>>(Reply.error()))
+    Peers.set(std::move(List).value());
+}
+
 // Guard: control may be away for long. It shows as failed calls here; the last
 // configuration stays in force, and the next answer of control replaces it.
 void entry::followControl() {
@@ -172,6 +182,7 @@
       Settings.Address + ":" + std::to_string(Settings.LinkPort);
   std::uint64_t Known = 0;
   while (!Leaving) {
+    followPeers(Control);
     const auto Reply = Link.callSync(Control, "/state", std::to_string(Known),
                                      config::LinkCallTimeout);
     const auto State = Reply ? decodeState(Reply.value())
@@ -192,6 +203,7 @@
     }
     Known = State.value().Accepted;
     Config.set(Parsed.Config);
+    Quality.follow(*Parsed.Config);
     logs::info("configuration", {{"offset", std::to_string(Known)}});
   }
 }
--- a/src/entry.h
+++ b/src/entry.h
@@ -8,6 +8,7 @@
 #include "link.h"
 #include "log_intents.h"
 #include "log_usage.h"
+#include "peers.h"
 #include "request_runner.h"
 #include "settings.h"
 #include "stop_sequence.h"
@@ -43,11 +44,13 @@
            result<caller_request> Request);
   void followControl();
   stop_phase advanceStop(bool IsAsked);
+  void followPeers(const std::string &Control);
 
   settings Settings;
   const runtime_clock &Clock;
   config_source Config;
-  prior_quality Quality;
+  quality_table Quality;
+  rater_client Rater;
   session_token_codec Tokens;
   open_admission Admission;
   placer Placer;
@@ -63,6 +66,7 @@
   stop_sequence Stop;
   std::atomic<stop_phase> Phase{stop_phase::Serving};
   std::atomic<bool> Leaving{false}; ///< the follower ends
+  peer_list Peers;                  ///< other VMs, from control
   link_client Link;
   http_server Server;
   std::thread Follower;
