--- a/src/config.h
+++ b/src/config.h
@@ -21,6 +21,9 @@
 /// Deadline of a request that names none, and the longest one it may name.
 constexpr auto DefaultDeadline = 60s;
 constexpr auto MaxDeadline = 600s;
+/// Bytes of a streamed answer that wait for a caller that reads slowly: some
+/// 150 events, or 6 s at 41 ms a token. Two hundred such callers hold 8 MiB.
+constexpr std::size_t MaxUnreadBytes = 40U << 10U;
 /// Open requests of one customer on one VM, above which it is refused.
 constexpr std::size_t MaxOpenPerCustomer = 4096;
 
@@ -41,6 +44,9 @@
 constexpr auto AtMostOnceTimeout = 60s;
 /// Telling an engine to stop an attempt; past it the engine finds out itself.
 constexpr auto CancelCallTimeout = 2s;
+/// Between two looks at an endpoint that said it is leaving. Few leave at one
+/// time, and one that stays after all may wait this long for work.
+constexpr auto LeavingProbePause = 2s;
 /// Bytes taken from a stream at once.
 constexpr std::size_t StreamReadBytes = 8192;
 /// Bytes of one event of a stream; a token's event is under 1 KiB.
--- a/src/entry.cpp
+++ b/src/entry.cpp
@@ -42,10 +42,16 @@
       Usage({Log, LogCalls, Clock, Timers, Link, Peers},
             selfOf(Settings, Clock)),
       Sessions({Clock, Timers, Link, Peers}, selfOf(Settings, Clock)),
-      Transport(Timers, Clock,
-                [this](const std::string &Endpoint, bool IsLeaving) {
-                  Placer.markLeaving(Endpoint, IsLeaving);
-                }),
+      LeavingProbe(std::make_shared<leaving_probe>(
+          Timers, Config,
+          [this](const std::string &Endpoint, bool IsLeaving) {
+            Placer.markLeaving(Endpoint, IsLeaving);
+          })),
+      Transport(
+          Timers, Clock,
+          [Probe = LeavingProbe](const std::string &Endpoint, bool IsLeaving) {
+            Probe->sign(Endpoint, IsLeaving);
+          }),
       Server(Settings.Address + ":" + std::to_string(Settings.EntryPort),
              routes()) {}
 
--- a/src/entry.h
+++ b/src/entry.h
@@ -5,6 +5,7 @@
 #include "config_source.h"
 #include "endpoint_client.h"
 #include "http_server.h"
+#include "leaving_probe.h"
 #include "link.h"
 #include "log_intents.h"
 #include "log_usage.h"
@@ -66,6 +67,7 @@
   log_intent_service Intents;
   log_usage_service Usage;
   session_service Sessions;
+  std::shared_ptr<leaving_probe> LeavingProbe;
   http_endpoint_transport Transport;
   std::atomic<std::uint64_t> Open{0};
   std::atomic<std::uint64_t> Taken{0};
