--- a/src/request_runner.cpp
+++ b/src/request_runner.cpp
@@ -49,7 +49,8 @@
               admission_request Admission, chosen_work Choice)
       : Services(std::move(Services)), Request(std::move(Request)),
         Admission(std::move(Admission)), Choice(std::move(Choice)),
-        Machine(std::move(Plan)), Former(std::move(Former)) {
+        AtMostOnce(!Plan.Idempotent), Machine(std::move(Plan)),
+        Former(std::move(Former)) {
     ++this->Services.Open;
   }
   ~request_run() { --Services.Open; }
@@ -163,7 +164,8 @@
   void perform(const action::dispatch &Dispatch) {
     Services.Transport.start(Request,
                              {Address, Dispatch.Version, Dispatch.Attempt,
-                              Dispatch.ResumeFrom, Dispatch.SoFar},
+                              Dispatch.ResumeFrom, Dispatch.SoFar, AtMostOnce,
+                              Dispatch.Endpoint},
                              sink());
   }
 
@@ -181,7 +183,7 @@
   void perform(const action::drop_connections &Drop) {
     logs::warning("drop_connections",
                   {{"request", Request.Id}, {"endpoint", Drop.Endpoint}});
-    Services.Transport.dropConnections(Address);
+    Services.Transport.dropConnections(Request.Id, Machine.attempts());
   }
 
   void perform(const action::rate &Rate) {
@@ -242,6 +244,7 @@
   caller_request Request;
   admission_request Admission;
   chosen_work Choice;
+  bool AtMostOnce;
   request_machine Machine;
   answer_former Former;
   std::string Address;
