--- a/src/entry.h
+++ b/src/entry.h
@@ -12,8 +12,11 @@
 #include "request_runner.h"
 #include "session_service.h"
 #include "settings.h"
+#include "stop_sequence.h"
 
 #include <atomic>
+#include <functional>
+#include <mutex>
 #include <thread>
 
 namespace clementinelane {
@@ -27,8 +30,9 @@
   entry &operator=(const entry &) = delete;
 
   void open();
-  /// Takes no new requests, waits for those under way, then closes.
-  void drain();
+  /// A planned stop: not ready at once, refuses after a grace, ends what is
+  /// open, closes. `IsAskedAgain` is looked at meanwhile; true forces the end.
+  void drain(const std::function<bool()> &IsAskedAgain);
 
 private:
   std::vector<http_route> routes();
@@ -42,11 +46,13 @@
   void followControl();
   void onLink(std::string_view Path, std::string_view Body, link_reply Reply);
   void drainOwed();
+  stop_phase advanceStop(bool IsAsked);
 
   settings Settings;
   const runtime_clock &Clock;
   config_source Config;
-  prior_quality Quality;
+  quality_table Quality;
+  rater_client Rater;
   session_token_codec Tokens;
   open_admission Admission;
   placer Placer;
@@ -62,7 +68,10 @@
   http_endpoint_transport Transport;
   std::atomic<std::uint64_t> Open{0};
   std::atomic<std::uint64_t> Taken{0};
-  std::atomic<bool> Draining{false};
+  std::mutex StopMutex;
+  stop_sequence Stop;
+  std::atomic<stop_phase> Phase{stop_phase::Serving};
+  std::atomic<bool> Leaving{false}; ///< the follower ends
   std::unique_ptr<link_server> LinkServer;
   http_server Server;
   std::thread Follower;
--- a/src/request_runner.h
+++ b/src/request_runner.h
@@ -7,6 +7,7 @@
 #include "endpoint_client.h"
 #include "intents.h"
 #include "placement.h"
+#include "rater.h"
 #include "request.h"
 #include "session_service.h"
 #include "session_token.h"
@@ -31,6 +32,7 @@
   intent_service &Intents;
   usage_service &Usage;
   session_service &Sessions;
+  rater_client &Rater;
   endpoint_transport &Transport;
   timer_service &Timers;
   std::string VmName;
