--- a/src/entry.h
+++ b/src/entry.h
@@ -47,6 +47,7 @@
   void onLink(std::string_view Path, std::string_view Body, link_reply Reply);
   void drainOwed();
   stop_phase advanceStop(bool IsAsked);
+  void followPeers(const std::string &Control);
 
   settings Settings;
   const runtime_clock &Clock;
--- a/src/session_service.cpp
+++ b/src/session_service.cpp
@@ -32,6 +32,15 @@
   host(const session_links &Links, peer_info Self)
       : Links(Links), Directory(std::move(Self)) {}
 
+  void follow() {
+    {
+      const std::scoped_lock Lock(Mutex);
+      if (std::exchange(IsFollowing, true))
+        return;
+    }
+    tick();
+  }
+
   void tick() {
     post(session_event::peers_seen{Links.Peers.peers()});
     Links.Timers.after(config::SessionTick, [Weak = weak_from_this()] {
@@ -115,18 +124,19 @@
   session_links Links;
   mutable std::mutex Mutex;
   session_directory Directory;
+  bool IsFollowing = false;
   std::uint64_t Tickets = 0;
   std::map<std::uint64_t, bound_reply> Binding;
   std::map<std::uint64_t, link_reply> Serving;
 };
 
 session_service::session_service(const session_links &Links, peer_info Self)
-    : Host(std::make_shared<host>(Links, std::move(Self))) {
-  Host->tick();
-}
+    : Host(std::make_shared<host>(Links, std::move(Self))) {}
 
 session_service::~session_service() = default;
 
+void session_service::follow() { Host->follow(); }
+
 void session_service::bind(session_claim Claim, bound_reply Done) {
   Host->bind(std::move(Claim), std::move(Done));
 }
--- a/src/session_service.h
+++ b/src/session_service.h
@@ -31,6 +31,9 @@
   session_service(const session_links &Links, peer_info Self);
   ~session_service();
 
+  /// Begins to look at peers, once they are known; until then this VM has no
+  /// vote and binds nothing.
+  void follow();
   /// Finds the session's binding, or records `Claim` as it. Exactly one call
   /// of `Done`, from any thread.
   void bind(session_claim Claim, bound_reply Done);
