--- a/src/entry.cpp
+++ b/src/entry.cpp
@@ -233,8 +233,10 @@
   const auto Reply =
       Link.callSync(Control, "/peers", "", config::LinkCallTimeout);
   if (auto List = Reply ? decodePeers(Reply.value())
-                        : result<std::vector<peer_info>>(Reply.error()))
+                        : result<std::vector<peer_info>>(Reply.error())) {
     Peers.set(std::move(List).value());
+    Sessions.follow();
+  }
 }
 
 // Guard: control may be away for long. It shows as failed calls here; the last
