--- a/src/entry.cpp
+++ b/src/entry.cpp
@@ -10,6 +10,9 @@
 
 namespace {
 
+/// The link path on which entries tell each other customers' demand.
+constexpr std::string_view QuotaPath = "/quota";
+
 header_lookup headersOf(const std::shared_ptr<http_call> &Call) {
   return [Call](std::string_view Name) { return Call->header(Name); };
 }
@@ -35,7 +38,16 @@
     : Settings(Settings), Clock(Clock),
       Rater(Settings.RaterAddress, Config, Quality),
       Tokens(Settings.SessionKeys),
-      Placer(Settings.DataCentre, std::random_device{}()),
+      Placer(Settings.VmName, Settings.DataCentre, std::random_device{}()),
+      Admission(
+          Clock,
+          [this](std::string_view Pool) {
+            const configuration_ptr Current = Config.get();
+            return Current ? Placer.capacity(*Current, Pool, this->Clock.now())
+                           : pool_capacity{};
+          },
+          fleet_quota(Settings.VmName, std::random_device{}(),
+                      Settings.Seeds.size())),
       Log(Settings.LogAddress),
       Intents({Log, LogCalls, Clock, Timers, Link, Peers},
               selfOf(Settings, Clock)),
@@ -69,6 +81,22 @@
       });
   Server.open();
   Follower = std::thread([this] { followControl(); });
+  tickAdmission();
+  exchangeQuota();
+}
+
+void entry::tickAdmission() {
+  Admission.tick();
+  Timers.after(config::AdmissionTick, [this] { tickAdmission(); });
+}
+
+void entry::exchangeQuota() {
+  const demand_report Report = Admission.exchangeQuota();
+  if (!Report.TokensPerSecond.empty())
+    for (const peer_info &Peer : Peers.peers())
+      Link.call(Peer.EntryLink, QuotaPath, encodeDemand(Report),
+                config::LinkCallTimeout, [](const result<std::string> &) {});
+  Timers.after(config::QuotaExchange, [this] { exchangeQuota(); });
 }
 
 stop_phase entry::advanceStop(bool IsAsked) {
@@ -118,9 +146,19 @@
     return Usage.serve(Path, Body, std::move(Reply));
   if (Path == SessionPath)
     return Sessions.serve(Body, std::move(Reply));
+  if (Path == QuotaPath)
+    return takeDemand(Body, Reply);
   Reply(error_kind::PeerIncompatible);
 }
 
+void entry::takeDemand(std::string_view Body, const link_reply &Reply) {
+  const auto Report = decodeDemand(Body);
+  if (!Report)
+    return Reply(Report.error());
+  Admission.handleDemand(Report.value());
+  Reply(std::string());
+}
+
 std::vector<http_route> entry::routes() {
   const auto To = [this](void (entry::*Answer)(
                       const std::shared_ptr<http_call> &)) -> http_handler {
@@ -151,9 +189,10 @@
     return Call->fail(error_kind::Draining);
   if (!Request)
     return Call->fail(kindOf(Request.error()));
-  const request_services Services{
-      Clock, Config, Quality,  Tokens,    Admission, Placer,          Intents,
-      Usage, Rater,  Sessions, Transport, Timers,    Settings.VmName, Open};
+  const request_services Services{Clock,           Config,   Quality,   Tokens,
+                                  Admission,       Placer,   Intents,   Usage,
+                                  Rater,           Sessions, Transport, Timers,
+                                  Settings.VmName, Open,     Retries};
   runRequest(Services, std::move(Request).value(), Call->Writer);
 }
 
@@ -229,12 +268,33 @@
       "\n");
 }
 
+/// Tells all that divide by VMs, or by distance, who there is.
+void entry::takePeers(std::vector<peer_info> List) {
+  vm_view View;
+  View.Vms.push_back(Settings.VmName);
+  View.Regions[Settings.DataCentre] = Settings.Region;
+  std::vector<std::string> All{Settings.VmName};
+  for (const peer_info &Peer : List) {
+    All.push_back(Peer.Vm);
+    View.Regions[Peer.DataCentre] = Peer.Region;
+    if (Peer.DataCentre == Settings.DataCentre && !Peer.IsLeaving)
+      View.Vms.push_back(Peer.Vm);
+  }
+  const configuration_ptr Current = Config.get();
+  if (Current && View != KnownVms) {
+    KnownVms = View;
+    Placer.setVms(*Current, std::move(View), Clock.now());
+  }
+  Admission.setVms(All);
+  Peers.set(std::move(List));
+}
+
 void entry::followPeers(const std::string &Control) {
   const auto Reply =
       Link.callSync(Control, "/peers", "", config::LinkCallTimeout);
   if (auto List = Reply ? decodePeers(Reply.value())
                         : result<std::vector<peer_info>>(Reply.error())) {
-    Peers.set(std::move(List).value());
+    takePeers(std::move(List).value());
     Sessions.follow();
   }
 }
--- a/src/entry.h
+++ b/src/entry.h
@@ -10,7 +10,9 @@
 #include "log_intents.h"
 #include "log_usage.h"
 #include "peers.h"
+#include "pool_admission.h"
 #include "request_runner.h"
+#include "retry_budget.h"
 #include "session_service.h"
 #include "settings.h"
 #include "stop_sequence.h"
@@ -47,8 +49,13 @@
   void followControl();
   stop_phase advanceStop(bool IsAsked);
   void followPeers(const std::string &Control);
+  void takePeers(std::vector<peer_info> List);
   void onLink(std::string_view Path, std::string_view Body, link_reply Reply);
   void drainOwed();
+  void takeDemand(std::string_view Body, const link_reply &Reply);
+  /// Calls itself again every config::AdmissionTick and QuotaExchange.
+  void tickAdmission();
+  void exchangeQuota();
 
   settings Settings;
   const runtime_clock &Clock;
@@ -56,9 +63,11 @@
   quality_table Quality;
   rater_client Rater;
   session_token_codec Tokens;
-  open_admission Admission;
   placer Placer;
-  peer_list Peers; ///< other entry VMs, as membership hands them over
+  peer_list Peers;  ///< other entry VMs, as membership hands them over
+  vm_view KnownVms; ///< as placement was last told; of the follower
+  pool_admission Admission;
+  retry_budget Retries;
   http_append_log Log;
   timer_service Timers;
   link_client Link;
--- a/src/request_runner.h
+++ b/src/request_runner.h
@@ -9,6 +9,7 @@
 #include "placement.h"
 #include "rater.h"
 #include "request.h"
+#include "retry_budget.h"
 #include "session_service.h"
 #include "session_token.h"
 #include "timers.h"
@@ -37,6 +38,7 @@
   timer_service &Timers;
   std::string VmName;
   std::atomic<std::uint64_t> &Open; ///< requests under way
+  retry_budget &Retries;
 };
 
 /// Chooses a version for `Request`, starts its machine and carries out what it
