--- a/src/change.cpp
+++ b/src/change.cpp
@@ -1,5 +1,6 @@
 #include "change.h"
 
+#include "codec.h"
 #include "config.h"
 
 #include <algorithm>
@@ -9,22 +10,6 @@
 
 namespace {
 
-template <typename T> std::string pack(const T &Value) {
-  msgpack::sbuffer Buffer;
-  msgpack::pack(Buffer, Value);
-  return {Buffer.data(), Buffer.size()};
-}
-
-template <typename T> result<T> unpack(std::string_view Bytes) {
-  try {
-    const msgpack::object_handle Handle =
-        msgpack::unpack(Bytes.data(), Bytes.size());
-    return Handle.get().as<T>();
-  } catch (const std::exception &) {
-    return error_kind::RecordCorrupt;
-  }
-}
-
 /// Whether every file that `Change` touches, or was based on, is as its author
 /// saw it. Names the first that is not.
 std::optional<std::string> findConflict(const config_state &State,
@@ -48,13 +33,13 @@
 std::string encodeChange(const change_record &Change) { return pack(Change); }
 
 result<change_record> decodeChange(std::string_view Bytes) {
-  return unpack<change_record>(Bytes);
+  return unpack<change_record>(Bytes, error_kind::RecordCorrupt);
 }
 
 std::string encodeState(const config_state &State) { return pack(State); }
 
 result<config_state> decodeState(std::string_view Bytes) {
-  return unpack<config_state>(Bytes);
+  return unpack<config_state>(Bytes, error_kind::RecordCorrupt);
 }
 
 std::vector<config_file> filesOf(const config_state &State) {
@@ -77,7 +62,7 @@
 }
 
 result<snapshot_record> decodeSnapshot(std::string_view Bytes) {
-  auto Decoded = unpack<snapshot_record>(Bytes);
+  auto Decoded = unpack<snapshot_record>(Bytes, error_kind::RecordCorrupt);
   if (Decoded && Decoded.value().Digest != digestOf(Decoded.value().State))
     return error_kind::RecordCorrupt;
   return Decoded;
@@ -88,7 +73,7 @@
 }
 
 std::string kindOfRecord(std::string_view Bytes) {
-  const auto Head = unpack<record_head>(Bytes);
+  const auto Head = unpack<record_head>(Bytes, error_kind::RecordCorrupt);
   return Head ? Head.value().Kind : std::string();
 }
 
@@ -111,7 +96,7 @@
 
 change_verdict config_replica::judge(std::uint64_t Offset,
                                      std::string_view Bytes) {
-  const auto Head = unpack<record_head>(Bytes);
+  const auto Head = unpack<record_head>(Bytes, error_kind::RecordCorrupt);
   if (!Head)
     return {Offset, "", Head.error(), "unreadable"};
   const std::string &Id = Head.value().Id;
--- a/src/config_feed.cpp
+++ b/src/config_feed.cpp
@@ -1,5 +1,6 @@
 #include "config_feed.h"
 
+#include "codec.h"
 #include "config.h"
 #include "logs.h"
 
@@ -17,18 +18,8 @@
   return Value;
 }
 
-template <typename T> std::string pack(const T &Value) {
-  msgpack::sbuffer Buffer;
-  msgpack::pack(Buffer, Value);
-  return {Buffer.data(), Buffer.size()};
-}
-
 result<peer_offset> decodeOffset(std::string_view Bytes) {
-  try {
-    return msgpack::unpack(Bytes.data(), Bytes.size()).get().as<peer_offset>();
-  } catch (const std::exception &) {
-    return error_kind::PeerIncompatible;
-  }
+  return unpack<peer_offset>(Bytes, error_kind::PeerIncompatible);
 }
 
 follower_settings followerSettings(const settings &Settings) {
--- a/src/control_duties.cpp
+++ b/src/control_duties.cpp
@@ -1,5 +1,6 @@
 #include "control_duties.h"
 
+#include "codec.h"
 #include "config.h"
 #include "logs.h"
 #include "operator_client.h"
@@ -299,14 +300,13 @@
                             const link_reply &Reply) {
   if (Path != "/verdict")
     return false;
-  verdict_message Message;
-  try {
-    Message =
-        msgpack::unpack(Body.data(), Body.size()).get().as<verdict_message>();
-  } catch (const std::exception &) {
-    Reply(error_kind::PeerIncompatible);
+  const auto Decoded =
+      unpack<verdict_message>(Body, error_kind::PeerIncompatible);
+  if (!Decoded) {
+    Reply(Decoded.error());
     return true;
   }
+  const verdict_message &Message = Decoded.value();
   const auto Verdict = std::min<std::uint8_t>(
       Message.Verdict, static_cast<std::uint8_t>(candidate_verdict::Bad));
   feed(Driver, driver_event::judged{Message.Rollout, Message.Step,
@@ -316,9 +316,7 @@
     const std::scoped_lock Lock(Mutex);
     Braked.assign(Driver.braked().begin(), Driver.braked().end());
   }
-  msgpack::sbuffer Buffer;
-  msgpack::pack(Buffer, Braked);
-  Reply(std::string(Buffer.data(), Buffer.size()));
+  Reply(pack(Braked));
   return true;
 }
 
--- a/src/entry.cpp
+++ b/src/entry.cpp
@@ -1,6 +1,7 @@
 #include "entry.h"
 
 #include "change.h"
+#include "codec.h"
 #include "config.h"
 #include "logs.h"
 
@@ -273,23 +274,17 @@
 // say so yet.
 void entry::reportCandidates(const std::string &Control) {
   for (const candidate_report &Report : Quality.reports()) {
-    msgpack::sbuffer Buffer;
-    msgpack::pack(Buffer,
-                  verdict_message{Report.Rollout, Report.Step,
-                                  static_cast<std::uint8_t>(Report.Verdict)});
-    const auto Reply =
-        Link.callSync(Control, "/verdict", {Buffer.data(), Buffer.size()},
-                      config::LinkCallTimeout);
+    const verdict_message Message{Report.Rollout, Report.Step,
+                                  static_cast<std::uint8_t>(Report.Verdict)};
+    const auto Reply = Link.callSync(Control, "/verdict", pack(Message),
+                                     config::LinkCallTimeout);
     if (!Reply)
       return;
-    try {
-      Quality.setBrakes(
-          msgpack::unpack(Reply.value().data(), Reply.value().size())
-              .get()
-              .as<std::vector<std::string>>());
-    } catch (const std::exception &) {
-      logs::warning("brakes_unreadable", {{"control", Control}});
-    }
+    auto Brakes = unpack<std::vector<std::string>>(
+        Reply.value(), error_kind::PeerIncompatible);
+    if (!Brakes)
+      return logs::warning("brakes_unreadable", {{"control", Control}});
+    Quality.setBrakes(std::move(Brakes).value());
   }
 }
 
--- a/src/fleet_quota.cpp
+++ b/src/fleet_quota.cpp
@@ -1,5 +1,7 @@
 #include "fleet_quota.h"
 
+#include "codec.h"
+
 #include <algorithm>
 #include <cmath>
 
@@ -13,20 +15,10 @@
 
 } // namespace
 
-std::string encodeDemand(const demand_report &Report) {
-  msgpack::sbuffer Buffer;
-  msgpack::pack(Buffer, Report);
-  return {Buffer.data(), Buffer.size()};
-}
+std::string encodeDemand(const demand_report &Report) { return pack(Report); }
 
 result<demand_report> decodeDemand(std::string_view Bytes) {
-  try {
-    return msgpack::unpack(Bytes.data(), Bytes.size())
-        .get()
-        .as<demand_report>();
-  } catch (const std::exception &) {
-    return error_kind::RecordCorrupt;
-  }
+  return unpack<demand_report>(Bytes, error_kind::RecordCorrupt);
 }
 
 std::size_t fleet_quota::vmCount() const {
--- a/src/intent_table.cpp
+++ b/src/intent_table.cpp
@@ -1,5 +1,6 @@
 #include "intent_table.h"
 
+#include "codec.h"
 #include "config.h"
 
 #include <algorithm>
@@ -21,32 +22,18 @@
          2 * Key.size();
 }
 
-template <typename T> std::string packed(const T &Value) {
-  msgpack::sbuffer Buffer;
-  msgpack::pack(Buffer, Value);
-  return {Buffer.data(), Buffer.size()};
-}
-
-template <typename T> result<T> unpacked(std::string_view Bytes) {
-  try {
-    return msgpack::unpack(Bytes.data(), Bytes.size()).get().as<T>();
-  } catch (const std::exception &) {
-    return error_kind::RecordCorrupt;
-  }
-}
-
 } // namespace
 
-std::string encodeIntents(const intent_group &Group) { return packed(Group); }
+std::string encodeIntents(const intent_group &Group) { return pack(Group); }
 
 result<intent_group> decodeIntents(std::string_view Bytes) {
-  return unpacked<intent_group>(Bytes);
+  return unpack<intent_group>(Bytes, error_kind::RecordCorrupt);
 }
 
-std::string encodeIntent(const intent_record &Record) { return packed(Record); }
+std::string encodeIntent(const intent_record &Record) { return pack(Record); }
 
 result<intent_record> decodeIntent(std::string_view Bytes) {
-  return unpacked<intent_record>(Bytes);
+  return unpack<intent_record>(Bytes, error_kind::RecordCorrupt);
 }
 
 void stream_clock::observe(std::string_view Vm, std::int64_t At) {
--- a/src/lease.cpp
+++ b/src/lease.cpp
@@ -1,21 +1,14 @@
 #include "lease.h"
 
+#include "codec.h"
 #include "config.h"
 
 namespace clementinelane {
 
-std::string encodeLease(const lease_record &Record) {
-  msgpack::sbuffer Buffer;
-  msgpack::pack(Buffer, Record);
-  return {Buffer.data(), Buffer.size()};
-}
+std::string encodeLease(const lease_record &Record) { return pack(Record); }
 
 result<lease_record> decodeLease(std::string_view Bytes) {
-  try {
-    return msgpack::unpack(Bytes.data(), Bytes.size()).get().as<lease_record>();
-  } catch (const std::exception &) {
-    return error_kind::RecordCorrupt;
-  }
+  return unpack<lease_record>(Bytes, error_kind::RecordCorrupt);
 }
 
 void lease::recordRead(std::uint64_t Offset, const lease_record &Record,
--- a/src/log_intents.cpp
+++ b/src/log_intents.cpp
@@ -1,5 +1,6 @@
 #include "log_intents.h"
 
+#include "codec.h"
 #include "config.h"
 #include "intent_home.h"
 #include "logs.h"
@@ -24,24 +25,19 @@
 };
 
 std::string encodeVerdict(const intent_verdict &Verdict) {
-  msgpack::sbuffer Buffer;
-  msgpack::pack(Buffer,
-                verdict_message{static_cast<std::uint8_t>(Verdict.Status),
-                                Verdict.Answer});
-  return {Buffer.data(), Buffer.size()};
+  return pack(verdict_message{static_cast<std::uint8_t>(Verdict.Status),
+                              Verdict.Answer});
 }
 
 result<intent_verdict> decodeVerdict(std::string_view Bytes) {
-  try {
-    auto Message =
-        msgpack::unpack(Bytes.data(), Bytes.size()).get().as<verdict_message>();
-    if (Message.Status > static_cast<std::uint8_t>(intent_status::NotKept))
-      return error_kind::PeerIncompatible;
-    return intent_verdict{static_cast<intent_status>(Message.Status),
-                          std::move(Message.Answer)};
-  } catch (const std::exception &) {
+  auto Message = unpack<verdict_message>(Bytes, error_kind::PeerIncompatible);
+  if (!Message)
+    return Message.error();
+  if (Message.value().Status >
+      static_cast<std::uint8_t>(intent_status::NotKept))
     return error_kind::PeerIncompatible;
-  }
+  return intent_verdict{static_cast<intent_status>(Message.value().Status),
+                        std::move(Message.value().Answer)};
 }
 
 std::size_t sizeOf(const intent_record &Record) {
--- a/src/log_usage.cpp
+++ b/src/log_usage.cpp
@@ -1,5 +1,6 @@
 #include "log_usage.h"
 
+#include "codec.h"
 #include "config.h"
 #include "logs.h"
 #include "usage_store.h"
@@ -9,23 +10,7 @@
 
 namespace clementinelane {
 
-namespace {
-
-template <typename T> std::string packed(const T &Value) {
-  msgpack::sbuffer Buffer;
-  msgpack::pack(Buffer, Value);
-  return {Buffer.data(), Buffer.size()};
-}
-
-template <typename T> result<T> unpacked(std::string_view Bytes) {
-  try {
-    return msgpack::unpack(Bytes.data(), Bytes.size()).get().as<T>();
-  } catch (const std::exception &) {
-    return error_kind::PeerIncompatible;
-  }
-}
-
-} // namespace
+namespace {} // namespace
 
 /// Carries out what the store says.
 class log_usage_service::host
@@ -108,7 +93,7 @@
 
   void perform(const usage_action::send_hold &Send) {
     Links.Link.call(
-        Send.To.EntryLink, UsageHoldPath, packed(Send.Hold),
+        Send.To.EntryLink, UsageHoldPath, pack(Send.Hold),
         config::UsageHoldTimeout,
         [Weak = weak_from_this(), Batch = Send.Batch,
          Vm = Send.To.Vm](const result<std::string> &Reply) {
@@ -120,7 +105,7 @@
 
   void perform(const usage_action::send_release &Send) {
     // A release that is lost is made good by UsageHoldLimit.
-    Links.Link.call(Send.To.EntryLink, UsageReleasePath, packed(Send.Release),
+    Links.Link.call(Send.To.EntryLink, UsageReleasePath, pack(Send.Release),
                     config::UsageHoldTimeout, [](const auto &) {});
   }
 
@@ -166,12 +151,12 @@
 void log_usage_service::serve(std::string_view Path, std::string_view Body,
                               link_reply Reply) {
   if (Path == UsageHoldPath) {
-    auto Hold = unpacked<usage_hold>(Body);
+    auto Hold = unpack<usage_hold>(Body, error_kind::PeerIncompatible);
     if (!Hold)
       return Reply(Hold.error());
     return Host->hold(std::move(Hold).value(), std::move(Reply));
   }
-  auto Release = unpacked<usage_release>(Body);
+  auto Release = unpack<usage_release>(Body, error_kind::PeerIncompatible);
   if (!Release)
     return Reply(Release.error());
   Host->post(usage_event::released{std::move(Release).value()});
--- a/src/membership.cpp
+++ b/src/membership.cpp
@@ -1,5 +1,7 @@
 #include "membership_p.h"
 
+#include "codec.h"
+
 #include <algorithm>
 
 namespace clementinelane {
@@ -24,9 +26,7 @@
 } // namespace
 
 std::string encodeProfile(const member_profile &Profile) {
-  msgpack::sbuffer Buffer;
-  msgpack::pack(Buffer, Profile);
-  return {Buffer.data(), Buffer.size()};
+  return pack(Profile);
 }
 
 member_profile decodeProfile(std::string_view Bytes) {
--- a/src/session_service.cpp
+++ b/src/session_service.cpp
@@ -1,5 +1,6 @@
 #include "session_service.h"
 
+#include "codec.h"
 #include "config.h"
 #include "logs.h"
 
@@ -7,23 +8,7 @@
 
 namespace clementinelane {
 
-namespace {
-
-template <typename T> std::string packed(const T &Value) {
-  msgpack::sbuffer Buffer;
-  msgpack::pack(Buffer, Value);
-  return {Buffer.data(), Buffer.size()};
-}
-
-template <typename T> result<T> unpacked(std::string_view Bytes) {
-  try {
-    return msgpack::unpack(Bytes.data(), Bytes.size()).get().as<T>();
-  } catch (const std::exception &) {
-    return error_kind::PeerIncompatible;
-  }
-}
-
-} // namespace
+namespace {} // namespace
 
 /// Carries out what the directory says.
 class session_service::host
@@ -93,7 +78,7 @@
 
   void perform(const session_action::send &Send) {
     Links.Link.call(
-        Send.To.EntryLink, SessionPath, packed(Send.Message),
+        Send.To.EntryLink, SessionPath, pack(Send.Message),
         config::SessionCallTimeout,
         [Weak = weak_from_this(), Round = Send.Round,
          Vm = Send.To.Vm](const result<std::string> &Reply) {
@@ -102,7 +87,8 @@
             return;
           Self->post(session_event::answered{
               Round, Vm,
-              Reply ? unpacked<std::vector<session_claim>>(Reply.value())
+              Reply ? unpack<std::vector<session_claim>>(
+                          Reply.value(), error_kind::PeerIncompatible)
                     : result<std::vector<session_claim>>(Reply.error())});
         });
   }
@@ -111,7 +97,7 @@
     const link_reply Reply = take(Serving, Answer.Call);
     if (!Answer.Claims)
       return Reply(Answer.Claims.error());
-    Reply(packed(Answer.Claims.value()));
+    Reply(pack(Answer.Claims.value()));
   }
 
   void perform(const session_action::bound &Bound) {
@@ -142,7 +128,7 @@
 }
 
 void session_service::serve(std::string_view Body, link_reply Reply) {
-  auto Message = unpacked<session_message>(Body);
+  auto Message = unpack<session_message>(Body, error_kind::PeerIncompatible);
   if (!Message)
     return Reply(Message.error());
   Host->serve(std::move(Message).value(), std::move(Reply));
--- a/src/session_token.cpp
+++ b/src/session_token.cpp
@@ -1,5 +1,6 @@
 #include "session_token.h"
 
+#include "codec.h"
 #include "config.h"
 
 #include <algorithm>
@@ -57,10 +58,7 @@
 std::string session_token_codec::sign(const session_binding &Binding) const {
   if (Keys.empty())
     return {};
-  msgpack::sbuffer Buffer;
-  msgpack::pack(Buffer, Binding);
-  const std::string Payload =
-      Keys.front().Id + "." + toBase64({Buffer.data(), Buffer.size()});
+  const std::string Payload = Keys.front().Id + "." + toBase64(pack(Binding));
   return Payload + "." + toBase64(macOf(Keys.front(), Payload));
 }
 
@@ -85,16 +83,15 @@
   std::string Bytes;
   if (!fromBase64(Token.substr(First + 1, Last - First - 1), Bytes))
     return Invalid;
-  try {
-    const auto Binding =
-        msgpack::unpack(Bytes.data(), Bytes.size()).get().as<session_binding>();
-    const auto Age = Now - wall_time(std::chrono::seconds(Binding.OpenedAt));
-    if (Age > config::SessionTokenMaxAge)
-      return Invalid;
-    return Binding;
-  } catch (const std::exception &) {
+  auto Binding =
+      unpack<session_binding>(Bytes, error_kind::SessionTokenInvalid);
+  if (!Binding)
     return Invalid;
-  }
+  const auto Age =
+      Now - wall_time(std::chrono::seconds(Binding.value().OpenedAt));
+  if (Age > config::SessionTokenMaxAge)
+    return Invalid;
+  return Binding;
 }
 
 } // namespace clementinelane
--- a/src/usage_ledger.cpp
+++ b/src/usage_ledger.cpp
@@ -1,5 +1,7 @@
 #include "usage_ledger.h"
 
+#include "codec.h"
+
 namespace clementinelane {
 
 std::string encodeUsage(std::span<const usage_record> Records) {
@@ -12,13 +14,7 @@
 }
 
 result<std::vector<usage_record>> decodeUsage(std::string_view Bytes) {
-  try {
-    return msgpack::unpack(Bytes.data(), Bytes.size())
-        .get()
-        .as<std::vector<usage_record>>();
-  } catch (const std::exception &) {
-    return error_kind::RecordCorrupt;
-  }
+  return unpack<std::vector<usage_record>>(Bytes, error_kind::RecordCorrupt);
 }
 
 std::error_code usage_ledger::apply(std::string_view Bytes) {
--- a/tests/quality_test.cpp
+++ b/tests/quality_test.cpp
@@ -137,6 +137,58 @@
   BOOST_TEST(CountNew() == 0);
 }
 
+// A version is withdrawn while sessions run on it. A session moved to another
+// version in silence would answer unlike before; one left on it would run bad
+// work. It is refused with a kind of its own, and nothing new starts either.
+BOOST_AUTO_TEST_CASE(withdrawn_version_takes_nothing) {
+  configuration Config = makeConfig();
+  Config.Rollouts.clear();
+  quality_table Table;
+  rateOldVersion(Config, Table);
+  choice_request Request = ask(Config, "c", "s");
+  Request.Bound = session_binding{"c", "s", "review", "small@1", 1, 0};
+  BOOST_TEST(chooseVersion(Config, Request, Table).value().Reason == "session");
+  Config.Versions.at("small@1").State = version_state::Withdrawn;
+  BOOST_TEST((chooseVersion(Config, Request, Table).error() ==
+              error_kind::SessionVersionWithdrawn));
+  BOOST_TEST(chooseVersion(Config, ask(Config, "c", "s"), Table)
+                 .value()
+                 .Versions[0]
+                 .Name == "large@1");
+}
+
+// A customer allows only some versions of a kind of work. The cheapest that
+// would do is not among them; it must not run there, nor when asked by name.
+BOOST_AUTO_TEST_CASE(only_allowed_versions_are_considered) {
+  configuration Config = makeConfig();
+  Config.Rollouts.clear();
+  Config.Versions.at("cheap@1").Quality = 1;
+  quality_table Table;
+  rateOldVersion(Config, Table);
+  choice_request Request = ask(Config, "narrow", "s");
+  BOOST_TEST(chooseVersion(Config, Request, Table).value().Versions[0].Name !=
+             "cheap@1");
+  Request.Model = "cheap@1";
+  BOOST_TEST((chooseVersion(Config, Request, Table).error() ==
+              error_kind::VersionNotAllowed));
+}
+
+// A version is retired. A session that is in the middle of a statement goes on
+// with it to its end; new sessions get another.
+BOOST_AUTO_TEST_CASE(retiring_version_keeps_its_sessions_only) {
+  configuration Config = makeConfig();
+  Config.Rollouts.clear();
+  quality_table Table;
+  rateOldVersion(Config, Table);
+  Config.Versions.at("small@1").State = version_state::Retiring;
+  choice_request Request = ask(Config, "c", "s");
+  BOOST_TEST(chooseVersion(Config, Request, Table).value().Versions[0].Name ==
+             "large@1");
+  Request.Bound = session_binding{"c", "s", "review", "small@1", 1, 0};
+  BOOST_TEST(chooseVersion(Config, Request, Table).value().Versions[0].Name ==
+             "small@1");
+}
+
 // Control braked a version whose bad ratings this entry hasn't read. It takes
 // no new sessions here either, and is free again once the roll-out is gone.
 BOOST_AUTO_TEST_CASE(brake_of_control_holds_for_its_rollout) {
