A control that has just started says nothing of peers

Cause: entry asked control for peers as soon as both ran, and the first answer was empty. The entry then held itself for alone: its session directory gave itself a vote without asking anybody, so an old session known only by its id could get a new version after a VM was replaced.

Ruled out: waiting in entry for a peer (a VM that is truly alone would never serve); trusting the seeds of the settings (they name VMs that may be gone).

Change: join_gate opens 3 s after the first peer, or after 10 s with nobody, or at once where there is nobody to try; until then "/peers" answers not_ready and entry is not ready.

--- a/src/config.h
+++ b/src/config.h
@@ -344,6 +344,12 @@
 constexpr std::size_t SyncBuckets = 32;
 /// Times that a member passes on one entry; each misses e^-n of the members.
 constexpr unsigned GossipTransmits = 4;
+/// Time after its first peer in which a new control has heard of the others:
+/// one period to the next exchange and two for what is passed on.
+constexpr auto JoinSettle = 3s;
+/// Time after which a new control that found nobody counts as alone. Seeds and
+/// the platform's list are tried each RecontactEvery, so twice that.
+constexpr auto JoinPatience = 10s;
 /// How long a stopping control keeps telling that it leaves.
 constexpr auto LeaveNotice = 1500ms;
 /// Between two reads of the platform's list of VMs, which lags anyway.
--- a/src/control.cpp
+++ b/src/control.cpp
@@ -168,7 +168,8 @@
   if (Path == "/gossip")
     return Gossip.onMessage(Body, Reply);
   if (Path == "/peers")
-    return Reply(encodePeers(Gossip.peers()));
+    return Gossip.isJoined() ? Reply(encodePeers(Gossip.peers()))
+                             : Reply(error_kind::NotReady);
   if (!Feed.onLink(Path, Body, Reply) && !Duties.onLink(Path, Body, Reply))
     Reply(error_kind::PeerIncompatible);
 }
--- a/src/entry.cpp
+++ b/src/entry.cpp
@@ -245,7 +245,7 @@
 
 void entry::answerReady(const std::shared_ptr<http_call> &Call) {
   const configuration_ptr Current = Config.get();
-  if (!Current)
+  if (!Current || !KnowsPeers)
     return Call->fail(error_kind::NotReady);
   if (Phase != stop_phase::Serving)
     return Call->fail(error_kind::Draining);
@@ -316,6 +316,7 @@
                         : result<std::vector<peer_info>>(Reply.error())) {
     takePeers(std::move(List).value());
     Sessions.follow();
+    KnowsPeers = true;
   }
 }
 
--- a/src/entry.h
+++ b/src/entry.h
@@ -65,7 +65,8 @@
   rater_client Rater;
   session_token_codec Tokens;
   placer Placer;
-  peer_list Peers;  ///< other entry VMs, as membership hands them over
+  peer_list Peers; ///< other entry VMs, as membership hands them over
+  std::atomic<bool> KnowsPeers{false};
   vm_view KnownVms; ///< as placement was last told; of the follower
   pool_admission Admission;
   retry_budget Retries;
--- a/src/gossip_runner.cpp
+++ b/src/gossip_runner.cpp
@@ -52,8 +52,20 @@
       .Add({});
 }
 
+bool hasPlaces(const settings &Settings) {
+  const std::string Own = linkOf(Settings.Address, Settings.LinkPort);
+  return !Settings.VmListAddress.empty() ||
+         std::any_of(Settings.Seeds.begin(), Settings.Seeds.end(),
+                     [&](const std::string &Seed) { return Seed != Own; });
+}
+
 } // namespace
 
+bool gossip_runner::isJoined() const {
+  const std::scoped_lock Lock(Mutex);
+  return Gate.isOpen(Clock.now());
+}
+
 gossip_runner::gossip_runner(const settings &Given, const runtime_clock &Clock,
                              newer_offset OnNewer)
     : Settings(Given), Clock(Clock), OnNewer(std::move(OnNewer)),
@@ -66,7 +78,8 @@
                               "Messages of another protocol, refused")),
       Alive(addGauge(Registry, "peers", "Peers that can be asked now")),
       Entries(addGauge(Registry, "entries", "Entries known")),
-      Machine(selfOf(Given, Clock), std::random_device{}(), Clock.now()) {}
+      Machine(selfOf(Given, Clock), std::random_device{}(), Clock.now()),
+      Gate(hasPlaces(Given), Clock.now()) {}
 
 gossip_runner::~gossip_runner() { close(); }
 
@@ -104,7 +117,9 @@
       run(Machine.tick(Clock.now()));
       Newer = Machine.newerOffset();
       Own = Machine.store().size();
-      Alive.Set(static_cast<double>(Machine.peers(Clock.now()).size()));
+      const std::size_t Peers = Machine.peers(Clock.now()).size();
+      Alive.Set(static_cast<double>(Peers));
+      Gate.peersSeen(Peers, Clock.now());
     }
     Entries.Set(static_cast<double>(Own));
     if (!Newer.first.empty())
--- a/src/gossip_runner.h
+++ b/src/gossip_runner.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "clock.h"
+#include "join_gate.h"
 #include "link.h"
 #include "membership.h"
 #include "settings.h"
@@ -48,6 +49,8 @@
   /// The entries of one kind.
   std::vector<gossip_entry> entries(entry_kind Kind) const;
   std::vector<peer_info> peers() const;
+  /// Whether peers() can be relied on; see join_gate.
+  bool isJoined() const;
   web::json::value membersJson() const;
   /// Metrics in the text format of Prometheus.
   std::string metricsText() const;
@@ -74,6 +77,7 @@
 
   mutable std::mutex Mutex; ///< of the machine
   membership Machine;
+  join_gate Gate;
   std::mutex StopMutex;
   std::condition_variable StopChanged;
   bool IsStopping = false;
--- a/src/log_usage.cpp
+++ b/src/log_usage.cpp
@@ -10,8 +10,6 @@
 
 namespace clementinelane {
 
-namespace {} // namespace
-
 /// Carries out what the store says.
 class log_usage_service::host
     : public std::enable_shared_from_this<log_usage_service::host> {
--- a/src/session_service.cpp
+++ b/src/session_service.cpp
@@ -8,8 +8,6 @@
 
 namespace clementinelane {
 
-namespace {} // namespace
-
 /// Carries out what the directory says.
 class session_service::host
     : public std::enable_shared_from_this<session_service::host> {
--- a/tests/membership_test.cpp
+++ b/tests/membership_test.cpp
@@ -1,5 +1,6 @@
 #define BOOST_TEST_MODULE membership
 #include "gossip_network.h"
+#include "join_gate.h"
 #include "membership_p.h"
 
 #include <boost/test/unit_test.hpp>
@@ -234,6 +235,23 @@
   BOOST_TEST(wrongViews(Net) == 0U);
 }
 
+// A VM starts again. Its entry asks for peers before any has answered, holds
+// itself for alone, and alone gives an old session a new version. Control says
+// nothing of peers until it has heard of them.
+BOOST_AUTO_TEST_CASE(a_fresh_control_does_not_speak_of_peers) {
+  const mono_time Start{std::chrono::hours(1)};
+  join_gate Gate(true, Start);
+  Gate.peersSeen(0, Start);
+  BOOST_TEST(!Gate.isOpen(Start + std::chrono::seconds(1)));
+  Gate.peersSeen(1, Start + std::chrono::seconds(2));
+  BOOST_TEST(!Gate.isOpen(Start + std::chrono::seconds(4)));
+  BOOST_TEST(Gate.isOpen(Start + std::chrono::seconds(5)));
+  const join_gate Nobody(true, Start);
+  BOOST_TEST(!Nobody.isOpen(Start + std::chrono::seconds(9)));
+  BOOST_TEST(Nobody.isOpen(Start + config::JoinPatience));
+  BOOST_TEST(join_gate(false, Start).isOpen(Start));
+}
+
 // The platform's list still names a VM that died, as live, and one that lives
 // as leaving. The list may only suggest places to try: the dead stays dead and
 // the living stays, while a VM that only the list knows is found.
