--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 BUILD ?= build
 
-.PHONY: all setup build test demo slopes bench-policy format lint check clean
+.PHONY: all setup build test demo fuzz slopes bench-policy format lint check clean
 
 all: build
 
@@ -17,6 +17,10 @@
 demo: build
 	scripts/demo
 
+# Property tests with new seeds; not part of CI, whose seeds are fixed.
+fuzz: build
+	scripts/fuzz $(BUILD)
+
 # What membership costs at 10 to 1,100 members, and what a change costs.
 slopes: build
 	$(BUILD)/slopes_bench
--- a/src/config_feed.cpp
+++ b/src/config_feed.cpp
@@ -49,21 +49,7 @@
     Reader.join();
   if (Ticker.joinable())
     Ticker.join();
-  std::unique_lock Lock(Mutex);
-  Changed.wait(Lock, [this] { return Tasks == 0; });
-}
-
-void config_feed::runTask(std::function<void()> Task) {
-  {
-    const std::scoped_lock Lock(Mutex);
-    ++Tasks;
-  }
-  pplx::create_task([this, Task = std::move(Task)] {
-    Task();
-    const std::scoped_lock Lock(Mutex);
-    --Tasks;
-    Changed.notify_all();
-  });
+  Tasks.wait();
 }
 
 void config_feed::start() {
@@ -166,7 +152,7 @@
 }
 
 void config_feed::perform(const follower_action::append_snapshot &Action) {
-  runTask([this, Bytes = Action.Bytes] {
+  Tasks.run([this, Bytes = Action.Bytes] {
     // Whether it took effect is read from the log like any other record.
     const auto Offset = Log.append(ConfigStream, Bytes);
     logs::info("snapshot", {{"bytes", std::to_string(Bytes.size())},
@@ -230,7 +216,7 @@
 
 void config_feed::replyState(std::uint64_t Known, const link_reply &Reply) {
   // The wait must not hold the link's only thread.
-  runTask([this, Known, Reply] {
+  Tasks.run([this, Known, Reply] {
     std::shared_ptr<const std::string> State;
     {
       std::unique_lock Lock(Mutex);
--- a/src/config_feed.h
+++ b/src/config_feed.h
@@ -5,6 +5,7 @@
 #include "link.h"
 #include "log_client.h"
 #include "settings.h"
+#include "task_group.h"
 
 #include <condition_variable>
 #include <deque>
@@ -77,7 +78,6 @@
   void replyState(std::uint64_t Known, const link_reply &Reply);
   peer_offset ownOffset() const;
   void pause();
-  void runTask(std::function<void()> Task);
 
   const settings &Settings;
   const runtime_clock &Clock;
@@ -94,7 +94,7 @@
   std::map<std::string, change_verdict> Verdicts; ///< by change id
   std::deque<std::string> VerdictOrder;
   bool Stopping = false;
-  unsigned Tasks = 0; ///< under way on the pool
+  task_group Tasks;
   std::thread Reader;
   std::thread Ticker;
 };
--- a/src/control_duties.cpp
+++ b/src/control_duties.cpp
@@ -93,10 +93,7 @@
     Reader.join();
   if (Ticker.joinable())
     Ticker.join();
-  {
-    std::unique_lock Lock(Mutex);
-    Changed.wait(Lock, [this] { return Tasks == 0; });
-  }
+  Tasks.wait();
   // The next holder need not wait until the leases run out.
   for (lease &Lease : Leases)
     if (const auto Record = Lease.release(Clock.now()))
@@ -109,19 +106,6 @@
   return !Stopping;
 }
 
-void control_duties::runTask(std::function<void()> Task) {
-  {
-    const std::scoped_lock Lock(Mutex);
-    ++Tasks;
-  }
-  pplx::create_task([this, Task = std::move(Task)] {
-    Task();
-    const std::scoped_lock Lock(Mutex);
-    --Tasks;
-    Changed.notify_all();
-  });
-}
-
 void control_duties::readLeases() {
   while (pause(std::chrono::milliseconds(0))) {
     const auto Batch = Log.read(LeaseStream, Next, config::LogPollWait);
@@ -191,7 +175,7 @@
         Records.push_back(std::move(*Record));
   }
   for (lease_record &Record : Records)
-    runTask([this, Record = std::move(Record)] { appendLease(Record); });
+    Tasks.run([this, Record = std::move(Record)] { appendLease(Record); });
 }
 
 void control_duties::takeConfig() {
@@ -239,14 +223,14 @@
 }
 
 void control_duties::perform(const orders_action::read_state &Action) {
-  runTask([this, Action] {
+  Tasks.run([this, Action] {
     feed(Orders,
          orders_event::state_read{Action.Endpoint, readLoaded(Action.Address)});
   });
 }
 
 void control_duties::perform(const orders_action::send_order &Action) {
-  runTask([this, Action] {
+  Tasks.run([this, Action] {
     bool MaySend = false;
     {
       // Asked again here: the task may have waited, or the process stopped.
@@ -276,7 +260,7 @@
 }
 
 void control_duties::perform(const driver_action::propose &Action) {
-  runTask([this, Action] {
+  Tasks.run([this, Action] {
     const config_state State = Feed.state();
     if (State.Accepted != Action.Offset)
       return; // decided on a state that is no longer in force
--- a/src/control_duties.h
+++ b/src/control_duties.h
@@ -10,6 +10,7 @@
 #include "peers.h"
 #include "rollout_driver.h"
 #include "settings.h"
+#include "task_group.h"
 
 #include <array>
 #include <condition_variable>
@@ -54,7 +55,6 @@
   void perform(const driver_action::propose &Action);
   template <typename Machine, typename Input>
   void feed(Machine &Into, const Input &Event);
-  void runTask(std::function<void()> Task);
   bool pause(std::chrono::milliseconds For);
 
   const settings &Settings;
@@ -71,7 +71,7 @@
   std::optional<mono_time> CaughtUpAt;
   std::uint64_t ConfigOffset = 0;
   bool Stopping = false;
-  unsigned Tasks = 0;
+  task_group Tasks;
   std::thread Reader;
   std::thread Ticker;
 };
--- a/src/request_runner.cpp
+++ b/src/request_runner.cpp
@@ -2,11 +2,11 @@
 
 #include "config.h"
 #include "logs.h"
+#include "request_planning.h"
 
 #include <algorithm>
 #include <deque>
 #include <mutex>
-#include <xxhash.h>
 
 namespace clementinelane {
 
@@ -15,18 +15,6 @@
 namespace action = request_action;
 namespace event = request_event;
 
-std::string hashOf(const caller_request &Request) {
-  return sha256Hex(Request.Method + "\n" + Request.Model + "\n" + Request.Path +
-                   "\n" + Request.Body);
-}
-
-/// Whether a stable `Share` of all requests holds this one.
-bool isSampled(std::string_view RequestId, double Share) {
-  constexpr std::uint64_t Steps = 1'000'000;
-  const auto Hash = XXH3_64bits(RequestId.data(), RequestId.size());
-  return static_cast<double>(Hash % Steps) < Share * Steps;
-}
-
 std::string versionPool(const configuration &Config, bool IsService,
                         const std::string &Name) {
   if (IsService)
@@ -280,98 +268,8 @@
   bool Running = false;
 };
 
-/// A request's plan, or the reason to refuse it.
-struct planned_request {
-  request_plan Plan;
-  double Target = 0;
-  session_binding Binding; ///< to sign into the answer's token
-  std::string Reason;
-  std::string RunnerUp;
-};
-
-result<planned_request> planService(const configuration &Config,
-                                    const customer_spec &Customer,
-                                    const caller_request &Request) {
-  const auto Service = Config.Services.find(Request.Model);
-  if (Service == Config.Services.end())
-    return error_kind::ServiceUnknown;
-  if (std::find(Customer.Services.begin(), Customer.Services.end(),
-                Request.Model) == Customer.Services.end())
-    return error_kind::ServiceNotAllowed;
-  planned_request Planned;
-  Planned.Plan.Idempotent =
-      Service->second.Idempotent && !Request.NonIdempotent;
-  Planned.Plan.Versions = {Request.Model};
-  Planned.Plan.CostsPer1kTokens = {0};
-  Planned.Reason = "service";
-  return Planned;
-}
-
-result<planned_request> planChat(const request_services &Services,
-                                 const configuration &Config,
-                                 const customer_spec &Customer,
-                                 const caller_request &Request,
-                                 std::optional<session_binding> Bound) {
-  if (!Request.SessionToken.empty()) {
-    auto Verified =
-        Services.Tokens.verify(Request.SessionToken, Services.Clock.wallNow());
-    if (!Verified)
-      return Verified.error();
-    if (Verified.value().Customer != Customer.Name)
-      return error_kind::SessionTokenInvalid;
-    Bound = std::move(Verified).value();
-  }
-  const std::string &Session =
-      Request.SessionId.empty() ? Request.Id : Request.SessionId;
-  const bool HasSession = Bound || !Request.SessionId.empty();
-  const bool MayExplore = !HasSession && !Request.NonIdempotent &&
-                          Request.Priority != priority::Counter;
-  auto Chosen = chooseVersion(
-      Config, {Customer, Request.Model, Session, Bound, HasSession, MayExplore},
-      Services.Quality);
-  if (!Chosen)
-    return Chosen.error();
-  const version_plan &Choice = Chosen.value();
-  planned_request Planned;
-  Planned.Plan.Idempotent = !Request.NonIdempotent;
-  Planned.Plan.Work = Choice.Work;
-  Planned.Plan.IsSampled =
-      Choice.IsExploring || isSampled(Request.Id, config::RatingShare);
-  Planned.Target = Choice.Target;
-  // Work that may not be repeated runs once, on the version that meets the
-  // target: the last of the plan.
-  const std::size_t First =
-      Planned.Plan.Idempotent ? 0 : Choice.Versions.size() - 1;
-  for (std::size_t Index = First; Index < Choice.Versions.size(); ++Index) {
-    Planned.Plan.Versions.push_back(Choice.Versions[Index].Name);
-    Planned.Plan.CostsPer1kTokens.push_back(
-        Choice.Versions[Index].CostPer1kTokens);
-  }
-  Planned.Binding =
-      Bound ? *Bound
-            : session_binding{Customer.Name, Request.SessionId,
-                              Choice.Work,   Planned.Plan.Versions.front(),
-                              Config.Offset, 0};
-  Planned.Reason = Choice.Reason;
-  Planned.RunnerUp = Choice.RunnerUp;
-  return Planned;
-}
-
-result<planned_request> planRequest(const request_services &Services,
-                                    const configuration &Config,
-                                    const caller_request &Request,
-                                    const std::optional<session_binding> &Bound,
-                                    const customer_spec *&Customer) {
-  Customer = findCustomer(Config, Request.Key);
-  if (!Customer)
-    return error_kind::KeyWrong;
-  auto Planned = Request.IsService
-                     ? planService(Config, *Customer, Request)
-                     : planChat(Services, Config, *Customer, Request, Bound);
-  if (Planned && !Planned.value().Plan.Idempotent &&
-      Request.IdempotencyKey.empty())
-    return error_kind::IdempotencyKeyMissing;
-  return Planned;
+planning_context contextOf(const request_services &Services) {
+  return {Services.Clock, Services.Quality, Services.Tokens};
 }
 
 std::int64_t wallSeconds(const request_services &Services) {
@@ -395,7 +293,8 @@
                   const std::shared_ptr<answer_writer> &Writer,
                   const std::optional<session_binding> &Bound) {
   const customer_spec *Customer = nullptr;
-  auto Result = planRequest(Services, Config, Request, Bound, Customer);
+  auto Result =
+      planRequest(contextOf(Services), Config, Request, Bound, Customer);
   if (!Result)
     return refuse(Request, Writer, kindOf(Result.error()));
   planned_request &Planned = Result.value();
@@ -455,8 +354,8 @@
                   const configuration_ptr &Config, caller_request Request,
                   const std::shared_ptr<answer_writer> &Writer) {
   const customer_spec *Customer = nullptr;
-  auto Planned =
-      planRequest(Services, *Config, Request, std::nullopt, Customer);
+  auto Planned = planRequest(contextOf(Services), *Config, Request,
+                             std::nullopt, Customer);
   if (!Customer)
     return refuse(Request, Writer, kindOf(Planned.error()));
   // Without a version for new sessions an old one may still go on.
--- a/tests/standin/main.cpp
+++ b/tests/standin/main.cpp
@@ -7,6 +7,7 @@
 
 #include <boost/algorithm/string/split.hpp>
 #include <csignal>
+#include <cstdlib>
 #include <gflags/gflags.h>
 #include <iostream>
 
@@ -66,5 +67,6 @@
   Server.open();
   int Signal = 0;
   sigwait(&Signals, &Signal);
-  return 0;
+  // Handlers may still wait in a role, so nothing is destroyed.
+  std::quick_exit(0);
 }
