Entry's metrics by the metrics library; no timer after the stop

Cause: /metrics of entry was text put together by hand, while the house style asks for prometheus-cpp and control already used it; admission, placement and retries counted what nobody could read. A timer could run while the members that it reaches were being destroyed.

Change: metrics.h serves both daemons; tables of figures by process and by pool; timer_service::stop() before entry's members go.

Conclusion: histograms of latency are still missing.

--- a/src/control.cpp
+++ b/src/control.cpp
@@ -2,11 +2,11 @@
 
 #include "config.h"
 #include "logs.h"
+#include "metrics.h"
 
 #include <algorithm>
 #include <array>
 #include <openssl/crypto.h>
-#include <prometheus/text_serializer.h>
 
 namespace clementinelane {
 
@@ -83,15 +83,6 @@
      [](const follower_status &S) { return S.IsSchemaTooNew ? 1.0 : 0.0; }},
 }};
 
-prometheus::MetricFamily makeFamily(std::string_view Name,
-                                    std::string_view Help,
-                                    prometheus::MetricType Type, double Value) {
-  prometheus::ClientMetric Metric;
-  Metric.counter.value = Value;
-  Metric.gauge.value = Value;
-  return {std::string(Name), std::string(Help), Type, {Metric}};
-}
-
 } // namespace
 
 control::control(const settings &Settings, const runtime_clock &Clock)
@@ -255,16 +246,15 @@
   std::vector<prometheus::MetricFamily> Families;
   Families.reserve(CountMetrics.size() + StatusMetrics.size());
   for (const count_metric &Each : CountMetrics)
-    Families.push_back(makeFamily(Each.Name, Each.Help,
-                                  prometheus::MetricType::Counter,
-                                  double(Counts.*Each.Count)));
+    addValue(Families.emplace_back(makeFamily(Each.Name, Each.Help,
+                                              prometheus::MetricType::Counter)),
+             double(Counts.*Each.Count));
   for (const status_metric &Each : StatusMetrics)
-    Families.push_back(makeFamily(Each.Name, Each.Help,
-                                  prometheus::MetricType::Gauge,
-                                  Each.Read(Status)));
-  Call->text(prometheus::TextSerializer().Serialize(Families) +
-                 Gossip.metricsText(),
-             "text/plain; version=0.0.4");
+    addValue(Families.emplace_back(makeFamily(Each.Name, Each.Help,
+                                              prometheus::MetricType::Gauge)),
+             Each.Read(Status));
+  Call->text(metricsText(Families) + Gossip.metricsText(),
+             std::string(MetricsType));
 }
 
 } // namespace clementinelane
--- a/src/entry.cpp
+++ b/src/entry.cpp
@@ -3,7 +3,9 @@
 #include "change.h"
 #include "codec.h"
 #include "config.h"
+#include "entry_metrics.h"
 #include "logs.h"
+#include "metrics.h"
 
 #include <random>
 
@@ -68,10 +70,13 @@
       Server(Settings.Address + ":" + std::to_string(Settings.EntryPort),
              routes()) {}
 
+// Guard: a timer that runs while members go would reach those already gone. It
+// shows as a crash at exit, now and then; no timer runs after the stop.
 entry::~entry() {
   Leaving = true;
   if (Follower.joinable())
     Follower.join();
+  Timers.stop();
 }
 
 void entry::open() {
@@ -253,20 +258,17 @@
 }
 
 void entry::answerMetrics(const std::shared_ptr<http_call> &Call) {
-  const intent_counters Counters = Intents.counters();
-  const usage_counters Bills = Usage.counters();
-  Call->text(
-      "clementine_open_requests " + std::to_string(Open.load()) +
-      "\nclementine_requests_total " + std::to_string(Taken.load()) +
-      "\nclementine_intent_appends_total " + std::to_string(Counters.Appends) +
-      "\nclementine_intent_unavailable_total " +
-      std::to_string(Counters.Unavailable) +
-      "\nclementine_intent_remembered_bytes " + std::to_string(Counters.Bytes) +
-      "\nclementine_intent_owed " + std::to_string(Counters.Owed) +
-      "\nclementine_usage_appends_total " + std::to_string(Bills.Appends) +
-      "\nclementine_usage_own_bytes " + std::to_string(Bills.OwnBytes) +
-      "\nclementine_usage_held_bytes " + std::to_string(Bills.HeldBytes) +
-      "\n");
+  entry_figures Figures{Open,
+                        Taken,
+                        Admission.refusedByQuota(),
+                        Intents.counters(),
+                        Usage.counters(),
+                        Retries.stats(),
+                        Admission.stats(),
+                        {}};
+  for (const auto &[Pool, Stats] : Figures.Admission)
+    Figures.Placement[Pool] = Placer.stats(Pool);
+  Call->text(entryMetricsText(Figures), std::string(MetricsType));
 }
 
 // Control drives roll-outs, and entry has the ratings. The reply brakes what
--- /dev/null
+++ b/src/entry_metrics.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include "admission_queue.h"
+#include "log_intents.h"
+#include "log_usage.h"
+#include "placement.h"
+#include "retry_budget.h"
+
+#include <cstdint>
+#include <map>
+#include <string>
+
+namespace clementinelane {
+
+/// What an entry counts, read at one moment.
+struct entry_figures {
+  std::uint64_t Open = 0;
+  std::uint64_t Taken = 0;
+  std::uint64_t RefusedByQuota = 0;
+  intent_counters Intents;
+  usage_counters Usage;
+  retry_stats Retries;
+  std::map<std::string, admission_stats> Admission; ///< by pool
+  std::map<std::string, placement_stats> Placement; ///< by pool
+};
+
+/// The figures in the text format of Prometheus.
+std::string entryMetricsText(const entry_figures &Figures);
+
+} // namespace clementinelane
--- a/src/timers.h
+++ b/src/timers.h
@@ -16,13 +16,17 @@
   timer_service()
       : Guard(boost::asio::make_work_guard(Context)),
         Thread([this] { Context.run(); }) {}
-  ~timer_service() {
-    Context.stop();
-    Thread.join();
-  }
+  ~timer_service() { stop(); }
   timer_service(const timer_service &) = delete;
   timer_service &operator=(const timer_service &) = delete;
 
+  /// Nothing runs afterwards. Not from a timer's own function.
+  void stop() {
+    Context.stop();
+    if (Thread.joinable())
+      Thread.join();
+  }
+
   /// Calls `Run` after `Delay`, unless the handle is cancelled before.
   handle after(std::chrono::steady_clock::duration Delay,
                std::function<void()> Run) {
