--- a/Makefile
+++ b/Makefile
@@ -14,8 +14,10 @@
 test: build
 	ctest --test-dir $(BUILD) --output-on-failure
 
+# The product's own fleet, then its routers on the platform.
 demo: build
 	scripts/demo
+	scripts/demo-platform
 
 # Property tests with new seeds; not part of CI, whose seeds are fixed.
 fuzz: build
--- a/src/caller_server.cpp
+++ b/src/caller_server.cpp
@@ -2,9 +2,8 @@
 
 #include "clock.h"
 #include "config.h"
-#include "socket_options.h"
+#include "sockets.h"
 
-#include <array>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
@@ -126,13 +125,8 @@
   void onReadable(const error_code &WaitError) {
     if (Phase == phase::Closed)
       return;
-    error_code Error = WaitError;
-    std::array<char, config::SocketReadBytes> Buffer;
-    std::size_t Count = 0;
-    if (!Error) {
-      Socket.non_blocking(true, Error);
-      Count = Socket.read_some(asio::buffer(Buffer), Error);
-    }
+    const error_code Error =
+        WaitError ? WaitError : appendArrived(Socket, Pending);
     if (Error == asio::error::would_block) {
       read();
       return;
@@ -141,8 +135,8 @@
       onClosed();
       return;
     }
-    if (Phase != phase::Closing)
-      Pending.append(Buffer.data(), Count);
+    if (Phase == phase::Closing)
+      Pending.clear();
     if (Phase == phase::Reading)
       parse();
     read();
--- a/src/config.h
+++ b/src/config.h
@@ -17,16 +17,12 @@
 constexpr std::size_t MaxBodyBytes = 4U << 20U;
 /// Bytes of one header value that we read ourselves.
 constexpr std::size_t MaxHeaderBytes = 1024;
-/// Time for a body to arrive whole; a slow sender must not hold a connection.
-constexpr auto BodyTimeout = 10s;
 /// Deadline of a request that names none, and the longest one it may name.
 constexpr auto DefaultDeadline = 60s;
 constexpr auto MaxDeadline = 600s;
 /// Bytes of a streamed answer that wait for a caller that reads slowly: some
 /// 150 events, or 6 s at 41 ms a token. Two hundred such callers hold 8 MiB.
 constexpr std::size_t MaxUnreadBytes = 40U << 10U;
-/// Open requests of one customer on one VM, above which it is refused.
-constexpr std::size_t MaxOpenPerCustomer = 4096;
 
 // --- endpoints -------------------------------------------------------------
 
@@ -683,6 +679,9 @@
 constexpr auto RolloutHastyPeriod = 500ms;
 constexpr auto RolloutReportPeriod = 1200ms;
 constexpr auto RolloutStatusPause = 700ms;
+/// A status that was read before its order; the two reads are at most two
+/// pauses of the reads of statuses apart.
+constexpr auto RolloutEarlyStatusLife = 3s;
 /// From the last step on, for as long as most of the traffic is new to the
 /// target.
 constexpr auto RolloutHasteTime = 4s;
@@ -712,9 +711,10 @@
 
 // --- the platform's store ----------------------------------------------------
 
-/// Long poll for configurations. A VM that is cut off right after an answer
-/// still has 0.6 of the revocation bound, 3 s, of its key lease.
-constexpr auto OrderPollWait = 1600ms;
+/// Long poll for configurations. A poll proves the moment it was sent, and only
+/// once it is answered, so a VM that is cut off loses up to two waits of its
+/// key lease: 1.6 s of 5 s, which leaves the 0.6 that callers expect.
+constexpr auto OrderPollWait = 800ms;
 /// Between reads of the endpoint list: a leaving endpoint goes on for 2 s, and
 /// one failed read with its repeat must fit in. Each read costs the fleet.
 constexpr auto EndpointReadPause = 1100ms;
--- a/src/http_exchange.cpp
+++ b/src/http_exchange.cpp
@@ -1,9 +1,8 @@
 #include "http_exchange.h"
 
 #include "config.h"
-#include "socket_options.h"
+#include "sockets.h"
 
-#include <array>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
@@ -96,13 +95,8 @@
   void onReadable(const error_code &WaitError) {
     if (IsOver)
       return;
-    error_code Error = WaitError;
-    std::array<char, config::SocketReadBytes> Buffer;
-    std::size_t Count = 0;
-    if (!Error) {
-      Socket.non_blocking(true, Error);
-      Count = Socket.read_some(asio::buffer(Buffer), Error);
-    }
+    const error_code Error =
+        WaitError ? WaitError : appendArrived(Socket, Pending);
     if (Error == asio::error::would_block) {
       read();
       return;
@@ -111,7 +105,6 @@
       onClosed(Error);
       return;
     }
-    Pending.append(Buffer.data(), Count);
     parse();
     if (!IsOver)
       read();
--- a/src/peer_datagrams.cpp
+++ b/src/peer_datagrams.cpp
@@ -1,7 +1,7 @@
 #include "peer_datagrams.h"
 
 #include "config.h"
-#include "socket_options.h"
+#include "sockets.h"
 
 #include <boost/asio/buffer.hpp>
 #include <stdexcept>
--- a/src/router.cpp
+++ b/src/router.cpp
@@ -312,7 +312,7 @@
   logs::info("rollout_status", {{"service", std::string(Service)},
                                 {"target", std::string(Target)},
                                 {"state", std::string(nameOf(State))}});
-  ensureShift(Service).takeStatus(Target, State);
+  ensureShift(Service).takeStatus(Target, State, now());
   noteEndpoints(Service);
 }
 
--- a/src/socket_options.cpp
+++ b/src/sockets.cpp
@@ -1,7 +1,9 @@
-#include "socket_options.h"
+#include "sockets.h"
 
 #include "config.h"
 
+#include <array>
+#include <boost/asio/buffer.hpp>
 #include <charconv>
 #include <netinet/tcp.h>
 #include <string>
@@ -42,4 +44,17 @@
           std::chrono::milliseconds(config::SilentConnectionLimit).count()));
 }
 
+boost::system::error_code appendArrived(boost::asio::ip::tcp::socket &Socket,
+                                        std::string &Bytes) {
+  boost::system::error_code Error;
+  Socket.non_blocking(true, Error);
+  if (Error)
+    return Error;
+  std::array<char, config::SocketReadBytes> Buffer;
+  const std::size_t Count =
+      Socket.read_some(boost::asio::buffer(Buffer), Error);
+  Bytes.append(Buffer.data(), Count);
+  return Error;
+}
+
 } // namespace clementinelane
--- a/src/socket_options.h
+++ b/src/sockets.h
@@ -3,6 +3,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <chrono>
 #include <optional>
+#include <string>
 #include <string_view>
 
 namespace clementinelane {
@@ -18,4 +19,12 @@
 /// end such a connection within config::SilentConnectionLimit.
 void setSocketOptions(boost::asio::ip::tcp::socket &Socket);
 
+/// Appends to `Bytes` what has arrived, without waiting; `would_block` if that
+/// is nothing.
+///
+/// Memory is taken only while bytes are at hand: thousands of idle connections
+/// hold no buffers of their own.
+boost::system::error_code appendArrived(boost::asio::ip::tcp::socket &Socket,
+                                        std::string &Bytes);
+
 } // namespace clementinelane
--- a/src/version_shift.cpp
+++ b/src/version_shift.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace clementinelane {
 
@@ -35,11 +36,24 @@
   Accepted.erase(Value.Target);
   for (auto &[Id, Session] : Sessions)
     Session.Side = version_side::Old;
+  if (const auto Status = std::exchange(Early, std::nullopt);
+      Status && Status->Target == Order->Target &&
+      Now - Status->ReadAt <= config::RolloutEarlyStatusLife)
+    applyStatus(Status->State);
 }
 
-void version_shift::takeStatus(std::string_view Target, rollout_state State) {
-  if (!Order || Order->Target != Target)
-    return;
+// Failure: a VM stands still through a whole roll-out while it follows another
+// one. It then reads the status before the order, passes it over, takes the
+// order for a new one and writes "in progress" over its end.
+void version_shift::takeStatus(std::string_view Target, rollout_state State,
+                               mono_time Now) {
+  if (Order && Order->Target == Target)
+    applyStatus(State);
+  else
+    Early = early_status{std::string(Target), State, Now};
+}
+
+void version_shift::applyStatus(rollout_state State) {
   HasStatus = true;
   if (State == rollout_state::InProgress || Final)
     return;
--- a/src/version_shift.h
+++ b/src/version_shift.h
@@ -65,7 +65,7 @@
   }
   void takeOrder(const rollout_order &Value, mono_time Now);
   /// The status that stands in the store.
-  void takeStatus(std::string_view Target, rollout_state State);
+  void takeStatus(std::string_view Target, rollout_state State, mono_time Now);
   /// All statuses that stood when a read was sent at `SentAt` were taken.
   void takeStatusesRead(mono_time SentAt);
   void takeReport(const rollout_report &Report, mono_time Now);
@@ -110,6 +110,12 @@
     version_side Side;
     mono_time LastAt;
   };
+  /// A status whose order wasn't read yet.
+  struct early_status {
+    std::string Target;
+    rollout_state State;
+    mono_time ReadAt;
+  };
   double shareAt(mono_time Now) const;
   bool isFirstHalf(mono_time Now) const;
   void acceptVersions(std::span<const endpoint_info *const> Endpoints);
@@ -122,6 +128,7 @@
   double expectedRequests() const;
   void judge(mono_time Now);
   void forgetSessions(mono_time Now);
+  void applyStatus(rollout_state State);
 
   std::string Vm;
   std::uint64_t Incarnation;
@@ -133,6 +140,7 @@
   mono_time OrderedAt{}; ///< as far as this VM knows
   mono_time SeenAt{};    ///< when the order was read here
   std::optional<rollout_state> Final;
+  std::optional<early_status> Early;
   bool HasStatus = false;     ///< of this order, any
   bool IsStatusKnown = false; ///< whether there is one was looked up
   std::set<std::string, std::less<>> Accepted; ///< versions in regular use
--- a/tests/platform_records_test.cpp
+++ b/tests/platform_records_test.cpp
@@ -121,7 +121,7 @@
   std::string Bytes("\0\0\0\0\0\0\0\x09\0\0\0\0\0\0\0\x02", 16);
   Bytes += encodeKeyedRecord("config", "{}");
   Bytes += encodeKeyedRecord("i-1", "");
-  const auto Page = decodeLogPage(Bytes, 5, true);
+  const auto Page = decodeTopicPage(Bytes, 5, true);
   BOOST_REQUIRE(Page.has_value());
   BOOST_TEST(Page->End == 9U);
   BOOST_TEST(Page->First == 2U);
@@ -131,7 +131,7 @@
   BOOST_TEST(Page->Records[1].Offset == 6U);
   BOOST_TEST(!Page->Records[1].Value.has_value()); // the key was dropped
   Bytes.pop_back();
-  BOOST_TEST(!decodeLogPage(Bytes, 5, true).has_value());
+  BOOST_TEST(!decodeTopicPage(Bytes, 5, true).has_value());
 }
 
 BOOST_AUTO_TEST_CASE(newest_records_are_decoded) {
@@ -153,8 +153,8 @@
     decodeRolloutOrder(Bytes, 0);
     decodeRolloutStatus(Bytes);
     decodeNewestPage(Bytes);
-    decodeLogPage(Bytes, 0, true);
-    decodeLogPage(std::string(16, '\0') + Bytes, 0, true);
+    decodeTopicPage(Bytes, 0, true);
+    decodeTopicPage(std::string(16, '\0') + Bytes, 0, true);
   });
   BOOST_TEST(IsOk);
 }
--- /dev/null
+++ b/tests/standin/platform/registration.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include "clock.h"
+#include "http_exchange.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <string>
+
+namespace clementinelane::standin {
+
+/// What an endpoint tells the store of itself.
+struct endpoint_entry {
+  std::string Id;
+  std::string Service;
+  std::string Address;
+  std::string DataCentre;
+  std::string Version;
+};
+
+/// Keeps one endpoint's entry in the platform's store: ready, leaving, gone.
+class registration {
+public:
+  registration(boost::asio::io_context &Context, std::string StoreAddress,
+               endpoint_entry Entry)
+      : Context(Context), Timer(Context), StoreAddress(std::move(StoreAddress)),
+        Entry(std::move(Entry)) {}
+
+  /// Tries until the store has taken it.
+  void announce();
+  /// Says that the endpoint leaves, and once it has been silent for `Grace`
+  /// after that, removes the entry and stops the context.
+  void leave(duration Grace);
+
+private:
+  void put(std::string Value, std::function<void(bool IsOk)> Done);
+  std::string text(std::string_view State);
+
+  boost::asio::io_context &Context;
+  boost::asio::steady_timer Timer;
+  std::string StoreAddress;
+  endpoint_entry Entry;
+  unsigned Sequence = 0;
+  std::shared_ptr<http_exchange> Exchange;
+};
+
+} // namespace clementinelane::standin
--- a/tests/standin/platform/store.cpp
+++ b/tests/standin/platform/store.cpp
@@ -110,6 +110,12 @@
   if (Target.starts_with("/standin/put")) {
     put(queryValue(Target, "topic"), queryValue(Target, "key"),
         Exchange->body());
+  } else if (Target.starts_with("/standin/newest")) {
+    Exchange->answer(
+        200, {},
+        newest(queryValue(Target, "topic"), queryValue(Target, "key"))
+            .value_or(""));
+    return true;
   } else if (Target.starts_with("/standin/compact")) {
     compact(queryValue(Target, "topic"));
   } else {
--- a/tests/standin/platform/store.h
+++ b/tests/standin/platform/store.h
@@ -18,9 +18,11 @@
 
 /// The platform's store as far as the router uses it, with faults to switch on.
 /// Beside the platform's calls it takes, from tests and the demo:
-///   POST /standin/put?topic=T&key=K   the body as K's newest record; empty:
-///   none POST /standin/fault?name=NAME     none, busy, silent, reset,
-///   lose_answers POST /standin/compact?topic=T     forgets the history
+///   POST /standin/put?topic=T&key=K     the body as K's newest record
+///   GET  /standin/newest?topic=T&key=K  that record
+///   POST /standin/fault?name=NAME       none, busy, silent, reset,
+///                                       lose_answers
+///   POST /standin/compact?topic=T       forgets the history
 class platform_store {
 public:
   platform_store(boost::asio::io_context &Context, std::string_view Address);
--- a/tests/version_shift_test.cpp
+++ b/tests/version_shift_test.cpp
@@ -100,7 +100,7 @@
 // see, so none raises its share, and nothing is completed.
 BOOST_FIXTURE_TEST_CASE(share_stays_without_reports, fixture) {
   order();
-  Shift.takeStatus("v2", rollout_state::InProgress);
+  Shift.takeStatus("v2", rollout_state::InProgress, Now);
   Now += Length;
   BOOST_TEST(newSessions("a") < 75);
   BOOST_TEST(!Shift.due(Now).has_value());
@@ -225,12 +225,12 @@
 
 BOOST_FIXTURE_TEST_CASE(completed_and_rolled_back_settle_it, fixture) {
   order();
-  Shift.takeStatus("v2", rollout_state::RolledBack);
+  Shift.takeStatus("v2", rollout_state::RolledBack, Now);
   BOOST_TEST(!Shift.isActive());
   BOOST_TEST(!Shift.allows("v2", version_side::New));
   BOOST_TEST(Shift.allows("v1", version_side::Old));
   order("v3", 6);
-  Shift.takeStatus("v3", rollout_state::Completed);
+  Shift.takeStatus("v3", rollout_state::Completed, Now);
   BOOST_TEST(Shift.allows("v3", version_side::Old));
   BOOST_TEST(!Shift.allows("v1", version_side::Old));
 }
@@ -343,7 +343,7 @@
 BOOST_FIXTURE_TEST_CASE(completion_waits_for_old_requests, fixture) {
   order();
   BOOST_TEST((*Shift.due(Now) == rollout_state::InProgress));
-  Shift.takeStatus("v2", rollout_state::InProgress);
+  Shift.takeStatus("v2", rollout_state::InProgress, Now);
   BOOST_TEST(!Shift.due(Now).has_value());
   rollout_report Other = Shift.report(Now);
   Other.Vm = "vm2";
@@ -368,11 +368,36 @@
   BOOST_TEST(!Shift.due(Now).has_value());
   Shift.takeStatusesRead(Now - 1s); // sent before the order was seen
   BOOST_TEST(!Shift.due(Now).has_value());
-  Shift.takeStatus("v2", rollout_state::Completed);
+  Shift.takeStatus("v2", rollout_state::Completed, Now);
   Shift.takeStatusesRead(Now);
   BOOST_TEST(!Shift.due(Now).has_value());
 }
 
+// A VM stands still through a whole roll-out while it follows that of another
+// service. When it goes on, it reads the final status before the order. It must
+// not take the order for a new one and write "in progress" over its end.
+BOOST_FIXTURE_TEST_CASE(status_before_its_order_counts, fixture) {
+  Shift.takeStatus("v2", rollout_state::InProgress, Now);
+  Shift.takeStatus("v2", rollout_state::Completed, Now);
+  pass(1s);
+  order();
+  BOOST_TEST(!Shift.isActive());
+  BOOST_TEST(!Shift.due(Now).has_value());
+  BOOST_TEST(Shift.allows("v2", version_side::Old));
+}
+
+// A version is ordered again some time after it was rolled back: the old status
+// says nothing of the new order, nor does that of another version.
+BOOST_FIXTURE_TEST_CASE(old_or_other_status_is_not_the_orders, fixture) {
+  Shift.takeStatus("v2", rollout_state::RolledBack, Now);
+  pass(config::RolloutEarlyStatusLife + 1ms);
+  order();
+  BOOST_TEST(Shift.isActive());
+  Shift.takeStatus("v4", rollout_state::Completed, Now);
+  order("v3", 6);
+  BOOST_TEST(Shift.isActive());
+}
+
 BOOST_AUTO_TEST_CASE(any_bytes_are_no_report_or_one) {
   const bool IsOk = rc::check([](const std::string &Bytes) {
     decodeReport(Bytes); // must not throw
