Let two routers read the store for all

Cause: each VM proved every 0.8 s that its configuration was the newest and read the endpoint list every 1.1 s: 2.2 calls a second and VM, which the platform charges. Ruled out: longer waits, which take from the lease of a VM that is cut off (1.6 s refused early, see docs/PLATFORM.md).

Change: read_relay, a machine without I/O. Of the routers that hear each other the first two by a hash read the store; the others ask one of them by datagram, and read the store themselves if the answer is late, too old, or has a gap. A proof counts from when the question was sent, so it never looks younger than it is. Nothing is agreed between routers.

Tests: read_relay_test first, 11 cases; peer_loads, router, version_shift, endpoint_directory and platform_records pass.

--- a/src/config.h
+++ b/src/config.h
@@ -605,6 +605,26 @@
 /// Between tries to learn the other routers while the store doesn't answer.
 constexpr auto PeerListRetry = 2s;
 
+// --- reads of the store for others -------------------------------------------
+
+/// Routers that read the store for all: one may be lost or cut off at any time.
+constexpr std::size_t RelayReaders = 2;
+/// Between questions to a reader. With the reader's own poll, a proof is at
+/// most 1.2 s old, and a leaving endpoint is known within 1 s.
+constexpr auto RelayPause = 400ms;
+/// Some hundred times the way there and back; then the store is read.
+constexpr auto RelayAnswerTime = 150ms;
+/// Older proofs are of no use: the store is read instead, while keys still hold
+/// for as long as callers expect.
+constexpr auto MaxRelayedAge = 1500ms;
+/// Records kept of a topic for those who ask, some minutes of them, and the
+/// bytes that go into an answer: one datagram that no network splits.
+constexpr std::size_t MaxRelayRecords = 128;
+constexpr std::size_t MaxRelayBytes = 24U << 10U;
+constexpr std::size_t MaxRelayAnswerBytes = 1200;
+/// Of a record in an answer, beside key and value, at most.
+constexpr std::size_t RelayRecordBytes = 16;
+
 // --- cascade -----------------------------------------------------------------
 
 /// Part of the repeat budget that cascades may use; the rest is for failures.
@@ -713,11 +733,12 @@
 
 /// Long poll for configurations. A poll proves the moment it was sent, and only
 /// once it is answered, so a VM that is cut off loses up to two waits of its
-/// key lease: 1.6 s of 5 s, which leaves the 0.6 that callers expect.
-constexpr auto OrderPollWait = 800ms;
+/// key lease, and a pause if it asks a reader: 1.2 s of 5 s. The 0.6 that
+/// callers expect are left.
+constexpr auto OrderPollWait = 400ms;
 /// Between reads of the endpoint list: a leaving endpoint goes on for 2 s, and
-/// one failed read with its repeat must fit in. Each read costs the fleet.
-constexpr auto EndpointReadPause = 1100ms;
+/// one failed read with its repeat must fit in, and a pause of those who ask.
+constexpr auto EndpointReadPause = 600ms;
 /// Between reads of reports and statuses while a roll-out is under way; the
 /// first while it needs haste.
 constexpr auto RolloutHastyPause = 400ms;
--- a/src/peer_datagrams.cpp
+++ b/src/peer_datagrams.cpp
@@ -13,6 +13,20 @@
 using udp = boost::asio::ip::udp;
 using error_code = boost::system::error_code;
 
+bool isHeard(mono_time HeardAt, mono_time Now) {
+  return Now - HeardAt <= config::DigestLife;
+}
+
+std::string messageOf(peer_message Kind, std::string_view Bytes) {
+  std::string Message(1, static_cast<char>(Kind));
+  Message += Bytes;
+  return Message;
+}
+
+std::string textOf(const udp::endpoint &Peer) {
+  return Peer.address().to_string() + ":" + std::to_string(Peer.port());
+}
+
 } // namespace
 
 peer_datagrams::peer_datagrams(boost::asio::io_context &Context,
@@ -47,10 +61,11 @@
       [this](const error_code &Error, std::size_t Count) {
         if (Error == boost::asio::error::operation_aborted)
           return;
-        if (!Error) {
+        if (!Error && Count > 0) {
           const mono_time Now = Clock.bootNow();
           Peers.insert_or_assign(Sender, peer{Now, Peers[Sender].SentAt});
-          Handler(std::string_view(Buffer.data(), Count));
+          Handler(static_cast<peer_message>(Buffer[0]), textOf(Sender),
+                  std::string_view(Buffer.data() + 1, Count - 1));
         }
         receive();
       });
@@ -62,24 +77,52 @@
   });
 }
 
-void peer_datagrams::send(std::string_view Bytes) {
+void peer_datagrams::sendBytes(const udp::endpoint &Peer,
+                               const std::string &Message) {
+  error_code Ignored; // a lost datagram is made good by the next
+  Socket.send_to(boost::asio::buffer(Message), Peer, 0, Ignored);
+}
+
+void peer_datagrams::send(peer_message Kind, std::string_view Bytes) {
   const mono_time Now = Clock.bootNow();
   forget(Now);
   std::vector<std::pair<const udp::endpoint, peer> *> Due;
   for (auto &Entry : Peers) {
-    const bool IsQuiet = Now - Entry.second.HeardAt > config::DigestLife;
+    const bool IsQuiet = !isHeard(Entry.second.HeardAt, Now);
     if (!IsQuiet || Now - Entry.second.SentAt > config::QuietPeerPause)
       Due.push_back(&Entry);
   }
+  const std::string Message = messageOf(Kind, Bytes);
   const std::size_t Count = std::min(Due.size(), config::MaxDigestPeers);
   for (std::size_t I = 0; I < Count; ++I) {
     auto &[Address, Peer] = *Due[(Turn + I) % Due.size()];
     Peer.SentAt = Now;
-    error_code Ignored; // a lost digest is made good by the next
-    Socket.send_to(boost::asio::buffer(Bytes.data(), Bytes.size()), Address, 0,
-                   Ignored);
+    sendBytes(Address, Message);
   }
   Turn += Count;
 }
 
+void peer_datagrams::sendToAll(peer_message Kind, std::string_view Bytes) {
+  const mono_time Now = Clock.bootNow();
+  const std::string Message = messageOf(Kind, Bytes);
+  for (const auto &[Address, Peer] : Peers)
+    if (isHeard(Peer.HeardAt, Now))
+      sendBytes(Address, Message);
+}
+
+void peer_datagrams::sendTo(const std::string &Address, peer_message Kind,
+                            std::string_view Bytes) {
+  if (const auto Parsed = parseAddress(Address))
+    sendBytes(udp::endpoint(Parsed->address(), Parsed->port()),
+              messageOf(Kind, Bytes));
+}
+
+std::vector<std::string> peer_datagrams::heard(mono_time Now) const {
+  std::vector<std::string> Addresses;
+  for (const auto &[Address, Peer] : Peers)
+    if (isHeard(Peer.HeardAt, Now))
+      Addresses.push_back(textOf(Address));
+  return Addresses;
+}
+
 } // namespace clementinelane
--- a/src/peer_datagrams.h
+++ b/src/peer_datagrams.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "clock.h"
+#include "read_relay.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/udp.hpp>
@@ -12,12 +12,21 @@
 
 namespace clementinelane {
 
+/// What a datagram holds; its first byte.
+enum class peer_message : char {
+  Loads = 'L',
+  Sessions = 'S',
+  Question = 'Q',
+  Answer = 'A'
+};
+
 /// Datagrams between the routers of a fleet. A router that sends becomes known
 /// to those that hear it, so a newcomer needs the addresses of the others only
 /// once.
-class peer_datagrams {
+class peer_datagrams final : public relay_peers {
 public:
-  using handler = std::function<void(std::string_view Bytes)>;
+  using handler = std::function<void(
+      peer_message Kind, const std::string &Sender, std::string_view Bytes)>;
 
   /// Throws if the address can't be bound.
   peer_datagrams(boost::asio::io_context &Context, const runtime_clock &Clock,
@@ -27,15 +36,30 @@
   void know(const std::vector<std::string> &Addresses);
   /// Sends to the peers that were heard lately, and at times to the others; to
   /// at most config::MaxDigestPeers, in turn.
-  void send(std::string_view Bytes);
+  void send(peer_message Kind, std::string_view Bytes);
+  /// Sends to all that were heard lately.
+  void sendToAll(peer_message Kind, std::string_view Bytes);
   std::size_t peers() const { return Peers.size(); }
 
+  std::vector<std::string> heard(mono_time Now) const override;
+  void sendQuestion(const std::string &Address,
+                    std::string_view Bytes) override {
+    sendTo(Address, peer_message::Question, Bytes);
+  }
+  void sendAnswer(const std::string &Address, std::string_view Bytes) override {
+    sendTo(Address, peer_message::Answer, Bytes);
+  }
+
 private:
   struct peer {
     mono_time HeardAt;
     mono_time SentAt;
   };
   void receive();
+  void sendTo(const std::string &Address, peer_message Kind,
+              std::string_view Bytes);
+  void sendBytes(const boost::asio::ip::udp::endpoint &Peer,
+                 const std::string &Message);
   void forget(mono_time Now);
 
   const runtime_clock &Clock;
--- a/src/peer_loads.cpp
+++ b/src/peer_loads.cpp
@@ -17,7 +17,7 @@
 /// Fields of one load or session and of a digest, in their order on the wire.
 constexpr std::size_t LoadFields = 3;
 constexpr std::size_t SessionFields = 3;
-constexpr std::size_t DigestFields = 5;
+constexpr std::size_t DigestFields = 4;
 
 } // namespace
 
@@ -25,17 +25,42 @@
   return static_cast<std::uint32_t>(stableHash(Id));
 }
 
+std::string encodeNotes(const std::vector<session_note> &Notes) {
+  auto Body = json::array();
+  for (const session_note &Note : Notes)
+    Body.push_back({Note.Service, Note.Session, Note.IsNew ? 1 : 0});
+  std::string Bytes;
+  json::to_msgpack(Body, Bytes);
+  return Bytes;
+}
+
+std::optional<std::vector<session_note>> decodeNotes(std::string_view Bytes) {
+  try {
+    const json Body = json::from_msgpack(Bytes.begin(), Bytes.end());
+    if (!Body.is_array())
+      return std::nullopt;
+    std::vector<session_note> Notes;
+    for (const json &Note : Body) {
+      if (!Note.is_array() || Note.size() < SessionFields)
+        return std::nullopt;
+      Notes.push_back({Note[0].get<std::uint32_t>(),
+                       Note[1].get<std::uint64_t>(),
+                       Note[2].get<unsigned>() != 0});
+    }
+    return Notes;
+  } catch (const json::exception &) {
+    return std::nullopt; // the caller counts it
+  }
+}
+
 std::string encodeDigest(const load_digest &Digest) {
   auto Loads = json::array();
   for (const endpoint_load &Load : Digest.Loads)
     Loads.push_back({Load.Endpoint,
                      static_cast<std::uint64_t>(Load.Work * WorkUnit),
                      Load.Running});
-  auto Sessions = json::array();
-  for (const session_note &Note : Digest.Sessions)
-    Sessions.push_back({Note.Service, Note.Session, Note.IsNew ? 1 : 0});
   const json Body = {Digest.Vm, Digest.Incarnation, Digest.Sequence,
-                     std::move(Loads), std::move(Sessions)};
+                     std::move(Loads)};
   std::string Bytes;
   json::to_msgpack(Body, Bytes);
   return Bytes;
@@ -57,13 +82,6 @@
                               Load[1].get<double>() / WorkUnit,
                               Load[2].get<unsigned>()});
     }
-    for (const json &Note : Body[4]) {
-      if (!Note.is_array() || Note.size() < SessionFields)
-        return std::nullopt;
-      Digest.Sessions.push_back({Note[0].get<std::uint32_t>(),
-                                 Note[1].get<std::uint64_t>(),
-                                 Note[2].get<unsigned>() != 0});
-    }
     return Digest;
   } catch (const json::exception &) {
     return std::nullopt; // the caller counts it
--- a/src/peer_loads.h
+++ b/src/peer_loads.h
@@ -32,12 +32,15 @@
   std::uint64_t Incarnation = 0;
   std::uint64_t Sequence = 0; ///< grows with each digest of an incarnation
   std::vector<endpoint_load> Loads;
-  std::vector<session_note> Sessions; ///< seen since the digest before
 };
 
 /// The hash by which digests name an endpoint or a service.
 std::uint32_t digestHash(std::string_view Id);
 
+std::string encodeNotes(const std::vector<session_note> &Notes);
+/// None if the bytes are no notes.
+std::optional<std::vector<session_note>> decodeNotes(std::string_view Bytes);
+
 std::string encodeDigest(const load_digest &Digest);
 /// None if the bytes are no digest.
 std::optional<load_digest> decodeDigest(std::string_view Bytes);
--- /dev/null
+++ b/src/read_relay.cpp
@@ -0,0 +1,235 @@
+#include "read_relay.h"
+
+#include "config.h"
+#include "hashing.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+namespace clementinelane {
+
+namespace {
+
+using json = nlohmann::json;
+using std::chrono::milliseconds;
+
+/// Fields of a question, an answer and a record, in their order on the wire.
+constexpr std::size_t QuestionFields = 3;
+constexpr std::size_t AnswerFields = 5;
+constexpr std::size_t RecordFields = 3;
+
+std::string toBytes(const json &Body) {
+  std::string Bytes;
+  json::to_msgpack(Body, Bytes);
+  return Bytes;
+}
+
+std::size_t sizeOf(const topic_record &Record) {
+  return Record.Key.size() + (Record.Value ? Record.Value->size() : 0);
+}
+
+json encodeRecordBody(const topic_record &Record) {
+  return {Record.Offset, Record.Key,
+          Record.Value ? json(*Record.Value) : json(nullptr)};
+}
+
+} // namespace
+
+std::string encodeQuestion(const relay_question &Question) {
+  return toBytes(
+      {Question.Number, static_cast<unsigned>(Question.Topic), Question.From});
+}
+
+std::optional<relay_question> decodeQuestion(std::string_view Bytes) {
+  try {
+    const json Body = json::from_msgpack(Bytes.begin(), Bytes.end());
+    if (!Body.is_array() || Body.size() < QuestionFields)
+      return std::nullopt;
+    const auto Topic = Body[1].get<std::size_t>();
+    if (Topic >= RelayedTopics)
+      return std::nullopt;
+    return relay_question{Body[0].get<std::uint64_t>(),
+                          static_cast<relayed_topic>(Topic),
+                          Body[2].get<std::uint64_t>()};
+  } catch (const json::exception &) {
+    return std::nullopt; // the caller counts it
+  }
+}
+
+std::string encodeRelayAnswer(const relay_answer &Answer) {
+  auto Records = json::array();
+  for (const topic_record &Record : Answer.Records)
+    Records.push_back(encodeRecordBody(Record));
+  return toBytes({Answer.Number, Answer.HasGap ? 1 : 0, Answer.End,
+                  Answer.Age.count(), std::move(Records)});
+}
+
+std::optional<relay_answer> decodeRelayAnswer(std::string_view Bytes) {
+  try {
+    const json Body = json::from_msgpack(Bytes.begin(), Bytes.end());
+    if (!Body.is_array() || Body.size() < AnswerFields)
+      return std::nullopt;
+    relay_answer Answer;
+    Answer.Number = Body[0].get<std::uint64_t>();
+    Answer.HasGap = Body[1].get<unsigned>() != 0;
+    Answer.End = Body[2].get<std::uint64_t>();
+    Answer.Age = milliseconds(Body[3].get<std::uint32_t>());
+    for (const json &Each : Body[4]) {
+      if (!Each.is_array() || Each.size() < RecordFields)
+        return std::nullopt;
+      topic_record Record;
+      Record.Offset = Each[0].get<std::uint64_t>();
+      Record.Key = Each[1].get<std::string>();
+      if (!Each[2].is_null())
+        Record.Value = Each[2].get<std::string>();
+      Answer.Records.push_back(std::move(Record));
+    }
+    return Answer;
+  } catch (const json::exception &) {
+    return std::nullopt; // the caller counts it
+  }
+}
+
+void read_relay::disconnect() {
+  Peers = nullptr;
+  Asked.clear();
+}
+
+void read_relay::proven(relayed_topic Topic, std::uint64_t End,
+                        mono_time SentAt) {
+  topic &Known = at(Topic);
+  Known.End = End;
+  Known.ProvenAt = SentAt;
+}
+
+void read_relay::keep(relayed_topic Topic, const topic_record &Record) {
+  topic &Known = at(Topic);
+  if (Known.First + Known.Records.size() != Record.Offset) {
+    Known.Records.clear();
+    Known.Bytes = 0;
+    Known.First = Record.Offset;
+  }
+  Known.Records.push_back(Record);
+  Known.Bytes += sizeOf(Record);
+  while (Known.Records.size() > config::MaxRelayRecords ||
+         Known.Bytes > config::MaxRelayBytes) {
+    Known.Bytes -= sizeOf(Known.Records.front());
+    Known.Records.pop_front();
+    ++Known.First;
+  }
+}
+
+void read_relay::restart(relayed_topic Topic, std::uint64_t End) {
+  at(Topic) = topic{};
+  at(Topic).First = End;
+  at(Topic).End = End;
+}
+
+// The order is by a hash, so that the readers differ from fleet to fleet and
+// are spread over the data centres. Routers that can't hear each other have
+// readers of their own.
+std::optional<std::string> read_relay::readerToAsk(bool HasStoreFailed,
+                                                   mono_time Now) const {
+  if (!Peers)
+    return std::nullopt;
+  const auto Rank = [](const std::string &Address) {
+    return std::pair(stableHash(Address), Address);
+  };
+  std::vector<std::string> Readers = Peers->heard(Now);
+  Readers.push_back(Own);
+  const std::size_t Count = std::min(config::RelayReaders, Readers.size());
+  std::partial_sort(
+      Readers.begin(), Readers.begin() + static_cast<std::ptrdiff_t>(Count),
+      Readers.end(), [&Rank](const std::string &A, const std::string &B) {
+        return Rank(A) < Rank(B);
+      });
+  Readers.resize(Count);
+  if (const auto Self = std::find(Readers.begin(), Readers.end(), Own);
+      Self != Readers.end()) {
+    if (!HasStoreFailed || Count == 1)
+      return std::nullopt;
+    Readers.erase(Self);
+  }
+  return Readers[(stableHash(Own) + Turn) % Readers.size()];
+}
+
+bool read_relay::ask(relayed_topic Topic, std::uint64_t From,
+                     bool HasStoreFailed, mono_time Now, handler Handler) {
+  const auto Reader = readerToAsk(HasStoreFailed, Now);
+  if (!Reader)
+    return false;
+  const relay_question Question{++LastNumber, Topic, From};
+  Asked[Question.Number] = {Now, std::move(Handler)};
+  Peers->sendQuestion(*Reader, encodeQuestion(Question));
+  return true;
+}
+
+relay_answer read_relay::answerTo(const relay_question &Question,
+                                  mono_time Now) {
+  const topic &Known = at(Question.Topic);
+  relay_answer Answer;
+  Answer.Number = Question.Number;
+  Answer.End = Known.End;
+  Answer.HasGap = !Known.ProvenAt || Question.From < Known.First;
+  if (Answer.HasGap)
+    return Answer;
+  // Rounded up: a proof is never told to be younger than it is.
+  Answer.Age = std::chrono::ceil<milliseconds>(Now - *Known.ProvenAt);
+  std::size_t Bytes = 0;
+  for (std::uint64_t I = Question.From - Known.First; I < Known.Records.size();
+       ++I) {
+    const topic_record &Record = Known.Records[I];
+    Bytes += sizeOf(Record) + config::RelayRecordBytes;
+    if (Bytes > config::MaxRelayAnswerBytes) {
+      // One that fits into no datagram is read from the store.
+      Answer.HasGap = Answer.Records.empty();
+      break;
+    }
+    Answer.Records.push_back(Record);
+  }
+  return Answer;
+}
+
+void read_relay::takeQuestion(const std::string &From, std::string_view Bytes,
+                              mono_time Now) {
+  const auto Question = decodeQuestion(Bytes);
+  if (Question && Peers)
+    Peers->sendAnswer(From, encodeRelayAnswer(answerTo(*Question, Now)));
+}
+
+// Failure: the reader that is asked lost the store, but not us. Its proof grows
+// old, and keys would end here too; so it is of no use.
+void read_relay::takeAnswer(std::string_view Bytes, mono_time Now) {
+  auto Answer = decodeRelayAnswer(Bytes);
+  if (!Answer)
+    return;
+  const auto Found = Asked.find(Answer->Number);
+  if (Found == Asked.end())
+    return;
+  const mono_time AskedAt = Found->second.AskedAt;
+  const mono_time ProvenAt = AskedAt - Answer->Age;
+  if (Answer->HasGap || Now - ProvenAt > config::MaxRelayedAge) {
+    end(Answer->Number, std::nullopt);
+    return;
+  }
+  end(Answer->Number, news{std::move(Answer->Records), Answer->End, ProvenAt});
+}
+
+void read_relay::end(std::uint64_t Number, std::optional<news> News) {
+  const handler Handler = std::move(Asked.extract(Number).mapped().Handler);
+  Turn += News ? 0 : 1;
+  Handler(std::move(News));
+}
+
+void read_relay::expire(mono_time Now) {
+  std::vector<std::uint64_t> Late;
+  for (const auto &[Number, Question] : Asked)
+    if (Now - Question.AskedAt >= config::RelayAnswerTime)
+      Late.push_back(Number);
+  for (const std::uint64_t Number : Late)
+    if (Asked.contains(Number))
+      end(Number, std::nullopt);
+}
+
+} // namespace clementinelane
--- /dev/null
+++ b/src/read_relay.h
@@ -0,0 +1,139 @@
+#pragma once
+
+#include "clock.h"
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace clementinelane {
+
+/// One record of a followed topic; of a keyed one with its key, and without a
+/// value if the key was dropped.
+struct topic_record {
+  std::uint64_t Offset = 0;
+  std::string Key;
+  std::optional<std::string> Value;
+};
+
+/// Topics whose news routers tell each other.
+enum class relayed_topic : std::uint8_t { Orders, Endpoints };
+constexpr std::size_t RelayedTopics = 2;
+
+/// A router's question for the news of one topic.
+struct relay_question {
+  std::uint64_t Number = 0; ///< of the asker's questions
+  relayed_topic Topic = relayed_topic::Orders;
+  std::uint64_t From = 0; ///< first record that the asker doesn't have
+};
+
+/// What the asked router knows of the topic.
+struct relay_answer {
+  std::uint64_t Number = 0;
+  bool HasGap = false;   ///< it no longer has the records from there on
+  std::uint64_t End = 0; ///< one past its newest record
+  /// Since it sent the read that proved its records to be all.
+  std::chrono::milliseconds Age{0};
+  std::vector<topic_record> Records; ///< the first that fit
+};
+
+std::string encodeQuestion(const relay_question &Question);
+std::optional<relay_question> decodeQuestion(std::string_view Bytes);
+std::string encodeRelayAnswer(const relay_answer &Answer);
+std::optional<relay_answer> decodeRelayAnswer(std::string_view Bytes);
+
+/// The other routers, by the addresses of their datagrams.
+class relay_peers {
+public:
+  virtual ~relay_peers() = default;
+  /// Those that were heard within the life of a digest.
+  virtual std::vector<std::string> heard(mono_time Now) const = 0;
+  virtual void sendQuestion(const std::string &Address,
+                            std::string_view Bytes) = 0;
+  virtual void sendAnswer(const std::string &Address,
+                          std::string_view Bytes) = 0;
+};
+
+/// Lets a few routers read the platform's store for all, without I/O.
+///
+/// Load: a fleet of dozens of VMs, each of which must prove every second or two
+/// that its configuration and endpoints are the newest. Harm prevented: calls
+/// to the store that grow with the fleet, 160 a second at 74 VMs, for which
+/// the platform charges and of which it takes only so many. The config::
+/// RelayReaders routers that come first in an order which all share read the
+/// store; the others ask one of them. Nothing is agreed between routers: an
+/// answer holds records of the store and how old their proof is. The proof is
+/// counted from when the question was sent, so that neither a late datagram nor
+/// a VM that stands still makes it look younger than it is.
+class read_relay {
+public:
+  /// What came of a question: none if there was no use in the answer.
+  struct news {
+    std::vector<topic_record> Records;
+    std::uint64_t End = 0;
+    mono_time ProvenAt{};
+  };
+  using handler = std::function<void(std::optional<news>)>;
+
+  explicit read_relay(std::string OwnAddress) : Own(std::move(OwnAddress)) {}
+
+  /// From now on questions go out; the peers must outlive the relay's use.
+  void connect(relay_peers &Value) { Peers = &Value; }
+  /// No more questions; those under way come to nothing.
+  void disconnect();
+
+  /// This router followed a topic up to `End`, by a read sent at `SentAt`.
+  void proven(relayed_topic Topic, std::uint64_t End, mono_time SentAt);
+  /// A record of the topic, in the order of the log.
+  void keep(relayed_topic Topic, const topic_record &Record);
+  /// All records up to `End` are known, but not one by one.
+  void restart(relayed_topic Topic, std::uint64_t End);
+
+  /// Asks another router. False if this one is to read the store itself; one
+  /// that the store just turned away asks another reader first.
+  bool ask(relayed_topic Topic, std::uint64_t From, bool HasStoreFailed,
+           mono_time Now, handler Handler);
+  void takeQuestion(const std::string &From, std::string_view Bytes,
+                    mono_time Now);
+  void takeAnswer(std::string_view Bytes, mono_time Now);
+  /// Ends questions without an answer; call it from time to time.
+  void expire(mono_time Now);
+
+private:
+  struct topic {
+    std::uint64_t First = 0; ///< of the records that are kept
+    std::deque<topic_record> Records;
+    std::size_t Bytes = 0;
+    std::uint64_t End = 0;
+    std::optional<mono_time> ProvenAt;
+  };
+  struct question {
+    mono_time AskedAt;
+    handler Handler;
+  };
+
+  topic &at(relayed_topic Topic) {
+    return Topics[static_cast<std::size_t>(Topic)];
+  }
+  std::optional<std::string> readerToAsk(bool HasStoreFailed,
+                                         mono_time Now) const;
+  relay_answer answerTo(const relay_question &Question, mono_time Now);
+  void end(std::uint64_t Number, std::optional<news> News);
+
+  std::string Own;
+  relay_peers *Peers = nullptr;
+  std::array<topic, RelayedTopics> Topics;
+  std::map<std::uint64_t, question> Asked;
+  std::uint64_t LastNumber = 0;
+  /// Readers that gave no use in a row; another one is asked next.
+  std::size_t Turn = 0;
+};
+
+} // namespace clementinelane
--- a/src/router.cpp
+++ b/src/router.cpp
@@ -49,10 +49,10 @@
 
 router::router(boost::asio::io_context &Context, const runtime_clock &Clock,
                const router_settings &Settings, platform_port &Platform,
-               std::string MetricsAddress)
+               read_relay &Relay, std::string MetricsAddress)
     : Context(Context), Clock(Clock), Settings(Settings), Platform(Platform),
-      Incarnation(static_cast<std::uint64_t>(
-          Clock.wallNow().time_since_epoch().count())),
+      Relay(Relay), Incarnation(static_cast<std::uint64_t>(
+                        Clock.wallNow().time_since_epoch().count())),
       StartedAt(Clock.bootNow()), Lease(leaseTerm(Settings)),
       Directory(config::LapsedEntryGrace),
       Choice(Directory, Loads, Settings.DataCentre,
@@ -69,7 +69,7 @@
       MetricsAddress(std::move(MetricsAddress)), Tick(Context),
       RandomState(stableHash(Settings.VmName, Incarnation + 1)) {}
 
-router::~router() = default;
+router::~router() { Relay.disconnect(); }
 
 void router::tellSession(const session_note &Note) {
   if (SessionNotes.size() < config::MaxDigestSessions)
@@ -96,10 +96,13 @@
     MetricsServer = std::make_unique<caller_server>(
         Context, MetricsAddress,
         [this](const auto &Exchange) { answerMetrics(*Exchange); });
-  if (!Settings.PeerAddress.empty())
+  if (!Settings.PeerAddress.empty()) {
     Peers = std::make_unique<peer_datagrams>(
         Context, Clock, Settings.PeerAddress,
-        [this](std::string_view Bytes) { takeDigest(Bytes); });
+        [this](peer_message Kind, const std::string &Sender,
+               std::string_view Bytes) { takeMessage(Kind, Sender, Bytes); });
+    Relay.connect(*Peers);
+  }
   Platform.start(*this);
   if (Peers)
     Platform.joinPeers(Settings.VmName, Settings.PeerAddress);
@@ -344,14 +347,35 @@
   logs::info("peers", {{"routers", std::to_string(Addresses.size())}});
 }
 
+void router::takeMessage(peer_message Kind, const std::string &Sender,
+                         std::string_view Bytes) {
+  switch (Kind) {
+  case peer_message::Loads:
+    return takeDigest(Bytes);
+  case peer_message::Sessions:
+    return takeNotes(Bytes);
+  case peer_message::Question:
+    return Relay.takeQuestion(Sender, Bytes, now());
+  case peer_message::Answer:
+    return Relay.takeAnswer(Bytes, now());
+  }
+  logs::warning("datagram_unreadable", {{"from", Sender}});
+}
+
 void router::takeDigest(std::string_view Bytes) {
-  const auto Digest = decodeDigest(Bytes);
-  if (!Digest) {
+  if (const auto Digest = decodeDigest(Bytes))
+    Loads.take(*Digest, now());
+  else
     logs::warning("digest_unreadable", {});
+}
+
+void router::takeNotes(std::string_view Bytes) {
+  const auto Notes = decodeNotes(Bytes);
+  if (!Notes) {
+    logs::warning("session_notes_unreadable", {});
     return;
   }
-  Loads.take(*Digest, now());
-  for (const session_note &Note : Digest->Sessions)
+  for (const session_note &Note : *Notes)
     for (auto &[Service, Shift] : Shifts)
       if (digestHash(Service) == Note.Service)
         Shift->takeSession(Note.Session,
@@ -364,8 +388,13 @@
   if (!Peers || Now - DigestAt < config::DigestPeriod)
     return;
   DigestAt = Now;
-  Peers->send(encodeDigest({Settings.VmName, Incarnation, ++DigestSequence,
-                            Choice.loads(), std::exchange(SessionNotes, {})}));
+  Peers->send(peer_message::Loads,
+              encodeDigest({Settings.VmName, Incarnation, ++DigestSequence,
+                            Choice.loads()}));
+  // All others need them: a session's next request may come in anywhere.
+  if (!SessionNotes.empty())
+    Peers->sendToAll(peer_message::Sessions,
+                     encodeNotes(std::exchange(SessionNotes, {})));
 }
 
 // --- time --------------------------------------------------------------------
@@ -386,6 +415,7 @@
   Choice.forgetGone();
   tickRollouts(Now);
   tickDigest(Now);
+  Relay.expire(Now);
   noteReadiness();
   if (StoppingAt)
     stopStep();
--- a/src/router.h
+++ b/src/router.h
@@ -26,7 +26,7 @@
 public:
   router(boost::asio::io_context &Context, const runtime_clock &Clock,
          const router_settings &Settings, platform_port &Platform,
-         std::string MetricsAddress);
+         read_relay &Relay, std::string MetricsAddress);
   ~router() override;
   router(const router &) = delete;
   router &operator=(const router &) = delete;
@@ -75,7 +75,10 @@
   unsigned oldRunning(std::string_view Service,
                       const version_shift &Shift) const;
   void tickDigest(mono_time Now);
+  void takeMessage(peer_message Kind, const std::string &Sender,
+                   std::string_view Bytes);
   void takeDigest(std::string_view Bytes);
+  void takeNotes(std::string_view Bytes);
   void noteReadiness();
   void stopStep();
   void tellSession(const session_note &Note);
@@ -85,6 +88,7 @@
   const runtime_clock &Clock;
   router_settings Settings;
   platform_port &Platform;
+  read_relay &Relay;
   std::uint64_t Incarnation; ///< wall time of the start, nanoseconds
   mono_time StartedAt;
   route_table_ptr Table;
@@ -105,7 +109,7 @@
   std::unique_ptr<caller_server> MetricsServer;
   std::unique_ptr<peer_datagrams> Peers;
   std::uint64_t DigestSequence = 0;
-  std::vector<session_note> SessionNotes; ///< for the next digest
+  std::vector<session_note> SessionNotes; ///< not sent yet
   mono_time DigestAt{};
   std::string MetricsAddress;
   boost::asio::steady_timer Tick;
--- /dev/null
+++ b/tests/read_relay_test.cpp
@@ -0,0 +1,305 @@
+#define BOOST_TEST_MODULE read_relay
+#include "config.h"
+#include "read_relay.h"
+
+#include <boost/test/unit_test.hpp>
+#include <memory>
+#include <rapidcheck.h>
+#include <set>
+
+using namespace clementinelane;
+using namespace std::chrono_literals;
+
+namespace {
+
+topic_record record(std::uint64_t Offset, const std::string &Key,
+                    std::optional<std::string> Value = "value") {
+  return {Offset, Key, std::move(Value)};
+}
+
+/// Routers in one process, a time that the test passes, and datagrams that
+/// arrive at once unless they are held back or a router is cut off.
+struct fleet {
+  struct vm;
+  struct port final : relay_peers {
+    port(fleet &Fleet, std::string Own) : Fleet(Fleet), Own(std::move(Own)) {}
+    std::vector<std::string> heard(mono_time) const override {
+      std::vector<std::string> Others;
+      for (const auto &[Address, Vm] : Fleet.Vms)
+        if (Address != Own && !Fleet.Silent.contains(Address))
+          Others.push_back(Address);
+      return Others;
+    }
+    void sendQuestion(const std::string &To, std::string_view Bytes) override {
+      ++Fleet.Questions[To];
+      if (!Fleet.Silent.contains(To) && !Fleet.Mute.contains(To))
+        Fleet.Vms.at(To)->Relay.takeQuestion(Own, Bytes, Fleet.Now);
+    }
+    void sendAnswer(const std::string &To, std::string_view Bytes) override {
+      if (Fleet.IsHeld)
+        Fleet.Held.emplace_back(To, Bytes);
+      else
+        Fleet.Vms.at(To)->Relay.takeAnswer(Bytes, Fleet.Now);
+    }
+    fleet &Fleet;
+    std::string Own;
+  };
+  struct vm {
+    vm(fleet &Fleet, const std::string &Address)
+        : Port(Fleet, Address), Relay(Address) {
+      Relay.connect(Port);
+    }
+    port Port;
+    read_relay Relay;
+  };
+
+  explicit fleet(int Count) {
+    for (int Each = 0; Each < Count; ++Each) {
+      const std::string Address = "10.0.0." + std::to_string(Each) + ":7000";
+      Vms[Address] = std::make_unique<vm>(*this, Address);
+    }
+  }
+
+  /// Addresses of those that read the store.
+  std::set<std::string> readers() {
+    std::set<std::string> Found;
+    for (auto &[Address, Vm] : Vms)
+      if (!Silent.contains(Address) &&
+          !Vm->Relay.ask(relayed_topic::Orders, 0, false, Now, [](auto) {}))
+        Found.insert(Address);
+    return Found;
+  }
+  read_relay &asker() {
+    const auto Readers = readers();
+    for (auto &[Address, Vm] : Vms)
+      if (!Readers.contains(Address))
+        return Vm->Relay;
+    throw std::logic_error("all read the store");
+  }
+  /// All readers have read up to `End` at this moment.
+  void prove(std::uint64_t End) {
+    for (const std::string &Address : readers())
+      Vms.at(Address)->Relay.proven(relayed_topic::Orders, End, Now);
+  }
+  void keep(const topic_record &Record) {
+    for (const std::string &Address : readers())
+      Vms.at(Address)->Relay.keep(relayed_topic::Orders, Record);
+  }
+  void deliver() {
+    IsHeld = false;
+    for (const auto &[To, Bytes] : std::exchange(Held, {}))
+      Vms.at(To)->Relay.takeAnswer(Bytes, Now);
+  }
+
+  mono_time Now{1h};
+  std::map<std::string, std::unique_ptr<vm>> Vms;
+  std::map<std::string, unsigned> Questions; ///< by whom they were sent to
+  std::set<std::string> Silent;              ///< not heard, hear nothing
+  std::set<std::string> Mute;                ///< heard, but hear nothing
+  bool IsHeld = false;
+  std::vector<std::pair<std::string, std::string>> Held;
+};
+
+/// Asks once; whether a question went out and what came of it.
+struct asked {
+  asked(fleet &Fleet, read_relay &Relay, std::uint64_t From,
+        bool HasStoreFailed = false) {
+    WasSent = Relay.ask(relayed_topic::Orders, From, HasStoreFailed, Fleet.Now,
+                        [this](std::optional<read_relay::news> Value) {
+                          HasEnded = true;
+                          News = std::move(Value);
+                        });
+  }
+  bool WasSent = false;
+  bool HasEnded = false;
+  std::optional<read_relay::news> News;
+};
+
+} // namespace
+
+// A fleet of 74 VMs on a calm day: each must prove every half second that it
+// knows the newest configuration. Read by each VM, that is 148 calls a second;
+// two of them read for all.
+BOOST_AUTO_TEST_CASE(two_read_for_a_fleet) {
+  fleet Fleet(74);
+  BOOST_TEST(Fleet.readers().size() == config::RelayReaders);
+  Fleet.prove(5);
+  unsigned Reads = 0;
+  unsigned Proofs = 0;
+  for (int Round = 0; Round < 10; ++Round) {
+    for (auto &[Address, Vm] : Fleet.Vms) {
+      const asked Asked(Fleet, Vm->Relay, 5);
+      Reads += Asked.WasSent ? 0 : 1;
+      Proofs += Asked.News ? 1 : 0;
+    }
+    Fleet.Now += 400ms;
+    Fleet.prove(5);
+  }
+  BOOST_TEST(Reads == 10 * config::RelayReaders);
+  BOOST_TEST(Proofs == 10 * (74 - config::RelayReaders));
+  // Neither of the two answers for nearly all.
+  for (const std::string &Reader : Fleet.readers())
+    BOOST_TEST(Fleet.Questions[Reader] > 200U);
+}
+
+// A single VM, or one that hears no other, reads the store itself.
+BOOST_AUTO_TEST_CASE(who_hears_nobody_reads) {
+  fleet Fleet(5);
+  BOOST_TEST(Fleet.readers().size() == 2U);
+  const std::string Reader = *Fleet.readers().begin();
+  for (const auto &[Address, Vm] : Fleet.Vms)
+    Fleet.Silent.insert(Address);
+  const asked Asked(Fleet, Fleet.Vms.at(Reader)->Relay, 0);
+  BOOST_TEST(!Asked.WasSent);
+}
+
+// A reader is killed. It is heard no more, and another takes its place.
+BOOST_AUTO_TEST_CASE(lost_reader_is_replaced) {
+  fleet Fleet(9);
+  const auto Before = Fleet.readers();
+  Fleet.Silent.insert(*Before.begin());
+  const auto After = Fleet.readers();
+  BOOST_TEST(After.size() == 2U);
+  BOOST_TEST(After.contains(*Before.rbegin()));
+  BOOST_TEST(!After.contains(*Before.begin()));
+}
+
+BOOST_AUTO_TEST_CASE(records_come_in_order_and_whole) {
+  fleet Fleet(4);
+  for (auto &[Address, Vm] : Fleet.Vms)
+    Vm->Relay.restart(relayed_topic::Orders, 3);
+  for (std::uint64_t Offset = 3; Offset < 20; ++Offset)
+    Fleet.keep(record(Offset, "key" + std::to_string(Offset),
+                      Offset == 7 ? std::nullopt
+                                  : std::optional(std::string(200, 'x'))));
+  Fleet.prove(20);
+  read_relay &Asker = Fleet.asker();
+  std::uint64_t Next = 3;
+  unsigned Answers = 0;
+  while (Next < 20) {
+    const asked Asked(Fleet, Asker, Next);
+    BOOST_REQUIRE(Asked.News.has_value());
+    BOOST_TEST(Asked.News->End == 20U);
+    BOOST_REQUIRE(!Asked.News->Records.empty());
+    for (const topic_record &Record : Asked.News->Records) {
+      BOOST_TEST(Record.Offset == Next);
+      BOOST_TEST(Record.Key == "key" + std::to_string(Next));
+      BOOST_TEST(Record.Value.has_value() == (Next != 7));
+      ++Next;
+    }
+    ++Answers;
+  }
+  BOOST_TEST(Answers > 1U); // each fits into a datagram
+}
+
+// The asker stands still, or the answer is on its way for long, while a key is
+// withdrawn. The proof counts from when the question was sent, so the lease of
+// the keys is no longer than if the asker had read the store itself.
+BOOST_AUTO_TEST_CASE(late_answer_proves_no_more_than_its_question) {
+  fleet Fleet(4);
+  read_relay &Asker = Fleet.asker();
+  Fleet.prove(5);
+  Fleet.Now += 300ms;
+  const mono_time AskedAt = Fleet.Now;
+  Fleet.IsHeld = true;
+  asked Asked(Fleet, Asker, 5);
+  Fleet.Now += 100ms;
+  Fleet.deliver();
+  BOOST_REQUIRE(Asked.News.has_value());
+  BOOST_TEST((Asked.News->ProvenAt <= AskedAt - 300ms));
+
+  Fleet.IsHeld = true;
+  const asked Frozen(Fleet, Asker, 5);
+  Fleet.Now += 10s;
+  Fleet.deliver();
+  BOOST_TEST(Frozen.HasEnded);
+  BOOST_TEST(!Frozen.News.has_value());
+}
+
+// A reader loses the store but not its peers. Its proof grows old, so the one
+// that asks reads the store itself, and asks the other reader next.
+BOOST_AUTO_TEST_CASE(reader_without_the_store_is_of_no_use) {
+  fleet Fleet(4);
+  read_relay &Asker = Fleet.asker();
+  Fleet.prove(5);
+  Fleet.Now += duration(config::MaxRelayedAge) + 1ms;
+  const auto Readers = Fleet.readers();
+  Fleet.Questions.clear();
+  const asked First(Fleet, Asker, 5);
+  BOOST_TEST(First.HasEnded);
+  BOOST_TEST(!First.News.has_value());
+  const asked Second(Fleet, Asker, 5);
+  for (const std::string &Reader : Readers)
+    BOOST_TEST(Fleet.Questions[Reader] == 1U);
+}
+
+// A reader is heard but hears nothing: its way in is cut. The question ends
+// soon, and the next goes to the other one.
+BOOST_AUTO_TEST_CASE(question_without_an_answer_ends) {
+  fleet Fleet(4);
+  read_relay &Asker = Fleet.asker();
+  Fleet.prove(5);
+  const auto Readers = Fleet.readers();
+  Fleet.Questions.clear();
+  Fleet.Mute = {Readers.begin(), Readers.end()};
+  const asked First(Fleet, Asker, 5);
+  Fleet.Now += duration(config::RelayAnswerTime) - 1ms;
+  Asker.expire(Fleet.Now);
+  BOOST_TEST(!First.HasEnded);
+  Fleet.Now += 1ms;
+  Asker.expire(Fleet.Now);
+  BOOST_TEST(First.HasEnded);
+  BOOST_TEST(!First.News.has_value());
+  Fleet.Mute.clear();
+  const asked Second(Fleet, Asker, 5);
+  BOOST_TEST(Second.News.has_value());
+  for (const std::string &Reader : Readers)
+    BOOST_TEST(Fleet.Questions[Reader] == 1U);
+}
+
+// The store turns one VM away, and it happens to be a reader. It asks the other
+// one rather than let its keys end.
+BOOST_AUTO_TEST_CASE(reader_that_was_turned_away_asks) {
+  fleet Fleet(4);
+  const auto Readers = Fleet.readers();
+  Fleet.prove(5);
+  const asked Asked(Fleet, Fleet.Vms.at(*Readers.begin())->Relay, 5, true);
+  BOOST_TEST(Asked.WasSent);
+  BOOST_TEST(Asked.News.has_value());
+}
+
+// An asker was cut off for long, or a record is larger than a datagram: what it
+// needs is read from the store.
+BOOST_AUTO_TEST_CASE(gaps_and_large_records_are_read_from_the_store) {
+  fleet Fleet(4);
+  read_relay &Asker = Fleet.asker();
+  for (std::uint64_t Offset = 0; Offset < config::MaxRelayRecords + 10;
+       ++Offset)
+    Fleet.keep(record(Offset, "k"));
+  Fleet.prove(config::MaxRelayRecords + 10);
+  BOOST_TEST(!asked(Fleet, Asker, 5).News.has_value());
+  BOOST_TEST(asked(Fleet, Asker, 12).News.has_value());
+
+  const std::uint64_t Next = config::MaxRelayRecords + 10;
+  Fleet.keep(record(Next, "large", std::string(5000, 'x')));
+  Fleet.prove(Next + 1);
+  BOOST_TEST(!asked(Fleet, Asker, Next).News.has_value());
+}
+
+// A process that has just started has proved nothing yet.
+BOOST_AUTO_TEST_CASE(unproven_knowledge_is_not_told) {
+  fleet Fleet(4);
+  BOOST_TEST(!asked(Fleet, Fleet.asker(), 0).News.has_value());
+}
+
+BOOST_AUTO_TEST_CASE(any_datagram_is_a_message_or_none) {
+  const bool IsOk = rc::check([](const std::string &Bytes) {
+    decodeQuestion(Bytes); // must not throw
+    decodeRelayAnswer(Bytes);
+    std::string Spoilt =
+        encodeRelayAnswer({7, false, 9, 30ms, {record(8, "k", "v")}});
+    Spoilt[Bytes.size() % Spoilt.size()] ^= 0x55;
+    decodeRelayAnswer(Spoilt);
+  });
+  BOOST_TEST(IsOk);
+}
--- a/tools/router/main.cpp
+++ b/tools/router/main.cpp
@@ -100,12 +100,14 @@
   constexpr int OneThread = 1;
   boost::asio::io_context Context(OneThread);
   const cl::system_runtime_clock Clock;
-  cl::platform_adapter Platform(Context, Clock, Settings.PlatformAddress);
+  cl::read_relay Relay(Settings.PeerAddress);
+  cl::platform_adapter Platform(Context, Clock, Settings.PlatformAddress,
+                                Relay);
   const std::string Metrics =
       FLAGS_metrics_port > 0
           ? Settings.Address + ":" + std::to_string(FLAGS_metrics_port)
           : std::string{};
-  cl::router Router(Context, Clock, Settings, Platform, Metrics);
+  cl::router Router(Context, Clock, Settings, Platform, Relay, Metrics);
   boost::asio::signal_set Stop(Context, SIGTERM, SIGINT);
   Stop.async_wait([&Router](const boost::system::error_code &Error, int) {
     if (!Error)
