Sum roll-out reports up at the readers; no unseen completion after an outage

Cause 1: in a roll-out every VM wrote its report to the store and read all others', each second: on 74 VMs 170 calls a second and bytes that grow with the square of the fleet. Change: VMs report by datagram to the two readers, those write one summary each, all judge by the summaries (rollout_reports; VMs that two summaries have in common count once). Statuses are relayed like orders, and the readers write them first; the others do if it still doesn't stand 0.8 s later.

Change: a relayed record says how long ago it was read; sessions that another router moved meanwhile stay moved.

Now 2.5 s of reports come first. share_stays_without_reports asserted that completion at the moment of the store's return; it now asserts that nothing is due then, and completion 2.5 s later.

--- a/src/config.h
+++ b/src/config.h
@@ -618,10 +618,12 @@
 /// for as long as callers expect.
 constexpr auto MaxRelayedAge = 1500ms;
 /// Records kept of a topic for those who ask, some minutes of them, and the
-/// bytes that go into an answer: one datagram that no network splits.
+/// bytes that go into an answer: a summary of a roll-out's reports takes 2,500.
 constexpr std::size_t MaxRelayRecords = 128;
 constexpr std::size_t MaxRelayBytes = 24U << 10U;
-constexpr std::size_t MaxRelayAnswerBytes = 1200;
+constexpr std::size_t MaxRelayAnswerBytes = 4000;
+/// The largest message between routers.
+constexpr std::size_t MaxPeerMessageBytes = 8U << 10U;
 /// Of a record in an answer, beside key and value, at most.
 constexpr std::size_t RelayRecordBytes = 16;
 
@@ -693,12 +695,18 @@
 /// From the last step until the order may be completed, and kept before its
 /// deadline: the operator looks at the status from time to time.
 constexpr auto RolloutSettleTime = 300ms;
+/// The same where the last step came late: the answers of a second, and the way
+/// of the reports on them.
+constexpr auto RolloutLateProofTime = 2500ms;
 constexpr auto RolloutDeadlineMargin = 1200ms;
 /// Between reports, the first while the roll-out needs haste, and between tries
 /// to write a status.
 constexpr auto RolloutHastyPeriod = 500ms;
 constexpr auto RolloutReportPeriod = 1200ms;
 constexpr auto RolloutStatusPause = 700ms;
+/// All VMs come to the same status. The readers write it; if it doesn't stand
+/// after this time, any VM does, still before the deadline.
+constexpr auto RolloutOthersWriteAfter = 800ms;
 /// A status that was read before its order; the two reads are at most two
 /// pauses of the reads of statuses apart.
 constexpr auto RolloutEarlyStatusLife = 3s;
--- a/src/peer_datagrams.h
+++ b/src/peer_datagrams.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "config.h"
 #include "read_relay.h"
 
 #include <boost/asio/io_context.hpp>
@@ -16,6 +17,7 @@
 enum class peer_message : char {
   Loads = 'L',
   Sessions = 'S',
+  Report = 'R',
   Question = 'Q',
   Answer = 'A'
 };
@@ -37,6 +39,8 @@
   /// Sends to the peers that were heard lately, and at times to the others; to
   /// at most config::MaxDigestPeers, in turn.
   void send(peer_message Kind, std::string_view Bytes);
+  void sendTo(const std::string &Address, peer_message Kind,
+              std::string_view Bytes);
   /// Sends to all that were heard lately.
   void sendToAll(peer_message Kind, std::string_view Bytes);
   std::size_t peers() const { return Peers.size(); }
@@ -56,8 +60,6 @@
     mono_time SentAt;
   };
   void receive();
-  void sendTo(const std::string &Address, peer_message Kind,
-              std::string_view Bytes);
   void sendBytes(const boost::asio::ip::udp::endpoint &Peer,
                  const std::string &Message);
   void forget(mono_time Now);
@@ -66,7 +68,7 @@
   boost::asio::ip::udp::socket Socket;
   boost::asio::ip::udp::endpoint Own;
   boost::asio::ip::udp::endpoint Sender;
-  std::array<char, 2048> Buffer{};
+  std::array<char, config::MaxPeerMessageBytes> Buffer{};
   std::map<boost::asio::ip::udp::endpoint, peer> Peers;
   std::size_t Turn = 0; ///< where sending goes on if there are too many
   handler Handler;
--- a/src/platform.h
+++ b/src/platform.h
@@ -23,7 +23,8 @@
                           std::optional<endpoint_info> Info) = 0;
   virtual void onEndpointList(std::vector<endpoint_info> Infos) = 0;
   virtual void onListReachable(bool IsReachable) = 0;
-  virtual void onRolloutOrder(const rollout_order &Order) = 0;
+  /// `ReadAt` is the same moment, but for the way, on all routers.
+  virtual void onRolloutOrder(const rollout_order &Order, mono_time ReadAt) = 0;
   virtual void onRolloutStatus(std::string_view Service,
                                std::string_view Target,
                                rollout_state State) = 0;
@@ -49,7 +50,7 @@
   /// Follow reports and statuses, often if there is haste; only needed while a
   /// roll-out is under way.
   virtual void followRollouts(bool IsWanted, bool IsHasty) = 0;
-  virtual void shareReport(std::string Bytes) = 0;
+  virtual void shareReport(std::string_view Vm, std::string_view Bytes) = 0;
   /// Names this router to the others and asks, once, for those before it.
   virtual void joinPeers(std::string_view Vm, std::string_view Address) = 0;
   /// Writes a status unless another came in between.
--- a/src/read_relay.cpp
+++ b/src/read_relay.cpp
@@ -17,7 +17,7 @@
 /// Fields of a question, an answer and a record, in their order on the wire.
 constexpr std::size_t QuestionFields = 3;
 constexpr std::size_t AnswerFields = 5;
-constexpr std::size_t RecordFields = 3;
+constexpr std::size_t RecordFields = 4;
 
 std::string toBytes(const json &Body) {
   std::string Bytes;
@@ -29,9 +29,10 @@
   return Record.Key.size() + (Record.Value ? Record.Value->size() : 0);
 }
 
-json encodeRecordBody(const topic_record &Record) {
+json encodeRecordBody(const topic_record &Record, mono_time Now) {
   return {Record.Offset, Record.Key,
-          Record.Value ? json(*Record.Value) : json(nullptr)};
+          Record.Value ? json(*Record.Value) : json(nullptr),
+          std::chrono::floor<milliseconds>(Now - Record.ReadAt).count()};
 }
 
 } // namespace
@@ -57,15 +58,16 @@
   }
 }
 
-std::string encodeRelayAnswer(const relay_answer &Answer) {
+std::string encodeRelayAnswer(const relay_answer &Answer, mono_time Now) {
   auto Records = json::array();
   for (const topic_record &Record : Answer.Records)
-    Records.push_back(encodeRecordBody(Record));
+    Records.push_back(encodeRecordBody(Record, Now));
   return toBytes({Answer.Number, Answer.HasGap ? 1 : 0, Answer.End,
                   Answer.Age.count(), std::move(Records)});
 }
 
-std::optional<relay_answer> decodeRelayAnswer(std::string_view Bytes) {
+std::optional<relay_answer> decodeRelayAnswer(std::string_view Bytes,
+                                              mono_time Now) {
   try {
     const json Body = json::from_msgpack(Bytes.begin(), Bytes.end());
     if (!Body.is_array() || Body.size() < AnswerFields)
@@ -83,6 +85,7 @@
       Record.Key = Each[1].get<std::string>();
       if (!Each[2].is_null())
         Record.Value = Each[2].get<std::string>();
+      Record.ReadAt = Now - milliseconds(Each[3].get<std::uint32_t>());
       Answer.Records.push_back(std::move(Record));
     }
     return Answer;
@@ -129,15 +132,14 @@
 // The order is by a hash, so that the readers differ from fleet to fleet and
 // are spread over the data centres. Routers that can't hear each other have
 // readers of their own.
-std::optional<std::string> read_relay::readerToAsk(bool HasStoreFailed,
-                                                   mono_time Now) const {
-  if (!Peers)
-    return std::nullopt;
+std::vector<std::string> read_relay::readers(mono_time Now) const {
+  std::vector<std::string> Readers;
+  if (Peers)
+    Readers = Peers->heard(Now);
+  Readers.push_back(Own);
   const auto Rank = [](const std::string &Address) {
     return std::pair(stableHash(Address), Address);
   };
-  std::vector<std::string> Readers = Peers->heard(Now);
-  Readers.push_back(Own);
   const std::size_t Count = std::min(config::RelayReaders, Readers.size());
   std::partial_sort(
       Readers.begin(), Readers.begin() + static_cast<std::ptrdiff_t>(Count),
@@ -145,12 +147,21 @@
         return Rank(A) < Rank(B);
       });
   Readers.resize(Count);
-  if (const auto Self = std::find(Readers.begin(), Readers.end(), Own);
-      Self != Readers.end()) {
-    if (!HasStoreFailed || Count == 1)
-      return std::nullopt;
-    Readers.erase(Self);
-  }
+  return Readers;
+}
+
+bool read_relay::isReader(mono_time Now) const {
+  const auto Readers = readers(Now);
+  return std::find(Readers.begin(), Readers.end(), Own) != Readers.end();
+}
+
+std::optional<std::string> read_relay::readerToAsk(bool HasStoreFailed,
+                                                   mono_time Now) const {
+  std::vector<std::string> Readers = readers(Now);
+  if (std::erase(Readers, Own) > 0 && !HasStoreFailed)
+    return std::nullopt;
+  if (Readers.empty())
+    return std::nullopt;
   return Readers[(stableHash(Own) + Turn) % Readers.size()];
 }
 
@@ -195,13 +206,13 @@
                               mono_time Now) {
   const auto Question = decodeQuestion(Bytes);
   if (Question && Peers)
-    Peers->sendAnswer(From, encodeRelayAnswer(answerTo(*Question, Now)));
+    Peers->sendAnswer(From, encodeRelayAnswer(answerTo(*Question, Now), Now));
 }
 
 // Failure: the reader that is asked lost the store, but not us. Its proof grows
 // old, and keys would end here too; so it is of no use.
 void read_relay::takeAnswer(std::string_view Bytes, mono_time Now) {
-  auto Answer = decodeRelayAnswer(Bytes);
+  auto Answer = decodeRelayAnswer(Bytes, Now);
   if (!Answer)
     return;
   const auto Found = Asked.find(Answer->Number);
--- a/src/read_relay.h
+++ b/src/read_relay.h
@@ -21,11 +21,18 @@
   std::uint64_t Offset = 0;
   std::string Key;
   std::optional<std::string> Value;
+  /// When it was read from the store, by this router or the one that told it.
+  mono_time ReadAt{};
 };
 
 /// Topics whose news routers tell each other.
-enum class relayed_topic : std::uint8_t { Orders, Endpoints };
-constexpr std::size_t RelayedTopics = 2;
+enum class relayed_topic : std::uint8_t {
+  Orders,
+  Endpoints,
+  Statuses,
+  Reports
+};
+constexpr std::size_t RelayedTopics = 4;
 
 /// A router's question for the news of one topic.
 struct relay_question {
@@ -46,8 +53,10 @@
 
 std::string encodeQuestion(const relay_question &Question);
 std::optional<relay_question> decodeQuestion(std::string_view Bytes);
-std::string encodeRelayAnswer(const relay_answer &Answer);
-std::optional<relay_answer> decodeRelayAnswer(std::string_view Bytes);
+/// Times go as ages, since each router has a clock of its own.
+std::string encodeRelayAnswer(const relay_answer &Answer, mono_time Now);
+std::optional<relay_answer> decodeRelayAnswer(std::string_view Bytes,
+                                              mono_time Now);
 
 /// The other routers, by the addresses of their datagrams.
 class relay_peers {
@@ -96,6 +105,12 @@
   /// All records up to `End` are known, but not one by one.
   void restart(relayed_topic Topic, std::uint64_t End);
 
+  /// Addresses of those that read the store for all, this one among them if it
+  /// is one of them or hears no other.
+  std::vector<std::string> readers(mono_time Now) const;
+  bool isReader(mono_time Now) const;
+  const std::string &own() const { return Own; }
+
   /// Asks another router. False if this one is to read the store itself; one
   /// that the store just turned away asks another reader first.
   bool ask(relayed_topic Topic, std::uint64_t From, bool HasStoreFailed,
--- a/src/rollout_codec.cpp
+++ b/src/rollout_codec.cpp
@@ -47,13 +47,16 @@
                      {"order", Report.OrderOffset},
                      {"elapsed_ms", millisOf(Report.Elapsed)},
                      {"old_running", Report.OldRunning},
+                     {"vms", Report.Vms},
                      {"kinds", std::move(Kinds)}};
-  return Body.dump();
+  std::string Bytes;
+  json::to_msgpack(Body, Bytes);
+  return Bytes;
 }
 
 std::optional<rollout_report> decodeReport(std::string_view Bytes) {
   try {
-    const json Body = json::parse(Bytes);
+    const json Body = json::from_msgpack(Bytes.begin(), Bytes.end());
     rollout_report Report;
     Report.Vm = Body.at("vm").get<std::string>();
     Report.Incarnation = Body.at("incarnation").get<std::uint64_t>();
@@ -63,6 +66,8 @@
     Report.Elapsed =
         std::chrono::milliseconds(Body.at("elapsed_ms").get<std::int64_t>());
     Report.OldRunning = Body.at("old_running").get<unsigned>();
+    if (const auto Vms = Body.find("vms"); Vms != Body.end())
+      Report.Vms = Vms->get<std::vector<std::uint32_t>>();
     for (const auto &[Kind, Pair] : Body.at("kinds").items())
       Report.Tally.Kinds[Kind] = {decodeSide(Pair.at("old")),
                                   decodeSide(Pair.at("new"))};
--- a/src/rollout_codec.h
+++ b/src/rollout_codec.h
@@ -8,7 +8,7 @@
 
 namespace clementinelane {
 
-/// A report as JSON; the shape stands in docs/PLATFORM.md.
+/// A report as MessagePack; the shape stands in docs/PLATFORM.md.
 std::string encodeReport(const rollout_report &Report);
 /// None if the bytes are not such a report; an unknown field is passed over.
 std::optional<rollout_report> decodeReport(std::string_view Bytes);
--- a/src/router.cpp
+++ b/src/router.cpp
@@ -301,11 +301,11 @@
   ensureShift(Service).takeEndpoints(Directory.usable(Service));
 }
 
-void router::onRolloutOrder(const rollout_order &Order) {
+void router::onRolloutOrder(const rollout_order &Order, mono_time ReadAt) {
   logs::info("rollout_order", {{"service", Order.Service},
                                {"target", Order.Target},
                                {"length_ms", millisText(Order.Length)}});
-  ensureShift(Order.Service).takeOrder(Order, now());
+  ensureShift(Order.Service).takeOrder(Order, ReadAt);
   noteEndpoints(Order.Service);
   Platform.followRollouts(true, false);
 }
@@ -354,6 +354,8 @@
     return takeDigest(Bytes);
   case peer_message::Sessions:
     return takeNotes(Bytes);
+  case peer_message::Report:
+    return onReport(Bytes);
   case peer_message::Question:
     return Relay.takeQuestion(Sender, Bytes, now());
   case peer_message::Answer:
@@ -441,6 +443,19 @@
       }));
 }
 
+// Readers hear from all VMs and write what they know together; where datagrams
+// don't get through, each part of the fleet has readers of its own.
+void router::shareReport(const version_shift &Shift, mono_time Now) {
+  if (Relay.isReader(Now))
+    Platform.shareReport(Settings.VmName, encodeReport(Shift.summary(Now)));
+  if (!Peers)
+    return;
+  const std::string Report = encodeReport(Shift.report(Now));
+  for (const std::string &Reader : Relay.readers(Now))
+    if (Reader != Relay.own())
+      Peers->sendTo(Reader, peer_message::Report, Report);
+}
+
 void router::tickRollouts(mono_time Now) {
   bool IsAnyActive = false;
   bool IsAnyHasty = false;
@@ -455,14 +470,22 @@
     IsAnyActive = true;
     Shift->setOldRunning(oldRunning(Service, *Shift));
     if (IsReportDue)
-      Platform.shareReport(encodeReport(Shift->report(Now)));
+      shareReport(*Shift, Now);
     const auto Due = Shift->due(Now);
-    mono_time &WrittenAt = StatusWrittenAt[Service];
-    if (!Due || Now - WrittenAt < config::RolloutStatusPause)
+    status_times &Times = StatusTimes[Service];
+    if (!Due) {
+      Times.DueSince.reset();
+      continue;
+    }
+    // All VMs come to this and may write; the condition lets one through.
+    if (!Times.DueSince)
+      Times.DueSince = Now;
+    const bool IsOurs =
+        Relay.isReader(Now) ||
+        Now - *Times.DueSince >= config::RolloutOthersWriteAfter;
+    if (!IsOurs || Now - Times.WrittenAt < config::RolloutStatusPause)
       continue;
-    // All VMs may write; the condition lets one through. A start at different
-    // times saves most of the others the call.
-    WrittenAt = Now;
+    Times.WrittenAt = Now;
     logs::info("rollout_decision",
                {{"service", Service},
                 {"target", Shift->order()->Target},
--- a/src/router.h
+++ b/src/router.h
@@ -43,7 +43,7 @@
                   std::optional<endpoint_info> Info) override;
   void onEndpointList(std::vector<endpoint_info> Infos) override;
   void onListReachable(bool IsReachable) override;
-  void onRolloutOrder(const rollout_order &Order) override;
+  void onRolloutOrder(const rollout_order &Order, mono_time ReadAt) override;
   void onRolloutStatus(std::string_view Service, std::string_view Target,
                        rollout_state State) override;
   void onRolloutStatusesRead(mono_time SentAt) override;
@@ -56,6 +56,11 @@
 
 private:
   class session;
+  /// Of the status of one service's roll-out.
+  struct status_times {
+    std::optional<mono_time> DueSince;
+    mono_time WrittenAt{};
+  };
 
   mono_time now() const { return Clock.bootNow(); }
   void take(std::shared_ptr<caller_exchange> Exchange);
@@ -72,6 +77,7 @@
   void armTick();
   void tick();
   void tickRollouts(mono_time Now);
+  void shareReport(const version_shift &Shift, mono_time Now);
   unsigned oldRunning(std::string_view Service,
                       const version_shift &Shift) const;
   void tickDigest(mono_time Now);
@@ -100,7 +106,7 @@
   model_cascade Cascade;
   engine_pace Pace;
   std::map<std::string, std::unique_ptr<version_shift>, std::less<>> Shifts;
-  std::map<std::string, mono_time, std::less<>> StatusWrittenAt;
+  std::map<std::string, status_times, std::less<>> StatusTimes;
   request_context Requests;
   router_metrics Metrics;
   std::set<std::shared_ptr<session>> Sessions;
--- a/src/version_shift.cpp
+++ b/src/version_shift.cpp
@@ -16,29 +16,31 @@
 
 } // namespace
 
-void version_shift::takeOrder(const rollout_order &Value, mono_time Now) {
+void version_shift::takeOrder(const rollout_order &Value, mono_time ReadAt) {
   if (Order && Value.Offset <= Order->Offset)
     return;
   // The record of an order that is known already may come back when the log
   // drops old records and the newest of each key is read again.
   Order = Value;
-  OrderedAt = Now;
-  SeenAt = Now;
+  OrderedAt = ReadAt;
+  SeenAt = ReadAt;
   Final.reset();
   HasStatus = false;
   IsStatusKnown = false;
   Verdict.clear();
   Answers = 0;
   Own = {};
-  Others.clear();
+  Reports.clear();
   Rejected.erase(Value.Target);
   // The target's endpoints may be in the list before the order is.
   Accepted.erase(Value.Target);
+  // Others may have read the order before and told of sessions that they moved.
   for (auto &[Id, Session] : Sessions)
-    Session.Side = version_side::Old;
+    if (Session.LastAt < OrderedAt)
+      Session.Side = version_side::Old;
   if (const auto Status = std::exchange(Early, std::nullopt);
       Status && Status->Target == Order->Target &&
-      Now - Status->ReadAt <= config::RolloutEarlyStatusLife)
+      ReadAt - Status->ReadAt <= config::RolloutEarlyStatusLife)
     applyStatus(Status->State);
 }
 
@@ -81,10 +83,16 @@
   OrderedAt = std::min(OrderedAt, Now - Report.Elapsed);
   if (Report.Vm == Vm && Report.Incarnation == Incarnation)
     return;
-  Others[{Report.Vm, Report.Incarnation}] = Report;
+  Reports.take(Report);
   judge(Now);
 }
 
+void version_shift::takeReportsRead(mono_time SentAt) {
+  if (SentAt - ReportsReadAt > config::RolloutReportLife)
+    ToldSince = SentAt;
+  ReportsReadAt = SentAt;
+}
+
 void version_shift::takeEndpoints(
     std::span<const endpoint_info *const> Endpoints) {
   acceptVersions(Endpoints);
@@ -261,19 +269,12 @@
 void version_shift::judge(mono_time Now) {
   if (!Verdict.empty() || !isActive())
     return;
-  const version_tally Whole = wholeTally();
+  const version_tally Whole = Reports.combined(report(Now)).Tally;
   Answers = Whole.answers();
   JudgedAt = Now;
   Verdict = verdictOn(Whole);
 }
 
-version_tally version_shift::wholeTally() const {
-  version_tally Whole = Own;
-  for (const auto &[Key, Report] : Others)
-    Whole.merge(Report.Tally);
-  return Whole;
-}
-
 rollout_report version_shift::report(mono_time Now) const {
   rollout_report Report;
   Report.Vm = Vm;
@@ -294,22 +295,6 @@
           PastStep < config::RolloutHasteTime);
 }
 
-bool version_shift::oldIsDrained() const {
-  if (OldRunning > 0)
-    return false;
-  std::map<std::string, std::pair<std::uint64_t, unsigned>> Newest;
-  for (const auto &[Key, Report] : Others) {
-    auto &[Incarnation, Running] = Newest[Key.first];
-    if (Key.second < Incarnation)
-      continue;
-    Incarnation = Key.second;
-    Running = Report.OldRunning;
-  }
-  return std::all_of(Newest.begin(), Newest.end(), [](const auto &Entry) {
-    return Entry.second.second == 0;
-  });
-}
-
 // The old endpoints stop as soon as the order is completed, so it is held back
 // until the requests on them have ended, but not past its deadline.
 std::optional<rollout_state> version_shift::due(mono_time Now) const {
@@ -320,13 +305,19 @@
   if (!HasStatus)
     return rollout_state::InProgress;
   const duration Elapsed = elapsed(Now);
-  const duration Settled = lastStep() + config::RolloutSettleTime;
+  duration Settled = lastStep() + config::RolloutSettleTime;
+  // Failure: the store is away at the last step and back near the deadline. All
+  // sessions move at once, and what the new version does to them isn't known
+  // yet; a late order does less harm than a bad version that stays.
+  if (ToldSince > OrderedAt + lastStep())
+    Settled = ToldSince - OrderedAt + config::RolloutLateProofTime;
   const duration Last = std::max<duration>(
       Order->Length - config::RolloutDeadlineMargin, Settled);
   // Nothing is completed that only a first share has met.
   if (shareAt(Now) < 1)
     return std::nullopt;
-  if (Elapsed >= Last || (Elapsed >= Settled && oldIsDrained()))
+  if (Elapsed >= Last ||
+      (Elapsed >= Settled && Reports.combined(report(Now)).OldRunning == 0))
     return rollout_state::Completed;
   return std::nullopt;
 }
--- a/src/version_shift.h
+++ b/src/version_shift.h
@@ -2,7 +2,7 @@
 
 #include "clock.h"
 #include "endpoint_directory.h"
-#include "version_tally.h"
+#include "rollout_reports.h"
 
 #include <cstdint>
 #include <map>
@@ -28,19 +28,6 @@
 
 enum class version_side : std::uint8_t { Old, New };
 
-/// What one VM tells the others of a roll-out; counts only grow within one
-/// incarnation, so that a report that comes twice or late does no harm.
-struct rollout_report {
-  std::string Vm;
-  std::uint64_t Incarnation = 0;
-  std::string Service;
-  std::string Target;
-  std::uint64_t OrderOffset = 0;
-  duration Elapsed{};      ///< since the order, as this VM knows
-  unsigned OldRunning = 0; ///< requests under way on the old version
-  version_tally Tally;
-};
-
 /// Moves one service's sessions to an ordered version, or back, without I/O.
 ///
 /// Load: a version that fails or is slow from the start, later, under load or
@@ -63,7 +50,8 @@
     ExposureBound = Share;
     ExposureTolerance = Requests;
   }
-  void takeOrder(const rollout_order &Value, mono_time Now);
+  /// `ReadAt`: when it was read from the store.
+  void takeOrder(const rollout_order &Value, mono_time ReadAt);
   /// The status that stands in the store.
   void takeStatus(std::string_view Target, rollout_state State, mono_time Now);
   /// All statuses that stood when a read was sent at `SentAt` were taken.
@@ -72,7 +60,7 @@
   /// The endpoints of the service that take work now.
   void takeEndpoints(std::span<const endpoint_info *const> Endpoints);
   /// All reports that stood in the store when a read was sent were taken.
-  void takeReportsRead(mono_time SentAt) { ReportsReadAt = SentAt; }
+  void takeReportsRead(mono_time SentAt);
 
   /// The side for a request of `Session` (may be empty), whose hash is `Hash`.
   version_side sideFor(std::string_view Session, std::uint64_t Hash,
@@ -95,7 +83,12 @@
   /// An order is under way and has no final status.
   bool isActive() const { return Order && !Final; }
   const std::optional<rollout_order> &order() const { return Order; }
+  /// Of this VM.
   rollout_report report(mono_time Now) const;
+  /// Of this VM and those that reported to it.
+  rollout_report summary(mono_time Now) const {
+    return Reports.summary(report(Now));
+  }
   /// Most of the traffic is about to meet the target, or has just met it: what
   /// one VM sees must reach the others within a second.
   bool needsHaste(mono_time Now) const;
@@ -120,8 +113,6 @@
   bool isFirstHalf(mono_time Now) const;
   void acceptVersions(std::span<const endpoint_info *const> Endpoints);
   version_side freshSide(std::uint64_t Hash, mono_time Now) const;
-  bool oldIsDrained() const;
-  version_tally wholeTally() const;
   /// From the order to the step that moves all sessions.
   duration lastStep() const;
   /// Requests of the service that the whole order is likely to see.
@@ -147,8 +138,9 @@
   std::set<std::string, std::less<>> Rejected; ///< rolled back
   std::vector<std::string> TargetEndpoints; ///< in an order that all VMs share
   mono_time ReportsReadAt{};
+  mono_time ToldSince{}; ///< no gap between reads of reports since then
   version_tally Own;
-  std::map<std::pair<std::string, std::uint64_t>, rollout_report> Others;
+  rollout_reports Reports;
   unsigned OldRunning = 0;
   std::string Verdict;
   mono_time JudgedAt{};
--- a/tests/endpoint_choice_test.cpp
+++ b/tests/endpoint_choice_test.cpp
@@ -96,7 +96,7 @@
 BOOST_FIXTURE_TEST_CASE(work_of_other_vms_counts, fixture) {
   add(2, "engine");
   const auto First = Choice.peek(engine("tags", 2, 1), Now);
-  Peers.take({"vm2", 1, 1, {{digestHash(First->Id), 200, 1}}, {}}, Now);
+  Peers.take({"vm2", 1, 1, {{digestHash(First->Id), 200, 1}}}, Now);
   BOOST_TEST(Choice.peek(engine("tags", 2, 1), Now)->Id != First->Id);
   Now += config::DigestLife;
   Peers.expire(Now);
@@ -146,12 +146,9 @@
         for (std::size_t From = 0; From < Vms; ++From)
           for (std::size_t To = 0; To < Vms; ++To)
             if (From != To)
-              Known[To].take({std::to_string(From),
-                              1,
-                              Sequence,
-                              Choices[From]->loads(),
-                              {}},
-                             At);
+              Known[To].take(
+                  {std::to_string(From), 1, Sequence, Choices[From]->loads()},
+                  At);
       }
       const std::size_t Vm = Random() % Vms;
       const bool IsLong = Random() % 10 == 0;
--- a/tests/read_relay_test.cpp
+++ b/tests/read_relay_test.cpp
@@ -14,7 +14,7 @@
 
 topic_record record(std::uint64_t Offset, const std::string &Key,
                     std::optional<std::string> Value = "value") {
-  return {Offset, Key, std::move(Value)};
+  return {Offset, Key, std::move(Value), mono_time{1h}};
 }
 
 /// Routers in one process, a time that the test passes, and datagrams that
@@ -171,7 +171,7 @@
   for (std::uint64_t Offset = 3; Offset < 20; ++Offset)
     Fleet.keep(record(Offset, "key" + std::to_string(Offset),
                       Offset == 7 ? std::nullopt
-                                  : std::optional(std::string(200, 'x'))));
+                                  : std::optional(std::string(400, 'x'))));
   Fleet.prove(20);
   read_relay &Asker = Fleet.asker();
   std::uint64_t Next = 3;
@@ -295,11 +295,11 @@
 BOOST_AUTO_TEST_CASE(any_datagram_is_a_message_or_none) {
   const bool IsOk = rc::check([](const std::string &Bytes) {
     decodeQuestion(Bytes); // must not throw
-    decodeRelayAnswer(Bytes);
-    std::string Spoilt =
-        encodeRelayAnswer({7, false, 9, 30ms, {record(8, "k", "v")}});
+    decodeRelayAnswer(Bytes, mono_time{1h});
+    std::string Spoilt = encodeRelayAnswer(
+        {7, false, 9, 30ms, {record(8, "k", "v")}}, mono_time{1h});
     Spoilt[Bytes.size() % Spoilt.size()] ^= 0x55;
-    decodeRelayAnswer(Spoilt);
+    decodeRelayAnswer(Spoilt, mono_time{1h});
   });
   BOOST_TEST(IsOk);
 }
--- a/tests/rolling_replacement_test.sh
+++ b/tests/rolling_replacement_test.sh
@@ -44,7 +44,11 @@
     pid=$(<"$CLEMENTINE_FLEET/$name-$program.pid")
     kill -TERM "$pid"
     until_true has_ended "$pid"
-    grep -q 'event=stopped' "$CLEMENTINE_FLEET/$name-$program.log"
+    grep -q 'event=stopped' "$CLEMENTINE_FLEET/$name-$program.log" || {
+      echo "rolling replacement: $name-$program ended without its last line:"
+      tail -n 5 "$CLEMENTINE_FLEET/$name-$program.log"
+      exit 1
+    }
   done
   "$fleet" start "$name" control
   "$fleet" start "$name" entry
--- a/tests/router_test.cpp
+++ b/tests/router_test.cpp
@@ -262,6 +262,30 @@
   });
 }
 
+// A router starts amid a roll-out that nobody else takes part in. It can't know
+// how long ago the order came, and counts from when it read it; it must not
+// take the order for one whose time is over and complete it.
+BOOST_FIXTURE_TEST_CASE(listed_order_begins_when_it_is_read, fixture) {
+  Thread.run([&] {
+    Platform->stop();
+    Router.reset();
+    Platform.reset();
+    Store->put("keyed.op", "rollout/engine",
+               R"({"service":"engine","target":"v2","duration_s":60})");
+    startRouter();
+  });
+  const auto Status = [this] {
+    std::string Value;
+    Thread.run([&] {
+      Value = Store->newest("keyed.status", "rollout/engine").value_or("");
+    });
+    return Value;
+  };
+  await([&] { return Status().find("in_progress") != std::string::npos; });
+  std::this_thread::sleep_for(2s); // longer than its looks at statuses
+  BOOST_TEST(Status().find("in_progress") != std::string::npos);
+}
+
 // A caller leaves while an engine works for it: the engine's connection closes.
 BOOST_FIXTURE_TEST_CASE(leaving_caller_frees_the_engine, fixture) {
   Thread.run([&] {
--- a/tests/version_shift_test.cpp
+++ b/tests/version_shift_test.cpp
@@ -42,9 +42,13 @@
     Shift.takeStatusesRead(Now);
     Shift.takeReportsRead(Now);
   }
+  /// Passes the time, with a read of the reports every second.
   void pass(duration Time) {
-    Now += Time;
-    Shift.takeReportsRead(Now);
+    const mono_time End = Now + Time;
+    do {
+      Now = std::min<mono_time>(End, Now + 1s);
+      Shift.takeReportsRead(Now);
+    } while (Now < End);
   }
   version_side side(const std::string &Session) {
     return Shift.sideFor(Session, stableHash(Session), Now);
@@ -106,6 +110,8 @@
   BOOST_TEST(!Shift.due(Now).has_value());
   pass(0s);
   BOOST_TEST(newSessions("b") == 1000);
+  BOOST_TEST(!Shift.due(Now).has_value()); // nothing is known of this step yet
+  pass(config::RolloutLateProofTime);
   BOOST_TEST((*Shift.due(Now) == rollout_state::Completed));
 }
 
@@ -361,6 +367,34 @@
   BOOST_TEST((*Shift.due(Now) == rollout_state::Completed));
 }
 
+// The store is away from the trial to just past the deadline, and the version
+// is bad only under load. When the store is back all sessions move; the order
+// must not be completed before the reports on them could come in.
+BOOST_FIXTURE_TEST_CASE(late_last_step_is_not_completed_unseen, fixture) {
+  order();
+  Shift.takeStatus("v2", rollout_state::InProgress, Now);
+  pass(12s);
+  Now += 8500ms; // no reads
+  Shift.takeReportsRead(Now);
+  BOOST_TEST((side("any") == version_side::New));
+  BOOST_TEST(!Shift.due(Now).has_value());
+  pass(duration(config::RolloutLateProofTime) - 1ms);
+  BOOST_TEST(!Shift.due(Now).has_value());
+  answers(Shift, true, 60, 30, 50ms);
+  BOOST_TEST((*Shift.due(Now) == rollout_state::RolledBack));
+}
+
+// The same with a good version: it is completed, late.
+BOOST_FIXTURE_TEST_CASE(late_last_step_is_completed_late, fixture) {
+  order();
+  Shift.takeStatus("v2", rollout_state::InProgress, Now);
+  pass(12s);
+  Now += 8500ms; // no reads
+  Shift.takeReportsRead(Now);
+  pass(config::RolloutLateProofTime);
+  BOOST_TEST((*Shift.due(Now) == rollout_state::Completed));
+}
+
 // A process starts after an order has ended. It reads the order first and must
 // not write "in progress" over its end.
 BOOST_FIXTURE_TEST_CASE(nothing_is_due_before_the_statuses_are_known, fixture) {
@@ -386,6 +420,21 @@
   BOOST_TEST(Shift.allows("v2", version_side::Old));
 }
 
+// Two VMs read the order half a second apart. The first moves a session and
+// tells the other, which must not take it back when it reads the order in turn:
+// it learns when that was read first.
+BOOST_FIXTURE_TEST_CASE(late_reader_keeps_what_others_moved, fixture) {
+  const mono_time OrderedAt = Now;
+  side("before");
+  pass(200ms);
+  Shift.takeSession(stableHash("moved"), version_side::New, Now);
+  pass(300ms);
+  Shift.takeOrder({"engine", "v2", Length, 5}, OrderedAt);
+  BOOST_TEST((Shift.elapsed(Now) == 500ms));
+  BOOST_TEST((side("moved") == version_side::New));
+  BOOST_TEST((side("before") == version_side::Old));
+}
+
 // A version is ordered again some time after it was rolled back: the old status
 // says nothing of the new order, nor does that of another version.
 BOOST_FIXTURE_TEST_CASE(old_or_other_status_is_not_the_orders, fixture) {
