Play loads of model engines against our decisions and baselines

bench/engine_model plays engines in virtual time: batch slots, prompts read in chunks between steps, cached parts by model, urgency, slow and lost engines. platform_load reads a load from a small TOML file (six in bench/loads); platform_policies holds our own decisions (endpoint_choice, model_cascade, engine_pace, peer_loads as the router uses them) beside least in flight, round robin, affinity alone, one model for all, and one that knows each request's difficulty and looks into the engines. make bench-platform prints the table.

Not in the model: preemption amid an answer, reports, moves, callers that come back.

--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 BUILD ?= build
 
-.PHONY: all setup build test demo fuzz slopes bench-policy format lint check clean
+.PHONY: all setup build test demo fuzz slopes bench-policy bench-platform format lint check clean
 
 all: build
 
@@ -33,6 +33,10 @@
 	@if command -v gnuplot >/dev/null; then gnuplot $(BUILD)/bench/policy.gnuplot; \
 	else echo "gnuplot is not installed; no plots"; fi
 
+# The router's decisions beside baselines on loads of model engines.
+bench-platform: build
+	$(BUILD)/platform_bench --loads bench/loads
+
 format: setup
 	scripts/format --fix
 
--- /dev/null
+++ b/bench/platform_policies.cpp
@@ -0,0 +1,337 @@
+#include "config.h"
+#include "endpoint_choice.h"
+#include "engine_pace.h"
+#include "hashing.h"
+#include "model_cascade.h"
+#include "platform_sim.h"
+#include "routed_request.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace clementinelane::bench {
+
+namespace {
+
+mono_time timeOf(double Ms) {
+  return mono_time(std::chrono::duration_cast<duration>(
+      std::chrono::duration<double, std::milli>(Ms)));
+}
+
+duration lengthOf(double Ms) {
+  return std::chrono::duration_cast<duration>(
+      std::chrono::duration<double, std::milli>(Ms));
+}
+
+const std::string Service = "engine";
+
+std::string nameOf(std::size_t Engine) { return "e" + std::to_string(Engine); }
+
+std::vector<std::size_t> listed(const fleet_view &View,
+                                const std::vector<std::size_t> &Excluded) {
+  std::vector<std::size_t> Found;
+  for (std::size_t I = 0; I < View.Engines.size(); ++I)
+    if (View.IsListed[I] &&
+        std::find(Excluded.begin(), Excluded.end(), I) == Excluded.end())
+      Found.push_back(I);
+  return Found;
+}
+
+/// The product's decisions: each VM with its own counts, and digests of the
+/// others.
+class own_policy : public platform_policy {
+public:
+  explicit own_policy(const fleet_view &View)
+      : View(View), Directory(config::LapsedEntryGrace) {
+    std::vector<endpoint_info> Infos;
+    for (std::size_t I = 0; I < View.Engines.size(); ++I)
+      Infos.push_back(infoOf(I));
+    Directory.replace(Infos, {});
+    for (std::size_t Vm = 0; Vm < View.Load.Vms; ++Vm) {
+      Loads.push_back(std::make_unique<peer_loads>());
+      Choices.push_back(std::make_unique<endpoint_choice>(
+          Directory, *Loads.back(), "", Vm + 1));
+    }
+    Route.Name = "bench";
+    for (const load_model &Model : View.Load.Models)
+      Route.Models.push_back(Model.Name);
+  }
+
+  std::size_t firstModel(const load_request & /*Request*/) override {
+    return Cascade.firstModel(Route);
+  }
+
+  std::size_t nextModel(const sim_attempt &Attempt, double Confidence,
+                        double NowMs) override {
+    const load_request &Request = *Attempt.Request;
+    const load_kind &Kind = View.Load.Kinds[Request.Kind];
+    const std::size_t Largest = View.Load.Models.size() - 1;
+    endpoint_choice &Choice = *Choices[Request.Vm];
+    const work Work = workFor(Request, Largest);
+    const auto Endpoint =
+        Choice.peek(choiceFor(Request, Largest, Work, {}), timeOf(NowMs));
+    Route.TargetLatency = std::chrono::milliseconds(long(Kind.TargetMs));
+    cascade_view Seen;
+    Seen.Model = Attempt.Model;
+    Seen.Confidence = Confidence;
+    Seen.LeftForTarget = lengthOf(Request.AtMs + Kind.TargetMs - NowMs);
+    Seen.LeftForCaller = lengthOf(Request.AtMs + Kind.DeadlineMs - NowMs);
+    Seen.LargerWait =
+        Pace.predict(Service, Endpoint ? Endpoint->WorkBefore : 0);
+    Seen.MeanWait = Pace.predict(Service, Choice.meanWork(Service));
+    return Cascade.nextModel(Route, Seen);
+  }
+
+  std::optional<std::size_t> place(const load_request &Request,
+                                   std::size_t Model,
+                                   const std::vector<std::size_t> &Excluded,
+                                   double NowMs) override {
+    std::vector<std::string> Names;
+    for (const std::size_t Engine : Excluded)
+      Names.push_back(nameOf(Engine));
+    const work Work = workFor(Request, Model);
+    const auto Found = Choices[Request.Vm]->choose(
+        choiceFor(Request, Model, Work, Names), timeOf(NowMs));
+    if (!Found)
+      return std::nullopt;
+    const auto Engine =
+        static_cast<std::size_t>(std::stoul(Found->Id.substr(1)));
+    WorkBefore[&Request] = Found->WorkBefore;
+    return Engine;
+  }
+
+  void began(const sim_attempt &Attempt, double NowMs) override {
+    const work Work = workFor(*Attempt.Request, Attempt.Model);
+    Choices[Attempt.Request->Vm]->progressed(nameOf(Attempt.Engine),
+                                             Work.Total - Work.Answer);
+    Pace.observe(Service, WorkBefore[Attempt.Request],
+                 lengthOf(NowMs - Attempt.SentMs));
+  }
+
+  void ended(const sim_attempt &Attempt, bool HasBegun, bool IsBroken,
+             double NowMs) override {
+    const work Work = workFor(*Attempt.Request, Attempt.Model);
+    Choices[Attempt.Request->Vm]->ended(
+        nameOf(Attempt.Engine), HasBegun ? Work.Answer : Work.Total,
+        IsBroken ? attempt_result::Unreachable : attempt_result::Served,
+        std::nullopt, timeOf(NowMs));
+  }
+
+  void tick(double NowMs) override {
+    ++Sequence;
+    for (std::size_t I = 0; I < View.Engines.size(); ++I)
+      Directory.apply(
+          nameOf(I), View.IsListed[I] ? std::optional(infoOf(I)) : std::nullopt,
+          timeOf(NowMs));
+    for (std::size_t From = 0; From < Choices.size(); ++From)
+      for (std::size_t To = 0; To < Choices.size(); ++To)
+        if (From != To)
+          Loads[To]->take(
+              {std::to_string(From), 1, Sequence, Choices[From]->loads()},
+              timeOf(NowMs));
+  }
+
+protected:
+  const fleet_view &View;
+
+private:
+  struct work {
+    double Total;
+    double Shared;
+    double Answer;
+  };
+  static work workFor(const load_request &Request, std::size_t Model) {
+    const call_work Work = workOf(factsOf(Request), Model);
+    return {Work.Prompt + Work.Answer, Work.Shared, Work.Answer};
+  }
+  endpoint_info infoOf(std::size_t Engine) const {
+    endpoint_info Info;
+    Info.Id = nameOf(Engine);
+    Info.Service = Service;
+    Info.Version = "v1";
+    Info.Slots = View.Load.Engine.Slots;
+    return Info;
+  }
+  choice_request choiceFor(const load_request &Request, std::size_t Model,
+                           const work &Work,
+                           std::span<const std::string> Excluded) const {
+    choice_request Choice;
+    Choice.Service = Service;
+    Choice.Model = Route.Models[Model];
+    Choice.Affinity = affinityHash(factsOf(Request));
+    Choice.Work = Work.Total;
+    Choice.AnswerWork = Work.Answer;
+    Choice.SharedWork = Work.Shared;
+    Choice.Excluded = Excluded;
+    return Choice;
+  }
+
+  endpoint_directory Directory;
+  std::vector<std::unique_ptr<peer_loads>> Loads;
+  std::vector<std::unique_ptr<endpoint_choice>> Choices;
+  engine_pace Pace;
+  model_cascade Cascade;
+  route_rule Route;
+  std::map<const load_request *, double> WorkBefore;
+  std::uint64_t Sequence = 0;
+};
+
+/// Ours, with one model for all.
+template <bool IsLargest> class one_model : public own_policy {
+public:
+  using own_policy::own_policy;
+  std::size_t firstModel(const load_request & /*Request*/) override {
+    return IsLargest ? View.Load.Models.size() - 1 : 0;
+  }
+  std::size_t nextModel(const sim_attempt &Attempt, double /*Confidence*/,
+                        double /*NowMs*/) override {
+    return Attempt.Model;
+  }
+};
+
+/// Our models, placed where the VM itself has fewest requests.
+class least_in_flight final : public own_policy {
+public:
+  explicit least_in_flight(const fleet_view &View)
+      : own_policy(View),
+        Own(View.Load.Vms, std::vector<int>(View.Engines.size())) {}
+  std::optional<std::size_t> place(const load_request &Request,
+                                   std::size_t /*Model*/,
+                                   const std::vector<std::size_t> &Excluded,
+                                   double /*NowMs*/) override {
+    const auto Engines = listed(View, Excluded);
+    if (Engines.empty())
+      return std::nullopt;
+    std::vector<int> &Mine = Own[Request.Vm];
+    const std::size_t Offset = Turn++;
+    std::size_t Best = Engines[Offset % Engines.size()];
+    for (std::size_t I = 0; I < Engines.size(); ++I)
+      if (const std::size_t Each = Engines[(Offset + I) % Engines.size()];
+          Mine[Each] < Mine[Best])
+        Best = Each;
+    ++Mine[Best];
+    return Best;
+  }
+  void began(const sim_attempt & /*A*/, double /*NowMs*/) override {}
+  void ended(const sim_attempt &Attempt, bool /*HasBegun*/, bool /*IsBroken*/,
+             double /*NowMs*/) override {
+    --Own[Attempt.Request->Vm][Attempt.Engine];
+  }
+
+private:
+  std::vector<std::vector<int>> Own;
+  std::size_t Turn = 0;
+};
+
+class round_robin final : public own_policy {
+public:
+  using own_policy::own_policy;
+  std::optional<std::size_t> place(const load_request & /*Request*/,
+                                   std::size_t /*Model*/,
+                                   const std::vector<std::size_t> &Excluded,
+                                   double /*NowMs*/) override {
+    const auto Engines = listed(View, Excluded);
+    if (Engines.empty())
+      return std::nullopt;
+    return Engines[Turn++ % Engines.size()];
+  }
+  void began(const sim_attempt & /*A*/, double /*NowMs*/) override {}
+  void ended(const sim_attempt & /*A*/, bool /*HasBegun*/, bool /*IsBroken*/,
+             double /*NowMs*/) override {}
+
+private:
+  std::size_t Turn = 0;
+};
+
+/// Always where the shared part is likely to be cached.
+class affinity_alone final : public own_policy {
+public:
+  using own_policy::own_policy;
+  std::optional<std::size_t> place(const load_request &Request,
+                                   std::size_t Model,
+                                   const std::vector<std::size_t> &Excluded,
+                                   double /*NowMs*/) override {
+    const auto Engines = listed(View, Excluded);
+    if (Engines.empty())
+      return std::nullopt;
+    const std::uint64_t Key = affinityHash(factsOf(Request)) ^ Model;
+    return *std::max_element(
+        Engines.begin(), Engines.end(), [Key](std::size_t A, std::size_t B) {
+          return stableHash(nameOf(A), Key) < stableHash(nameOf(B), Key);
+        });
+  }
+  void began(const sim_attempt & /*A*/, double /*NowMs*/) override {}
+  void ended(const sim_attempt & /*A*/, bool /*HasBegun*/, bool /*IsBroken*/,
+             double /*NowMs*/) override {}
+};
+
+/// Knows each request's difficulty and looks into the engines: the smallest
+/// model that answers well, where its prompt is read soonest. If that would be
+/// late everywhere and costs others more than it earns, the smallest one.
+class clairvoyant final : public platform_policy {
+public:
+  explicit clairvoyant(const fleet_view &View) : View(View) {}
+  std::size_t firstModel(const load_request &Request) override {
+    std::size_t Model = 0;
+    while (Model + 1 < View.Load.Models.size() &&
+           Request.Difficulty > View.Load.Models[Model].Quality)
+      ++Model;
+    const load_kind &Kind = View.Load.Kinds[Request.Kind];
+    const auto Best = soonest(Request, Model, {});
+    return Best && Best->second > Kind.TargetMs ? 0 : Model;
+  }
+  std::size_t nextModel(const sim_attempt &Attempt, double /*Confidence*/,
+                        double /*NowMs*/) override {
+    return Attempt.Model;
+  }
+  std::optional<std::size_t> place(const load_request &Request,
+                                   std::size_t Model,
+                                   const std::vector<std::size_t> &Excluded,
+                                   double /*NowMs*/) override {
+    const auto Best = soonest(Request, Model, Excluded);
+    return Best ? std::optional(Best->first) : std::nullopt;
+  }
+
+private:
+  std::optional<std::pair<std::size_t, double>>
+  soonest(const load_request &Request, std::size_t Model,
+          const std::vector<std::size_t> &Excluded) const {
+    engine_job Job;
+    Job.Model = Model;
+    Job.Pace = View.Load.Models[Model].Pace;
+    Job.Parts = Request.Parts;
+    std::optional<std::pair<std::size_t, double>> Best;
+    for (const std::size_t Engine : listed(View, Excluded)) {
+      const engine_model &Each = View.Engines[Engine];
+      const double Own =
+          Each.uncached(Job) * Job.Pace / View.Load.Engine.PromptTokensPerMs;
+      // Reading a part anew also takes from the next requests.
+      const double Wait = Each.readingAhead(LastUrgency) + 2 * Own;
+      if (!Best || Wait < Best->second)
+        Best = {Engine, Wait};
+    }
+    return Best;
+  }
+  static constexpr unsigned LastUrgency = 9;
+
+  const fleet_view &View;
+};
+
+template <typename Policy>
+std::unique_ptr<platform_policy> make(const fleet_view &View) {
+  return std::make_unique<Policy>(View);
+}
+
+} // namespace
+
+std::vector<policy_factory> platformPolicies() {
+  return {{"ours", make<own_policy>},
+          {"least in flight", make<least_in_flight>},
+          {"round robin", make<round_robin>},
+          {"affinity alone", make<affinity_alone>},
+          {"largest model", make<one_model<true>>},
+          {"smallest model", make<one_model<false>>},
+          {"clairvoyant", make<clairvoyant>}};
+}
+
+} // namespace clementinelane::bench
