--- a/tools/ctl/command.h
+++ b/tools/ctl/command.h
@@ -37,6 +37,7 @@
 std::span<const command> publishCommands();
 std::span<const command> rolloutCommands();
 std::span<const command> queryCommands();
+std::span<const command> logCommands();
 
 /// Prints to standard error and returns `Status`.
 int fail(int Status, std::string_view Message);
--- a/tools/ctl/main.cpp
+++ b/tools/ctl/main.cpp
@@ -3,6 +3,7 @@
 #include "settings.h"
 
 #include <algorithm>
+#include <array>
 #include <cstdlib>
 #include <gflags/gflags.h>
 #include <iostream>
@@ -104,31 +105,77 @@
 
 namespace ctl = clementinelane::ctl;
 
+std::array<std::span<const ctl::command>, 4> commandGroups() {
+  return {ctl::publishCommands(), ctl::rolloutCommands(), ctl::queryCommands(),
+          ctl::logCommands()};
+}
+
 const ctl::command *findCommand(std::string_view Name) {
-  for (const auto Group :
-       {ctl::publishCommands(), ctl::rolloutCommands(), ctl::queryCommands()})
+  for (const auto Group : commandGroups())
     for (const ctl::command &Each : Group)
       if (Each.Name == Name)
         return &Each;
   return nullptr;
 }
 
-int usage() {
-  std::cerr << "usage: clementinectl COMMAND [flags]\n";
-  for (const auto Group :
-       {ctl::publishCommands(), ctl::rolloutCommands(), ctl::queryCommands()})
+/// What the program does, its commands and its own flags, in one page.
+std::string helpText() {
+  std::string Text =
+      "publishes configurations, drives roll-outs and tells what "
+      "the fleet does\n\n  clementinectl COMMAND [flags]\n\n";
+  for (const auto Group : commandGroups())
     for (const ctl::command &Each : Group)
-      std::cerr << "  " << Each.Help << '\n';
+      Text += "  " + std::string(Each.Help) + "\n";
+  Text +=
+      "  help [COMMAND]                 this page, or one command\n\nflags\n";
+  std::vector<gflags::CommandLineFlagInfo> Flags;
+  gflags::GetAllFlags(&Flags);
+  for (const gflags::CommandLineFlagInfo &Flag : Flags)
+    if (Flag.filename ==
+        gflags::GetCommandLineFlagInfoOrDie("control").filename)
+      Text += "  --" + Flag.name + "  " + Flag.description + "; now " +
+              Flag.current_value + "\n";
+  return Text;
+}
+
+int usage() {
+  std::cerr << helpText();
   return ctl::ExitUsage;
 }
 
+int help(ctl::arguments Words) {
+  if (Words.empty()) {
+    std::cout << helpText();
+    return ctl::ExitDone;
+  }
+  const ctl::command *Command = findCommand(Words[0]);
+  if (!Command)
+    return ctl::fail(ctl::ExitUsage, "no command " + Words[0]);
+  std::cout << "clementinectl " << Command->Help << '\n';
+  return ctl::ExitDone;
+}
+
+/// "--help", also behind a command, before the flag library takes it.
+bool asksForHelp(const std::vector<std::string> &Words) {
+  return std::any_of(Words.begin(), Words.end(), [](const std::string &Word) {
+    return Word == "--help" || Word == "-h";
+  });
+}
+
 } // namespace
 
 int main(int ArgCount, char **Args) {
+  const std::vector<std::string> Given(Args + 1, Args + ArgCount);
+  if (asksForHelp(Given))
+    return help(findCommand(Given[0]) ? ctl::arguments(Given).first(1)
+                                      : ctl::arguments{});
+  gflags::SetVersionString("0.2");
   gflags::ParseCommandLineFlags(&ArgCount, &Args, true);
   const std::vector<std::string> Words(Args + 1, Args + ArgCount);
   if (Words.empty())
     return usage();
+  if (Words[0] == "help")
+    return help(ctl::arguments(Words).subspan(1));
   const ctl::command *Command = findCommand(Words[0]);
   const std::size_t Count = Words.size() - 1;
   if (!Command || Count < Command->MinArgs || Count > Command->MaxArgs)
