--- a/bench/platform_policies.cpp
+++ b/bench/platform_policies.cpp
@@ -86,9 +86,8 @@
                                    std::size_t Model,
                                    const std::vector<std::size_t> &Excluded,
                                    double NowMs) override {
-    std::vector<std::string> Names;
-    for (const std::size_t Engine : Excluded)
-      Names.push_back(nameOf(Engine));
+    std::vector<std::string> Names(Excluded.size());
+    std::transform(Excluded.begin(), Excluded.end(), Names.begin(), nameOf);
     const work Work = workFor(Request, Model);
     const auto Found = Choices[Request.Vm]->choose(
         choiceFor(Request, Model, Work, Names), timeOf(NowMs));
--- a/src/request_story.cpp
+++ b/src/request_story.cpp
@@ -72,7 +72,8 @@
       std::minmax_element(Own.begin(), Own.end(), ByTime);
   const auto Before = static_cast<std::uint64_t>(
       std::chrono::milliseconds(config::StoryBefore).count());
-  for (const auto &[Line, Endpoint] : Changes) {
+  for (const change &Change : Changes) {
+    const story_line &Line = Change.Line;
     const bool IsNear =
         Line.TimeMs + Before >= First->TimeMs && Line.TimeMs <= Last->TimeMs;
     const bool IsThere =
@@ -80,9 +81,9 @@
           return Each.Vm == Line.Vm;
         });
     // Other endpoints come and go all the time.
-    const bool Concerns =
-        Endpoint.empty() || std::find(Endpoints.begin(), Endpoints.end(),
-                                      Endpoint) != Endpoints.end();
+    const bool Concerns = Change.Endpoint.empty() ||
+                          std::find(Endpoints.begin(), Endpoints.end(),
+                                    Change.Endpoint) != Endpoints.end();
     if (IsNear && IsThere && Concerns)
       Lines.push_back(Line);
   }
