Soak the router's processes under random faults

scripts/soak SEED runs two routers, a store, two engines and two portals, each behind a proxy that delays, silences, resets or cuts connections one way (tests/soak/proxy.cpp), while processes are paused, killed, stopped and started again, endpoints fail and a key is withdrawn. From what callers and endpoints saw it checks: a stream that looks whole is whole, a cut one is a prefix; a booking runs at most once, and not at all if that was said; a withdrawn key ends in time; all kinds are served again after the faults. make soak plays fifty seeds.

Not in it yet: clocks that jump, roll-outs, links between routers that are spoilt alone.

--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 BUILD ?= build
 
-.PHONY: all setup build test demo fuzz slopes bench-policy bench-platform format lint check clean
+.PHONY: all setup build test demo fuzz slopes bench-policy bench-platform soak format lint check clean
 
 all: build
 
@@ -37,6 +37,12 @@
 bench-platform: build
 	$(BUILD)/platform_bench --loads bench/loads
 
+# The soak with fifty seeds, six beside each other; SEEDS="first last" for others.
+SEEDS ?= 1 50
+soak: build
+	seq $(SEEDS) | xargs -P 6 -I{} sh -c \
+	  'CLEMENTINE_NET=$$((10 + {} % 200)) CLEMENTINE_BIN=$(abspath $(BUILD)) scripts/soak {}'
+
 format: setup
 	scripts/format --fix
 
--- a/tests/standin/platform/main.cpp
+++ b/tests/standin/platform/main.cpp
@@ -9,6 +9,7 @@
 
 DEFINE_string(role, "store", "store or endpoint");
 DEFINE_string(listen, "127.0.0.1:7000", "IP number and port");
+DEFINE_string(announce, "", "endpoint: the address in its entry, if another");
 DEFINE_string(store, "127.0.0.1:7000", "endpoint: the store's address");
 DEFINE_string(id, "e1", "endpoint: its id");
 DEFINE_string(service, "engine", "endpoint: its service");
@@ -42,7 +43,9 @@
   const standin::platform_endpoint Endpoint(Context, FLAGS_listen, Behaviour);
   standin::registration Registration(
       Context, FLAGS_store,
-      {FLAGS_id, FLAGS_service, FLAGS_listen, FLAGS_data_centre, FLAGS_runs});
+      {FLAGS_id, FLAGS_service,
+       FLAGS_announce.empty() ? FLAGS_listen : FLAGS_announce,
+       FLAGS_data_centre, FLAGS_runs});
   Registration.announce();
   boost::asio::signal_set Stop(Context, SIGTERM, SIGINT);
   Stop.async_wait([&](const boost::system::error_code &, int) {
--- a/tests/standin/platform/registration.cpp
+++ b/tests/standin/platform/registration.cpp
@@ -26,16 +26,19 @@
 }
 
 void registration::put(std::string Value, std::function<void(bool)> Done) {
+  const std::string Body = std::move(Value);
   exchange_order Order;
   Order.Address = StoreAddress;
   Order.Method = "POST";
   Order.Bytes = "POST /standin/put?topic=keyed.servers&key=" + Entry.Id +
                 " HTTP/1.1\r\nHost: store\r\nContent-Length: " +
-                std::to_string(Value.size()) + "\r\n\r\n" + Value;
+                std::to_string(Body.size()) + "\r\n\r\n" + Body;
   Order.ConnectTimeout = ConnectTimeout;
   http_exchange_events Events;
   Events.OnEnd = [Done] { Done(true); };
-  Events.OnFailure = [Done](exchange_failure) { Done(false); };
+  Events.OnFailure = [Done = std::move(Done)](exchange_failure) {
+    Done(false);
+  };
   Exchange = startExchange(Context, std::move(Order), std::move(Events));
 }
 
