--- a/tests/platform_processes_test.sh
+++ b/tests/platform_processes_test.sh
@@ -25,7 +25,7 @@
 signal vm-1 HUP
 expect "a mistake is told with line and key" "vm-1.toml:14: bounds.revoke_timeout_ms" \
   "$(eventually settings_wrong cat "$state/vm-1.log")"
-expect "and the settings before stay in use" "200 OK" "$(call $vm_one /lookup/1 m1)"
+expect "and the settings before stay in use" "200 OK" "$(call "$vm_one" /lookup/1 m1)"
 rc=0
 told=$("$bin/clementine_router" --settings="$state/wrong.toml" --check 2>&1) || rc=$?
 expect "a check tells the same" "wrong.toml:14: bounds.revoke_timeout_ms" "$told"
@@ -37,7 +37,7 @@
 signal vm-2 STOP
 put keyed.op config "$(configuration 2 key-b)"
 sleep 5.5
-call $vm_two /booking/1 f1 key-a >"$state/frozen.txt" &
+call "$vm_two" /booking/1 f1 key-a >"$state/frozen.txt" &
 waiting=$!
 sleep 0.2
 signal vm-2 CONT
@@ -45,7 +45,7 @@
 frozen=$(head -n 1 "$state/frozen.txt" | tr -d '\r')
 [[ $frozen == *" 401 "* || $frozen == *" 503 "* ]] && frozen=refused
 expect "a withdrawn key after a standstill" "refused" "$frozen"
-expect "and the other key" "200 OK" "$(eventually '200 OK' call $vm_two /booking/1 f2)"
+expect "and the other key" "200 OK" "$(eventually '200 OK' call "$vm_two" /booking/1 f2)"
 
 # Whoever reads a VM's log stops reading, and the pipe is full. Requests are
 # served all the same, and the lines that found no room are counted.
--- a/tests/request_walks_test.sh
+++ b/tests/request_walks_test.sh
@@ -21,21 +21,21 @@
 story() { eventually "$2" "$bin/clementinectl" trace "$1" "$state/vm-1.log" "$state/vm-2.log"; }
 
 set_engines full=1
-call $vm_one /review/1 load-1 >/dev/null
+call "$vm_one" /review/1 load-1 >/dev/null
 told=$(story load-1 "refuse ")
 expect "refused under load: why" "why=endpoint_full" "$told"
 expect "and that nothing ran" "kind=endpoint_refused" "$told"
 
 set_engines cut_after=2
-call $vm_two /review/1 cut-1 >/dev/null
+call "$vm_two" /review/1 cut-1 >/dev/null
 told=$(story cut-1 "broken_off")
 expect "a stream cut: which endpoint" "attempt_failed where=engine-" "$told"
 expect "and why it did not go on" "number=3" "$told"
 set_engines cut_after=0
 
 store_fault silent
-eventually Retry-After call $vm_one /booking/1 store-0 >/dev/null
-call $vm_one /booking/1 store-1 >/dev/null
+eventually Retry-After call "$vm_one" /booking/1 store-0 >/dev/null
+call "$vm_one" /booking/1 store-1 >/dev/null
 told=$(story store-1 "refuse ")
 expect "refused without the store: what was lost" "store_lost topic=keyed.op" "$told"
 expect "and how old the keys were" "refuse kind=not_ready lease_age_ms=4" "$told"
