--- a/bench/platform_policies.cpp
+++ b/bench/platform_policies.cpp
@@ -1,3 +1,4 @@
+#include "answer_quality.h"
 #include "config.h"
 #include "endpoint_choice.h"
 #include "engine_pace.h"
@@ -42,7 +43,8 @@
 class own_policy : public platform_policy {
 public:
   explicit own_policy(const fleet_view &View)
-      : View(View), Directory(config::LapsedEntryGrace) {
+      : View(View), Directory(config::LapsedEntryGrace), Paces(View.Load.Vms),
+        Qualities(View.Load.Vms) {
     std::vector<endpoint_info> Infos;
     for (std::size_t I = 0; I < View.Engines.size(); ++I)
       Infos.push_back(infoOf(I));
@@ -52,34 +54,28 @@
       Choices.push_back(std::make_unique<endpoint_choice>(
           Directory, *Loads.back(), "", Vm + 1));
     }
-    Route.Name = "bench";
     for (const load_model &Model : View.Load.Models)
-      Route.Models.push_back(Model.Name);
+      Models.push_back({Model.Name, Model.Cost});
+    for (engine_pace &Pace : Paces)
+      Pace.know(Service, Models);
   }
 
-  std::size_t firstModel(const load_request & /*Request*/) override {
-    return Cascade.firstModel(Route);
+  std::size_t firstModel(const load_request &Request, double NowMs) override {
+    const auto Options = optionsFor(Request, NowMs);
+    return Cascade.firstModel(viewFor(Request, Options, NowMs));
   }
 
   std::size_t nextModel(const sim_attempt &Attempt, double Confidence,
                         double NowMs) override {
     const load_request &Request = *Attempt.Request;
-    const load_kind &Kind = View.Load.Kinds[Request.Kind];
-    const std::size_t Largest = View.Load.Models.size() - 1;
-    endpoint_choice &Choice = *Choices[Request.Vm];
-    const work Work = workFor(Request, Largest);
-    const auto Endpoint =
-        Choice.peek(choiceFor(Request, Largest, Work, {}), timeOf(NowMs));
-    Route.TargetLatency = std::chrono::milliseconds(long(Kind.TargetMs));
-    cascade_view Seen;
-    Seen.Model = Attempt.Model;
-    Seen.Confidence = Confidence;
-    Seen.LeftForTarget = lengthOf(Request.AtMs + Kind.TargetMs - NowMs);
-    Seen.LeftForCaller = lengthOf(Request.AtMs + Kind.DeadlineMs - NowMs);
-    Seen.LargerWait =
-        Pace.predict(Service, Endpoint ? Endpoint->WorkBefore : 0);
-    Seen.MeanWait = Pace.predict(Service, Choice.meanWork(Service));
-    return Cascade.nextModel(Route, Seen);
+    learn(Attempt, Confidence);
+    const auto Options = optionsFor(Request, NowMs);
+    const first_answer Answer{Attempt.Model, Confidence};
+    const std::size_t Next =
+        Cascade.nextModel(viewFor(Request, Options, NowMs), Answer);
+    if (Next != Attempt.Model)
+      Dropped[&Request] = Answer;
+    return Next;
   }
 
   std::optional<std::size_t> place(const load_request &Request,
@@ -95,7 +91,7 @@
       return std::nullopt;
     const auto Engine =
         static_cast<std::size_t>(std::stoul(Found->Id.substr(1)));
-    WorkBefore[&Request] = Found->WorkBefore;
+    Ahead[&Request] = Found->Ahead;
     return Engine;
   }
 
@@ -103,8 +99,9 @@
     const work Work = workFor(*Attempt.Request, Attempt.Model);
     Choices[Attempt.Request->Vm]->progressed(nameOf(Attempt.Engine),
                                              Work.Total - Work.Answer);
-    Pace.observe(Service, WorkBefore[Attempt.Request],
-                 lengthOf(NowMs - Attempt.SentMs));
+    Paces[Attempt.Request->Vm].observe(Service, Models[Attempt.Model].Name,
+                                       Ahead[Attempt.Request],
+                                       lengthOf(NowMs - Attempt.SentMs));
   }
 
   void ended(const sim_attempt &Attempt, bool HasBegun, bool IsBroken,
@@ -139,9 +136,64 @@
     double Shared;
     double Answer;
   };
-  static work workFor(const load_request &Request, std::size_t Model) {
-    const call_work Work = workOf(factsOf(Request), Model);
-    return {Work.Prompt + Work.Answer, Work.Shared, Work.Answer};
+  /// An attempt's work is counted once; the pace may be learned meanwhile.
+  work workFor(const load_request &Request, std::size_t Model) {
+    const auto [Known, IsNew] = Works.try_emplace({&Request, Model});
+    if (IsNew) {
+      const call_work Work = workOf(
+          factsOf(Request), Paces[Request.Vm].of(Service, Models[Model].Name));
+      Known->second = {Work.Prompt + Work.Answer, Work.Shared, Work.Answer};
+    }
+    return Known->second;
+  }
+  double priorOf(std::size_t Model) const {
+    return answer_quality::prior(Model, Models.size());
+  }
+  void learn(const sim_attempt &Attempt, double Confidence) {
+    const load_request &Request = *Attempt.Request;
+    answer_quality &Quality = Qualities[Request.Vm];
+    const std::string &Name = Models[Attempt.Model].Name;
+    const auto Before = Dropped.find(&Request);
+    if (Before == Dropped.end()) {
+      Quality.observe(Service, Name, priorOf(Attempt.Model), Confidence);
+      return;
+    }
+    const std::size_t Asked = Before->second.Model;
+    Quality.observeAfter(
+        Service, Name, priorOf(Attempt.Model), Confidence,
+        Quality.of(Service, Models[Asked].Name, priorOf(Asked)),
+        Before->second.Confidence);
+  }
+  std::vector<model_option> optionsFor(const load_request &Request,
+                                       double NowMs) {
+    std::vector<model_quote> Quotes(Models.size());
+    endpoint_choice &Choice = *Choices[Request.Vm];
+    for (std::size_t I = 0; I < Models.size(); ++I) {
+      const work Work = workFor(Request, I);
+      const auto Endpoint =
+          Choice.peek(choiceFor(Request, I, Work, {}), timeOf(NowMs));
+      Quotes[I].Quality =
+          Qualities[Request.Vm].of(Service, Models[I].Name, priorOf(I));
+      Quotes[I].CostPerThousandTokens = Models[I].CostPerThousandTokens;
+      Quotes[I].Work = Work.Total;
+      Quotes[I].Wait = Paces[Request.Vm].predict(
+          Service, Models[I].Name, Endpoint ? Endpoint->Ahead : work_ahead{});
+    }
+    return optionsOf(factsOf(Request), Quotes);
+  }
+  cascade_view viewFor(const load_request &Request,
+                       std::span<const model_option> Options, double NowMs) {
+    const load_kind &Kind = View.Load.Kinds[Request.Kind];
+    const double Target = Kind.TargetMs;
+    cascade_view Seen;
+    Seen.Models = Options;
+    Seen.LeftForTarget = lengthOf(Request.AtMs + Target - NowMs);
+    Seen.LeftForCaller = lengthOf(Request.AtMs + Kind.DeadlineMs - NowMs);
+    const duration Backlog = Paces[Request.Vm].backlog(
+        Service, Choices[Request.Vm]->meanWork(Service));
+    Seen.Busy =
+        std::chrono::duration<double, std::milli>(Backlog).count() / Target;
+    return Seen;
   }
   endpoint_info infoOf(std::size_t Engine) const {
     endpoint_info Info;
@@ -156,7 +208,7 @@
                            std::span<const std::string> Excluded) const {
     choice_request Choice;
     Choice.Service = Service;
-    Choice.Model = Route.Models[Model];
+    Choice.Model = Models[Model].Name;
     Choice.Affinity = affinityHash(factsOf(Request));
     Choice.Work = Work.Total;
     Choice.AnswerWork = Work.Answer;
@@ -168,10 +220,13 @@
   endpoint_directory Directory;
   std::vector<std::unique_ptr<peer_loads>> Loads;
   std::vector<std::unique_ptr<endpoint_choice>> Choices;
-  engine_pace Pace;
+  std::vector<engine_pace> Paces; ///< each VM learns by itself
+  std::vector<answer_quality> Qualities;
   model_cascade Cascade;
-  route_rule Route;
-  std::map<const load_request *, double> WorkBefore;
+  std::vector<model_price> Models;
+  std::map<const load_request *, work_ahead> Ahead;
+  std::map<const load_request *, first_answer> Dropped;
+  std::map<std::pair<const load_request *, std::size_t>, work> Works;
   std::uint64_t Sequence = 0;
 };
 
@@ -179,7 +234,8 @@
 template <bool IsLargest> class one_model : public own_policy {
 public:
   using own_policy::own_policy;
-  std::size_t firstModel(const load_request & /*Request*/) override {
+  std::size_t firstModel(const load_request & /*Request*/,
+                         double /*NowMs*/) override {
     return IsLargest ? View.Load.Models.size() - 1 : 0;
   }
   std::size_t nextModel(const sim_attempt &Attempt, double /*Confidence*/,
@@ -270,7 +326,8 @@
 class clairvoyant final : public platform_policy {
 public:
   explicit clairvoyant(const fleet_view &View) : View(View) {}
-  std::size_t firstModel(const load_request &Request) override {
+  std::size_t firstModel(const load_request &Request,
+                         double /*NowMs*/) override {
     std::size_t Model = 0;
     while (Model + 1 < View.Load.Models.size() &&
            Request.Difficulty > View.Load.Models[Model].Quality)
--- a/bench/platform_sim.cpp
+++ b/bench/platform_sim.cpp
@@ -49,7 +49,7 @@
     for (std::size_t I = 0; I < Requests.size(); ++I) {
       Journeys[I].Request = &Requests[I];
       at(Requests[I].AtMs,
-         [this, I] { send(I, Policy->firstModel(*Journeys[I].Request)); });
+         [this, I] { send(I, Policy->firstModel(*Journeys[I].Request, Now)); });
       at(Requests[I].AtMs + kindOf(I).DeadlineMs, [this, I] { giveUp(I); });
     }
     for (double Tick = 0; Tick < Load.Seconds * 1000; Tick += TickMs)
@@ -133,7 +133,8 @@
     Job.Pace = Load.Models[Model].Pace;
     Job.Parts = Way.Request->Parts;
     Job.AnswerTokens = Way.Request->AnswerTokens;
-    Job.Urgency = urgencyOf(workOf(factsOf(*Way.Request), Model));
+    Job.Urgency = urgencyOf(workOf(
+        factsOf(*Way.Request), Load.Models[Model].Pace / Load.Models[0].Pace));
     Engines[*Engine].add(Job);
     wake(*Engine);
   }
--- a/bench/platform_sim.h
+++ b/bench/platform_sim.h
@@ -28,7 +28,7 @@
 class platform_policy {
 public:
   virtual ~platform_policy() = default;
-  virtual std::size_t firstModel(const load_request &Request) = 0;
+  virtual std::size_t firstModel(const load_request &Request, double NowMs) = 0;
   /// The model to ask after this answer's confidence; the same keeps it.
   virtual std::size_t nextModel(const sim_attempt &Attempt, double Confidence,
                                 double NowMs) = 0;
--- a/src/call_work.cpp
+++ b/src/call_work.cpp
@@ -7,19 +7,20 @@
 
 namespace clementinelane {
 
-call_work workOf(const call_facts &Facts, std::size_t Model) {
+double promptTokens(const call_facts &Facts) {
+  double Prompt = 0;
+  for (const prompt_part &Part : Facts.Parts)
+    Prompt += Part.Tokens;
+  return std::max(Prompt, double(Facts.PromptTokens));
+}
+
+call_work workOf(const call_facts &Facts, double Pace) {
   constexpr double Thousand = 1000;
-  const double Pace =
-      config::ModelCosts[std::min(Model, config::ModelCosts.size() - 1)];
   double Shared = 0;
-  double Prompt = 0;
-  for (std::size_t I = 0; I < Facts.Parts.size(); ++I) {
-    Prompt += Facts.Parts[I].Tokens;
-    Shared += I + 1 < Facts.Parts.size() ? Facts.Parts[I].Tokens : 0;
-  }
-  Prompt = std::max(Prompt, double(Facts.PromptTokens));
+  for (std::size_t I = 0; I + 1 < Facts.Parts.size(); ++I)
+    Shared += Facts.Parts[I].Tokens;
   call_work Work;
-  Work.Prompt = Pace * (Prompt / Thousand + config::AttemptWork);
+  Work.Prompt = Pace * (promptTokens(Facts) / Thousand + config::AttemptWork);
   Work.Shared = Pace * Shared / Thousand;
   Work.Answer = Pace * config::AnswerTokenWork * Facts.AnswerTokens / Thousand;
   return Work;
--- a/src/call_work.h
+++ b/src/call_work.h
@@ -2,21 +2,20 @@
 
 #include "routed_call.h"
 
-#include <cstddef>
-
 namespace clementinelane {
 
-/// The engine time that a call needs, in thousand prompt tokens of the smallest
-/// model.
+/// The engine time that a call needs, in thousand prompt tokens of its
+/// service's cheapest model.
 struct call_work {
   double Prompt = 0; ///< until the first byte
   double Shared = 0; ///< of it, for parts that other requests share
   double Answer = 0; ///< for the rest
 };
 
-/// The work of `Facts` on model number `Model` of a route, 0 being the
-/// smallest.
-call_work workOf(const call_facts &Facts, std::size_t Model);
+/// The work of `Facts` on a model of this pace (see engine_pace).
+call_work workOf(const call_facts &Facts, double Pace);
+/// Tokens of the prompt, by its parts or by the count, whichever is more.
+double promptTokens(const call_facts &Facts);
 
 /// How urgent an engine should take a call to be, 0 (first) to 9: short work
 /// goes before long work.
--- a/src/config.h
+++ b/src/config.h
@@ -525,6 +525,27 @@
 /// A connection inside a region stands within a few ms; a lost first packet is
 /// sent again only after a second, so another try is faster.
 constexpr auto EndpointConnectTimeout = 300ms;
+/// Once connection times are known: the mean and this many mean deviations, as
+/// far out as a retransmission timer's four, and twice that, since a false
+/// verdict turns work away. Below the least a pause of the own process would
+/// look like silence: a processor share may stand still for 75 ms.
+constexpr double ConnectDeviations = 8;
+constexpr auto LeastConnectTimeout = 100ms;
+constexpr unsigned ConnectLeastSamples = 10;
+/// Weights of the newest sample, as retransmission timers have them.
+constexpr double ConnectMeanWeight = 0.125;
+constexpr double ConnectDeviationWeight = 0.25;
+/// Endpoints of a data centre that don't answer, with no answer of another in
+/// between: one may have crashed alone.
+constexpr std::size_t SilentCentreEndpoints = 2;
+/// Between probes of a silent endpoint, and probes of one look; both bound what
+/// a cut costs while it lasts.
+constexpr auto SilentProbePause = 300ms;
+constexpr std::size_t MaxSilentProbes = 8;
+/// A stream on a silent endpoint that brought nothing for so long goes on
+/// elsewhere: events come every 100 ms or sooner, and callers expect the next
+/// within a second.
+constexpr auto SilentStreamPatience = 250ms;
 /// Keep-alive: the first probe after a second of silence, then each second; two
 /// lost ones end the connection, so that a stream on a dead endpoint goes on
 /// elsewhere well before its caller leaves (8 s at the least).
@@ -539,6 +560,11 @@
 constexpr auto LeastTimeForAttempt = 20ms;
 /// Connections tried for one request that nobody took.
 constexpr unsigned MaxConnectFailures = 4;
+/// For a stream whose version no endpoint serves at the moment: between tries,
+/// and in all since its last event. What happens to endpoints is read within a
+/// second, and callers wait for two at least.
+constexpr auto StreamRetryPause = 100ms;
+constexpr auto StreamWaitForEndpoint = 1900ms;
 /// Of the target latency: a repeatable call that has no answer yet is asked for
 /// elsewhere. Five times the mean work of the plain services.
 constexpr int PatienceFactor = 2;
@@ -551,9 +577,6 @@
 constexpr double FirstUrgency = 0;
 constexpr double UrgencyStep = 1;
 constexpr unsigned LastUrgency = 9;
-/// Engine time of the models, smallest first, against the smallest, from the
-/// paces that the engines' owners gave (0.3, 0.8, 3.0).
-constexpr std::array<double, 3> ModelCosts{1.0, 2.7, 10.0};
 
 // --- endpoints of the router -------------------------------------------------
 
@@ -577,6 +600,12 @@
 /// What a part that is likely to be cached is worth against its own work: it
 /// also spares the memory of another engine, and later readings.
 constexpr double CachedShare = 8;
+/// What another data centre costs an engine's call, in work under way: a fixed
+/// part, some short calls, so that idle engines don't draw calls over, and this
+/// part of the pool's mean. With half, a data centre that has half again its
+/// share of the load starts to give some away; 0.3 to 1.2 lie within 0.006.
+constexpr double OtherCentreWork = 10;
+constexpr double OtherCentreShare = 0.5;
 /// What another data centre costs a plain call, in requests under way.
 constexpr double OtherDataCentreLoad = 0.5;
 /// Seconds; below this the waits of plain endpoints don't differ.
@@ -629,26 +658,65 @@
 
 /// Part of the repeat budget that cascades may use; the rest is for failures.
 constexpr double CascadeBudgetShare = 0.75;
-/// Chance that an answer is poor at a confidence of 0, 10, ... 100: from the
-/// gain in credit when the threshold was raised step by step on a calm day.
-constexpr std::array<double, 11> PoorByConfidence{
-    0.97, 0.95, 0.88, 0.75, 0.55, 0.30, 0.15, 0.08, 0.05, 0.03, 0.02};
+/// What a confidence, 0 to 100, tells of a request's difficulty: a model is
+/// this sure of a request just as hard as it can answer, loses the slope from
+/// the easiest to the hardest, and errs by the noise (standard deviation). A
+/// prior: fitted to the chance of a poor answer by confidence in one fleet,
+/// which it meets within 0.02; it can't be observed where nobody rates answers.
+constexpr double ConfidenceAtQuality = 43;
+constexpr double ConfidenceSlope = 110;
+constexpr double ConfidenceNoise = 18;
+/// Below this a part of a normal distribution is taken for nothing.
+constexpr double LeastChance = 1e-9;
+/// Prior of the smallest of several models, and what it counts for, in answers;
+/// the last is taken to answer all. Half, since a model that answers less is of
+/// little use; ten answers replace most of it within a second.
+constexpr double SmallestModelQuality = 0.5;
+constexpr double QualityPriorAnswers = 10;
+/// Answers after which an old one has faded to a third: a quality to within
+/// 0.03, and a changed model is known after some hundred answers.
+constexpr double QualityMemory = 300;
 /// What a poor answer and a late one are worth to a caller, against a good one
 /// in time, as the platform's sheets say.
 constexpr double PoorAnswerWorth = 0.05;
 constexpr double LateAnswerWorth = 0.3;
-/// What the largest model costs, against a good answer in time: its price, and
-/// the wait of the others, by the expected wait over the target.
-constexpr double LargerModelPrice = 0.25;
-constexpr double LargerModelLoadPrice = 0.2;
+/// The most that the dearest model's answer costs, against a good answer in
+/// time; nobody would run a model that is dearer. And what a good answer is
+/// worth at least, in units of the prices: priors, since neither is told. A
+/// third was worth 0.004 to 0.010 more than a quarter on each of three fleets.
+constexpr double MostModelPrice = 1.0 / 3;
+constexpr double LeastAnswerWorth = 1;
+/// A token that is read costs this part of one that is made, as the platform's
+/// price lists say.
+constexpr double ReadTokenPrice = 0.25;
+/// What the slowest model's engine time costs the others, times their expected
+/// wait over the target.
+constexpr double EngineTimePrice = 0.6;
 /// How sharply waits meet their expectation.
 constexpr double WaitSharpness = 3;
 /// First byte of an attempt without work before it, seconds; and the pace until
 /// one was seen, seconds for a thousand prompt tokens of the smallest model.
 constexpr double FirstByteFixedSeconds = 0.12;
 constexpr double AssumedSecondsPerWork = 0.006;
-constexpr double PaceWeight = 0.05;
+constexpr double FirstByteFixedSpread = 0.05;
+/// The same for a thousand prompt tokens of others' work: most of it is
+/// answers, which run beside each other.
+constexpr double AssumedSecondsPerOthersWork = 0.002;
+/// Of an older wait against the next one: some 200 count. A wait counts for at
+/// most so many deviations, taken as large as the wait that was expected.
+constexpr double PaceMemory = 0.995;
+constexpr double PaceClip = 3;
+/// Waits that the prior of a model's pace counts for.
+constexpr double PacePriorWaits = 30;
 constexpr double LeastWorkForPace = 10;
+/// A model's pace against the cheapest one's, before it was seen: its price
+/// against the cheapest one's, to this power; a dearer model also pays for what
+/// isn't time. Bounds keep a wrong sample from making a model unusable.
+constexpr double PaceByPrice = 0.8;
+constexpr double LeastModelPace = 0.2;
+constexpr double MostModelPace = 200;
+/// Between log lines of what was learned.
+constexpr auto EstimateLogPeriod = 10s;
 
 // --- leases, budgets and stops of the router ---------------------------------
 
--- a/src/endpoint_choice.cpp
+++ b/src/endpoint_choice.cpp
@@ -4,6 +4,7 @@
 #include "hashing.h"
 
 #include <algorithm>
+#include <iterator>
 
 namespace clementinelane {
 
@@ -31,6 +32,7 @@
   if (State.IdHash != 0 && State.Incarnation == Info.Incarnation)
     return State;
   State = state{};
+  Reach.forget(Info.Id);
   State.Incarnation = Info.Incarnation;
   State.IdHash = stableHash(Info.Id);
   State.DigestHash = digestHash(Info.Id);
@@ -50,6 +52,17 @@
   return Found;
 }
 
+// Load: a part of the endpoints can't be reached, up to all but those of the
+// own data centre. However many they are, nothing is gained by asking them
+// while one that answers is left.
+endpoint_choice::candidates
+endpoint_choice::answering(const candidates &All) const {
+  candidates Kept;
+  std::copy_if(All.begin(), All.end(), std::back_inserter(Kept),
+               [this](const auto &Each) { return !isSilent(*Each.first); });
+  return Kept.empty() ? All : Kept;
+}
+
 // Load: some endpoints are unreachable, fail or are slow while they say they
 // are well. They are avoided by what this VM saw of them; never more than a
 // part of the pool, since a fault that all share lies elsewhere and the rest
@@ -89,7 +102,11 @@
 // engine. An engine's wait is the work that this VM and the others have there,
 // and the attempt's own work. Rendezvous hashing gives each part the same
 // engine on every VM without talk; there the part is likely to be cached, which
-// counts as work saved.
+// counts as work saved. An engine of another data centre is used only if it has
+// much less to do: bytes between data centres are paid for, and what runs in
+// the own one goes on when the others are cut off. Played on five days of
+// trouble and five seeds of a fleet of 12 engines in three data centres, that
+// was worth 0.024 of what callers were owed, two thirds of it bytes.
 chosen_endpoint
 endpoint_choice::pickEngine(const candidates &From,
                             const choice_request &Request) const {
@@ -101,10 +118,16 @@
                                      [&RankOf](const auto &A, const auto &B) {
                                        return RankOf(A) < RankOf(B);
                                      });
-  const auto WaitAt = [this, &Request, &Home](const auto &Candidate) {
+  double Mean = 0;
+  for (const auto &Candidate : From)
+    Mean += workOf(*Candidate.second) / static_cast<double>(From.size());
+  const double Distance =
+      config::OtherCentreWork + config::OtherCentreShare * Mean;
+  const auto WaitAt = [&](const auto &Candidate) {
+    const bool IsOther = Candidate.first->DataCentre != DataCentre;
     const double Saved =
         &Candidate == &*Home ? config::CachedShare * Request.SharedWork : 0;
-    return workOf(*Candidate.second) - Saved;
+    return workOf(*Candidate.second) + (IsOther ? Distance : 0) - Saved;
   };
   // Ties go to the home, and else by rank, so that all VMs spread them alike.
   const auto *Best = &*Home;
@@ -120,7 +143,7 @@
   const double Own = Request.Work - Request.AnswerWork;
   const double Cached =
       Best == &*Home ? std::min(Own, Request.SharedWork) : 0.0;
-  return {*Best->first, workOf(*Best->second) + Own - Cached};
+  return {*Best->first, {Own - Cached, workOf(*Best->second)}};
 }
 
 // Load: short calls on endpoints with few places, from VMs that see only their
@@ -143,7 +166,7 @@
   for (const auto *Other : {&Second, &Third})
     if (CostOf(*Other) < CostOf(*Best))
       Best = Other;
-  return {*Best->first, 0};
+  return {*Best->first, {}};
 }
 
 std::optional<chosen_endpoint>
@@ -151,7 +174,7 @@
   const candidates All = candidatesFor(Request);
   if (All.empty())
     return std::nullopt;
-  const candidates Healthy = healthy(All, Now);
+  const candidates Healthy = healthy(answering(All), Now);
   return Request.Model.empty() ? pickPlain(Healthy)
                                : pickEngine(Healthy, Request);
 }
@@ -213,6 +236,9 @@
     State.AvoidedUntil = Now + config::FullEndpointPause;
     break;
   case attempt_result::Unreachable:
+    if (const endpoint_info *Info = Directory.find(Id))
+      Reach.failed(Id, Info->DataCentre, Now);
+    [[fallthrough]];
   case attempt_result::Broken: {
     average(State.FailureRate, 1);
     if (Result == attempt_result::Broken && State.Strikes == 0) {
@@ -229,6 +255,24 @@
   }
 }
 
+std::vector<endpoint_info> endpoint_choice::probesDue(mono_time Now) {
+  std::vector<endpoint_info> Due;
+  const auto IsKnown = [this](std::string_view Id) {
+    return Directory.find(Id) != nullptr;
+  };
+  for (const std::string &Id : Reach.probesDue(IsKnown, Now))
+    Due.push_back(*Directory.find(Id));
+  // One of those that are out only because of their data centre, at random.
+  std::vector<const endpoint_info *> Others;
+  for (const auto &[Id, State] : States)
+    if (const endpoint_info *Info = Directory.find(Id);
+        Info && Reach.isSilentByCentre(Id, Info->DataCentre))
+      Others.push_back(Info);
+  if (!Others.empty())
+    Due.push_back(*Others[random() % Others.size()]);
+  return Due;
+}
+
 void endpoint_choice::forgetGone() {
   std::erase_if(States, [this](const auto &Entry) {
     return Entry.second.Running == 0 && !Directory.find(Entry.first);
--- a/src/endpoint_choice.h
+++ b/src/endpoint_choice.h
@@ -2,7 +2,9 @@
 
 #include "clock.h"
 #include "endpoint_directory.h"
+#include "engine_pace.h"
 #include "peer_loads.h"
+#include "reach_watch.h"
 
 #include <cstdint>
 #include <functional>
@@ -27,10 +29,9 @@
   std::function<bool(const endpoint_info &)> IsAllowed;
 };
 
-/// An endpoint, with what is before an attempt's first byte there: the work
-/// under way and the attempt's own, less what is likely to be cached.
+/// An endpoint, with what is before an attempt's first byte there.
 struct chosen_endpoint : endpoint_info {
-  double WorkBefore = 0;
+  work_ahead Ahead;
 };
 
 /// How an attempt ended, for the next choices.
@@ -72,6 +73,18 @@
   /// its answer, if any.
   void ended(std::string_view Id, double Work, attempt_result Result,
              std::optional<duration> FirstByte, mono_time Now);
+  /// A connection to the endpoint was answered, an attempt's or a probe's.
+  void connected(const endpoint_info &Endpoint, duration Took) {
+    Reach.connected(Endpoint.Id, Endpoint.DataCentre, Took);
+  }
+  duration connectTimeout(const endpoint_info &Endpoint) const {
+    return Reach.connectTimeout(Endpoint.DataCentre);
+  }
+  bool isSilent(const endpoint_info &Endpoint) const {
+    return Reach.isSilent(Endpoint.Id, Endpoint.DataCentre);
+  }
+  /// Silent endpoints to open a connection to, without a request on it.
+  std::vector<endpoint_info> probesDue(mono_time Now);
   /// Forgets endpoints that the directory no longer holds.
   void forgetGone();
   /// What this VM has under way, for the others.
@@ -102,6 +115,7 @@
 
   state &stateOf(const endpoint_info &Info);
   candidates candidatesFor(const choice_request &Request);
+  candidates answering(const candidates &All) const;
   candidates healthy(const candidates &All, mono_time Now) const;
   chosen_endpoint pickEngine(const candidates &From,
                              const choice_request &Request) const;
@@ -114,6 +128,7 @@
   std::string DataCentre;
   std::uint64_t Random;
   std::map<std::string, state, std::less<>> States;
+  reach_watch Reach;
 };
 
 } // namespace clementinelane
--- a/src/http_exchange.cpp
+++ b/src/http_exchange.cpp
@@ -38,7 +38,7 @@
     Timer.async_wait([Weak = weak_from_this()](const error_code &Error) {
       const auto Self = Weak.lock();
       if (Self && !Error && !Self->IsConnected)
-        Self->fail(exchange_failure::NotConnected);
+        Self->fail(exchange_failure::Unanswered);
     });
     Socket.async_connect(*Address,
                          [Self = shared_from_this()](const error_code &Error) {
--- a/src/http_exchange.h
+++ b/src/http_exchange.h
@@ -12,7 +12,8 @@
 
 /// How far an exchange got before it failed.
 enum class exchange_failure : std::uint8_t {
-  NotConnected, ///< nothing was sent; the other side can't have run it
+  NotConnected, ///< refused; nothing was sent, so it can't have run
+  Unanswered,   ///< the connection got no answer in time; nothing was sent
   NoAnswer,     ///< sent, then closed, reset or silent
   BrokenAnswer  ///< the answer began and isn't whole, or isn't HTTP
 };
--- /dev/null
+++ b/src/least_squares.h
@@ -0,0 +1,72 @@
+#pragma once
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+#include <cstddef>
+
+namespace clementinelane {
+
+/// Recursive least squares with forgetting: a linear estimate of `Size`
+/// coefficients that starts at a prior and follows what is observed. Old
+/// observations fade by `Memory` each; uncertainty never grows beyond the
+/// prior's, so that a feature that isn't seen for long keeps its value.
+template <std::size_t Size> class least_squares {
+public:
+  using vector = std::array<double, Size>;
+
+  /// `Spread`: standard deviation of each coefficient's prior.
+  least_squares(const vector &Prior, const vector &Spread, double Memory)
+      : Coefficients(Prior), Memory(Memory) {
+    for (std::size_t I = 0; I < Size; ++I)
+      Covariance[I][I] = Most[I] = Spread[I] * Spread[I];
+  }
+
+  double predict(const vector &X) const {
+    double Sum = 0;
+    for (std::size_t I = 0; I < Size; ++I)
+      Sum += Coefficients[I] * X[I];
+    return Sum;
+  }
+
+  /// `Y` was seen at `X`, with this standard deviation; it counts for at most
+  /// `Clip` deviations, so that one strange value can't decide alone.
+  void observe(const vector &X, double Y, double Deviation, double Clip) {
+    vector Gain{};
+    double Total = Memory * Deviation * Deviation;
+    for (std::size_t I = 0; I < Size; ++I) {
+      for (std::size_t J = 0; J < Size; ++J)
+        Gain[I] += Covariance[I][J] * X[J];
+      Total += X[I] * Gain[I];
+    }
+    const double Off =
+        std::clamp(Y - predict(X), -Clip * Deviation, Clip * Deviation);
+    for (std::size_t I = 0; I < Size; ++I)
+      Coefficients[I] = std::max(0.0, Coefficients[I] + Gain[I] * Off / Total);
+    for (std::size_t I = 0; I < Size; ++I)
+      for (std::size_t J = 0; J < Size; ++J)
+        Covariance[I][J] -= Gain[I] * Gain[J] / Total;
+    fade();
+  }
+
+  double operator[](std::size_t I) const { return Coefficients[I]; }
+
+private:
+  /// Lets the uncertainty of each coefficient grow, up to the prior's.
+  void fade() {
+    vector Growth{};
+    for (std::size_t I = 0; I < Size; ++I)
+      Growth[I] =
+          Covariance[I][I] <= Memory * Most[I] ? 1 / std::sqrt(Memory) : 1;
+    for (std::size_t I = 0; I < Size; ++I)
+      for (std::size_t J = 0; J < Size; ++J)
+        Covariance[I][J] *= Growth[I] * Growth[J];
+  }
+
+  vector Coefficients;
+  vector Most{}; ///< variances of the prior
+  std::array<vector, Size> Covariance{};
+  double Memory;
+};
+
+} // namespace clementinelane
--- a/src/model_cascade.h
+++ b/src/model_cascade.h
@@ -1,42 +1,55 @@
 #pragma once
 
 #include "clock.h"
-#include "route_table.h"
 
 #include <cstddef>
+#include <span>
 
 namespace clementinelane {
 
-/// What is known when a model's answer begins.
+/// One model as the choice sees it, for one request at one moment.
+struct model_option {
+  double Quality = 1;   ///< part of all requests that it answers well
+  double Price = 0;     ///< of a whole answer, against the worth of a good one
+  double ReadPrice = 0; ///< of it, for reading the prompt: spent if dropped
+  double EngineTime =
+      0;           ///< until the answer's end, against the slowest model's
+  duration Wait{}; ///< until its first event, expected
+};
+
+/// What is known of a request when a model is chosen.
 struct cascade_view {
-  std::size_t Model = 0;    ///< index into the route's models
-  double Confidence = 100;  ///< the model's own, 0 to 100
-  duration LeftForTarget{}; ///< until a first event is late
-  duration LeftForCaller{}; ///< until the caller leaves
-  duration LargerWait{};    ///< until the largest model's first event, expected
-  duration MeanWait{};      ///< of new work at the service's engines now
+  std::span<const model_option> Models; ///< smallest first
+  duration LeftForTarget{};             ///< until a first event is late
+  duration LeftForCaller{};             ///< until the caller leaves
+  double Busy = 0; ///< wait of new work at a mean engine, against the target
+  bool MayAskTwice = true; ///< attempts and repeats are left after the next one
 };
 
-/// Chooses the model to ask first, and when a weak answer is asked for again.
+/// A model's answer that has begun, none of which the caller has seen.
+struct first_answer {
+  std::size_t Model = 0;
+  double Confidence = 100; ///< the model's own, 0 to 100
+};
+
+/// Chooses the model to ask first, and when a weak answer is asked for again,
+/// without I/O.
 ///
-/// Load: requests of unknown difficulty; the largest model answers all of them
-/// well and takes ten times the engine time of the smallest. Harm prevented:
-/// paying for the largest where the smallest would do, and, when engines are
-/// busy, large runs that come too late and make the others late. The smallest
-/// is asked first; its own confidence in the head of the answer tells how
-/// likely the answer is poor. The largest is asked, before the caller saw any
-/// of it, if what that gains is more than what being late would lose, and more
-/// than the engine time that others then wait for.
+/// Load: requests of unknown difficulty for models of unlike quality, price and
+/// pace. Harm prevented: paying for the largest where a smaller one would do;
+/// asking a small one first whose answer is dropped most times; and, when
+/// engines are busy, large runs that come too late and make the others late.
+/// Each way is worth what the caller is likely to get, a good answer in time
+/// counting 1, less prices and less the wait of others for the engine time; the
+/// way that is worth most is taken. An answer's confidence tells how likely it
+/// is good, and how likely other models would do better (answer_quality).
 class model_cascade {
 public:
-  /// Index into the route's models for the first attempt.
-  std::size_t firstModel(const route_rule &Route) const;
+  /// Index of the model for the first attempt.
+  std::size_t firstModel(const cascade_view &View) const;
   /// The model to ask instead, or the same to keep this answer.
-  std::size_t nextModel(const route_rule &Route,
-                        const cascade_view &View) const;
+  std::size_t nextModel(const cascade_view &View,
+                        const first_answer &Answer) const;
 };
 
-/// The chance that an answer with this confidence is poor.
-double chanceOfPoor(double Confidence);
-
 } // namespace clementinelane
--- a/src/route_table.cpp
+++ b/src/route_table.cpp
@@ -19,6 +19,17 @@
   return Target.substr(0, Target.find('?'));
 }
 
+std::optional<double> route_table::priceOf(std::string_view Service,
+                                           std::string_view Model) const {
+  const auto Found = Services.find(std::string(Service));
+  if (Found == Services.end())
+    return std::nullopt;
+  for (const model_price &Each : Found->second.Models)
+    if (Each.Name == Model && Each.CostPerThousandTokens > 0)
+      return Each.CostPerThousandTokens;
+  return std::nullopt;
+}
+
 const route_rule *route_table::find(std::string_view Host,
                                     std::string_view Path) const {
   const std::string_view Name = withoutPort(Host);
--- a/src/route_table.h
+++ b/src/route_table.h
@@ -52,7 +52,7 @@
 /// A model that an engine serves, with its price.
 struct model_price {
   std::string Name;
-  double CostPerThousandTokens = 0;
+  double CostPerThousandTokens = 0; ///< 0: nobody said
 };
 
 /// A service behind routes; `Slots` is 0 for a plain one.
@@ -86,6 +86,9 @@
   bool HasCustomers = false;
   std::unordered_map<std::string, customer_rule> CustomerByKey;
 
+  /// What a thousand tokens of a model cost, if it was said.
+  std::optional<double> priceOf(std::string_view Service,
+                                std::string_view Model) const;
   /// The route with the longest prefix of `Path` among those of `Host`.
   const route_rule *find(std::string_view Host, std::string_view Path) const;
 };
--- a/src/routed_call.h
+++ b/src/routed_call.h
@@ -65,6 +65,7 @@
   duration Remaining{}; ///< what is left of the deadline at this moment
   unsigned Urgency = 0; ///< 0 is the most urgent
   unsigned Number = 0;  ///< from 1
+  duration ConnectTimeout{};
 };
 
 /// An answer of our own.
--- a/src/routed_request.cpp
+++ b/src/routed_request.cpp
@@ -11,16 +11,23 @@
 
 constexpr std::string_view AnyModel = "*";
 
+bool wasSent(exchange_failure Failure) {
+  return Failure != exchange_failure::NotConnected &&
+         Failure != exchange_failure::Unanswered;
+}
+
 /// How an exchange's failure counts for the endpoint.
 attempt_result resultOf(exchange_failure Failure) {
-  return Failure == exchange_failure::NotConnected ? attempt_result::Unreachable
-                                                   : attempt_result::Broken;
+  return wasSent(Failure) ? attempt_result::Broken
+                          : attempt_result::Unreachable;
 }
 
 std::string_view nameOf(exchange_failure Failure) {
   switch (Failure) {
   case exchange_failure::NotConnected:
     return "not_connected";
+  case exchange_failure::Unanswered:
+    return "connection_unanswered";
   case exchange_failure::NoAnswer:
     return "no_answer";
   case exchange_failure::BrokenAnswer:
@@ -68,10 +75,10 @@
 
 void routed_request::begin(mono_time Now) {
   Context.Budget.earn(Call.Service, Now);
-  if (choosesModel())
-    Model = Context.Cascade.firstModel(*Call.Route);
   if (version_shift *Shift = Context.ShiftOf(Call.Service))
     beginOn(*Shift, Now);
+  if (choosesModel())
+    chooseFirstModel(Now);
   if (finalTime() - Now < config::LeastTimeForAttempt) {
     refuse(error_kind::DeadlineTooShort, run_state::NotRun, Now);
     return;
@@ -93,7 +100,7 @@
   if (isStream()) {
     Request.Model =
         choosesModel() ? Call.Route->Models[OnModel] : Call.Facts.Model;
-    const call_work Work = workOf(Call.Facts, choosesModel() ? OnModel : 0);
+    const call_work Work = workOf(Call.Facts, paceOf(OnModel));
     Request.Work = Work.Prompt + Work.Answer;
     Request.AnswerWork = Work.Answer;
     Request.SharedWork = Work.Shared;
@@ -151,15 +158,16 @@
   }
   const auto Endpoint = chooseEndpoint(Now);
   if (!Endpoint) {
-    giveUp("no_endpoint", Now);
+    if (!waitsForEndpoint(Now))
+      giveUp("no_endpoint", Now);
     return;
   }
   Attempt = attempt{};
   Attempt->Endpoint = *Endpoint;
-  Attempt->Work = workOf(Call.Facts, choosesModel() ? Model : 0);
+  Attempt->Work = workOf(Call.Facts, paceOf(Model));
   Attempt->WorkLeft = Attempt->Work.Prompt + Attempt->Work.Answer;
   Attempt->Model = Model;
-  Attempt->WorkBefore = Endpoint->WorkBefore;
+  Attempt->Ahead = Endpoint->Ahead;
   Attempt->SentAt = Now;
   Splitter.reset();
   ++Sent;
@@ -170,6 +178,7 @@
   Order.Remaining = finalTime() - Now;
   Order.Urgency = urgencyOf(Attempt->Work);
   Order.Number = Sent;
+  Order.ConnectTimeout = Context.Choice.connectTimeout(*Endpoint);
   Outputs.startAttempt(Order);
 }
 
@@ -196,15 +205,20 @@
                  Now);
 }
 
-void routed_request::onSent() {
-  if (Attempt)
-    Attempt->IsSent = true;
+void routed_request::onSent(mono_time Now) {
+  if (!Attempt)
+    return;
+  Attempt->IsSent = true;
+  Attempt->HeardAt = Now;
+  HasPaidRepeat = false;
+  Context.Choice.connected(Attempt->Endpoint, Now - Attempt->SentAt);
 }
 
 void routed_request::onHead(endpoint_answer Answer, mono_time Now) {
   if (IsOver || !Attempt)
     return;
   Attempt->HeadAt = Now;
+  Attempt->HeardAt = Now;
   Attempt->Answer = std::move(Answer);
   const endpoint_answer &Head = *Attempt->Answer;
   if (Head.SaysNotRun) {
@@ -237,9 +251,13 @@
 void routed_request::takeSuccessHead(mono_time Now) {
   if (!isStream())
     return;
-  Context.Pace.observe(Call.Service, Attempt->WorkBefore,
-                       Now - Attempt->SentAt);
-  if (!HasBegunAnswer && dropsForLargerModel(Now)) {
+  Context.Pace.observe(Call.Service,
+                       choosesModel() ? Call.Route->Models[Model]
+                                      : Call.Facts.Model,
+                       Attempt->Ahead, Now - Attempt->SentAt);
+  if (choosesModel() && !HasBegunAnswer && Attempt->Answer->Confidence)
+    learnQuality(*Attempt->Answer->Confidence);
+  if (!HasBegunAnswer && dropsForOtherModel(Now)) {
     sample(sample_kind::Answered, Now);
     endAttempt(attempt_result::Dropped, Now);
     Outputs.cancelAttempt();
@@ -248,35 +266,83 @@
   }
 }
 
-cascade_view routed_request::cascadeView(double Confidence,
+double routed_request::paceOf(std::size_t OnModel) const {
+  return Context.Pace.of(Call.Service, choosesModel()
+                                           ? Call.Route->Models[OnModel]
+                                           : Call.Facts.Model);
+}
+
+double routed_request::priorQuality(std::size_t OnModel) const {
+  return answer_quality::prior(OnModel, Call.Route->Models.size());
+}
+
+void routed_request::learnQuality(double Confidence) {
+  const std::string &Name = Call.Route->Models[Model];
+  const double Prior = priorQuality(Model);
+  if (!Dropped) {
+    Context.Quality.observe(Call.Service, Name, Prior, Confidence);
+    return;
+  }
+  const double Asked = Context.Quality.of(
+      Call.Service, Call.Route->Models[Dropped->Model], Prior);
+  Context.Quality.observeAfter(Call.Service, Name, Prior, Confidence, Asked,
+                               Dropped->Confidence);
+}
+
+std::vector<model_option> routed_request::modelOptions(mono_time Now) const {
+  const std::vector<std::string> &Names = Call.Route->Models;
+  std::vector<model_quote> Quotes(Names.size());
+  for (std::size_t I = 0; I < Names.size(); ++I) {
+    const choice_request Choice = choiceFor(I, Now);
+    const auto Endpoint = Context.Choice.peek(Choice, Now);
+    model_quote &Quote = Quotes[I];
+    Quote.Quality = Context.Quality.of(Call.Service, Names[I], priorQuality(I));
+    Quote.CostPerThousandTokens = Call.Table->priceOf(Call.Service, Names[I]);
+    Quote.Work = Choice.Work;
+    Quote.Wait = Context.Pace.predict(
+        Call.Service, Names[I], Endpoint ? Endpoint->Ahead : work_ahead{});
+  }
+  return optionsOf(Call.Facts, Quotes);
+}
+
+cascade_view routed_request::cascadeView(std::span<const model_option> Options,
                                          mono_time Now) const {
-  const std::size_t Largest = Call.Route->Models.size() - 1;
-  const auto Endpoint = Context.Choice.peek(choiceFor(Largest, Now), Now);
   cascade_view View;
-  View.Model = Model;
-  View.Confidence = Confidence;
+  View.Models = Options;
   View.LeftForTarget = Call.ArrivedAt + Call.Route->TargetLatency - Now;
   View.LeftForCaller = finalTime() - Now;
-  View.LargerWait =
-      Context.Pace.predict(Call.Service, Endpoint ? Endpoint->WorkBefore : 0);
-  View.MeanWait =
-      Context.Pace.predict(Call.Service, Context.Choice.meanWork(Call.Service));
+  const duration Wait =
+      Context.Pace.backlog(Call.Service, Context.Choice.meanWork(Call.Service));
+  View.Busy = std::chrono::duration<double>(Wait) /
+              std::chrono::duration<double>(Call.Route->TargetLatency);
+  View.MayAskTwice =
+      Sent + 2 <= Call.Route->MaxAttempts &&
+      Context.Budget.left(Call.Service, Now, config::CascadeBudgetShare) >= 1;
   return View;
 }
 
-bool routed_request::dropsForLargerModel(mono_time Now) {
+void routed_request::chooseFirstModel(mono_time Now) {
+  const auto Options = modelOptions(Now);
+  Model = Context.Cascade.firstModel(cascadeView(Options, Now));
+}
+
+bool routed_request::dropsForOtherModel(mono_time Now) {
   const endpoint_answer &Head = *Attempt->Answer;
   if (!choosesModel() || !Head.Confidence || Sent >= Call.Route->MaxAttempts)
     return false;
-  const std::size_t Next = Context.Cascade.nextModel(
-      *Call.Route, cascadeView(*Head.Confidence, Now));
+  const first_answer Answer{Model, *Head.Confidence};
+  const auto Options = modelOptions(Now);
+  const std::size_t Next =
+      Context.Cascade.nextModel(cascadeView(Options, Now), Answer);
   if (Next == Model)
     return false;
   if (!Context.Budget.spend(Call.Service, Now, config::CascadeBudgetShare)) {
     Outputs.note("kept_weak_answer", "repeat_budget", Attempt->Endpoint.Id);
     return false;
   }
-  Outputs.note("larger_model", "low_confidence", Call.Route->Models[Next]);
+  Outputs.note("other_model", "low_confidence", Call.Route->Models[Next]);
+  HasPaidRepeat = true;
+  Dropped = Answer;
   Model = Next;
   return true;
 }
@@ -284,6 +350,7 @@
 void routed_request::onBody(std::string_view Bytes, mono_time Now) {
   if (IsOver || !Attempt || !Attempt->Answer)
     return;
+  Attempt->HeardAt = Now;
   if (isStream() && Attempt->Answer->isSuccess()) {
     Splitter.add(Bytes);
     forwardEvents(Now);
@@ -310,6 +377,7 @@
   }
   if (Whole.empty())
     return;
+  ToldAt = Now;
   if (!HasBegunAnswer) {
     HasBegunAnswer = true;
     PinnedVersion = Attempt->Endpoint.Version;
@@ -352,7 +420,7 @@
 void routed_request::onFailure(exchange_failure Failure, mono_time Now) {
   if (IsOver || !Attempt)
     return;
-  const bool WasSent = Failure != exchange_failure::NotConnected;
+  const bool WasSent = wasSent(Failure);
   if (!WasSent) {
     --Sent; // nothing arrived there
     ++ConnectFailures;
@@ -387,17 +455,40 @@
   const bool IsHarmless = !AnyMayHaveRun || Call.Route->mayRepeat();
   const bool CanGoOn =
       !HasBegunAnswer || (Call.Route->IsResumable && LastEvent);
-  if (!IsHarmless || !CanGoOn || !mayAttempt(Now)) {
+  if (!IsHarmless || !CanGoOn) {
     giveUp(Why, Now);
     return;
   }
-  if (Sent > 0 && !Context.Budget.spend(Call.Service, Now)) {
+  if (!mayAttempt(Now)) {
+    if (!waitsForEndpoint(Now))
+      giveUp(Why, Now);
+    return;
+  }
+  if (Sent > 0 && !HasPaidRepeat && !Context.Budget.spend(Call.Service, Now)) {
     giveUp("repeat_budget", Now);
     return;
   }
+  HasPaidRepeat = Sent > 0;
   send(Now);
 }
 
+// Failure: a roll-out is completed and all old endpoints stop, with streams on
+// them, before this VM has read so; each refuses connections, and the version
+// that the stream is on has no other. Given up at once the caller sees a cut
+// answer, though the next read names an endpoint. The stream waits for that
+// some moments, and tries again.
+bool routed_request::waitsForEndpoint(mono_time Now) {
+  const bool IsResumable = HasBegunAnswer && Call.Route->IsResumable &&
+                           LastEvent && Sent < Call.Route->MaxAttempts;
+  if (!IsResumable || Now - ToldAt >= config::StreamWaitForEndpoint ||
+      finalTime() - Now < config::LeastTimeForAttempt)
+    return false;
+  ConnectFailures = 0;
+  Excluded.clear();
+  RetryAt = Now + config::StreamRetryPause;
+  return true;
+}
+
 void routed_request::giveUp(std::string_view Why, mono_time Now) {
   if (HasBegunAnswer) {
     Outputs.note("broken_off", Why, "");
@@ -451,6 +542,20 @@
         {digestHash(Call.Service), Hash, Side == version_side::New});
 }
 
+// Failure: a data centre is cut off amid a stream. Its connection shows nothing
+// for seconds, while new ones to that endpoint already go unanswered; the
+// caller sees a pause that makes the answer late, or leaves. Looked at with
+// each tick. A plain call isn't moved: it may have run.
+void routed_request::onSilence(mono_time Now) {
+  if (IsOver || !Attempt || !Attempt->IsSent || !isStream() ||
+      !Call.Route->mayRepeat() ||
+      Now - Attempt->HeardAt < config::SilentStreamPatience ||
+      !Context.Choice.isSilent(Attempt->Endpoint))
+    return;
+  if (mayAttempt(Now) && Context.Budget.left(Call.Service, Now) >= 1)
+    failed(attempt_result::Broken, true, "endpoint_silent", Now);
+}
+
 void routed_request::onCallerGone(mono_time Now) {
   if (IsOver)
     return;
@@ -477,6 +582,8 @@
 std::optional<mono_time> routed_request::nextTimer() const {
   if (IsOver)
     return std::nullopt;
+  if (RetryAt)
+    return std::min(finalTime(), *RetryAt);
   if (isPatient())
     return finalTime();
   return std::min(finalTime(), Attempt->SentAt + patience());
@@ -485,6 +592,13 @@
 void routed_request::onTimer(mono_time Now) {
   if (IsOver)
     return;
+  if (RetryAt && Now < finalTime()) {
+    if (Now >= *RetryAt) {
+      RetryAt.reset();
+      send(Now);
+    }
+    return;
+  }
   if (Now < finalTime()) {
     if (isPatient() || Now < Attempt->SentAt + patience())
       return;
--- a/src/routed_request.h
+++ b/src/routed_request.h
@@ -1,11 +1,12 @@
 #pragma once
 
+#include "answer_quality.h"
 #include "call_work.h"
 #include "endpoint_choice.h"
 #include "engine_pace.h"
 #include "event_splitter.h"
 #include "http_exchange.h"
-#include "model_cascade.h"
+#include "model_options.h"
 #include "repeat_budget.h"
 #include "routed_call.h"
 #include "version_shift.h"
@@ -45,6 +46,7 @@
   repeat_budget &Budget;
   model_cascade &Cascade;
   engine_pace &Pace;
+  answer_quality &Quality;
   /// The shift of a service, if there is one.
   std::function<version_shift *(std::string_view Service)> ShiftOf;
   /// Whether customers' keys may be trusted at this moment.
@@ -69,13 +71,15 @@
 
   void begin(mono_time Now);
   /// The attempt's connection stands; from now on it may run.
-  void onSent();
+  void onSent(mono_time Now);
   void onHead(endpoint_answer Answer, mono_time Now);
   void onBody(std::string_view Bytes, mono_time Now);
   void onEnd(mono_time Now);
   void onFailure(exchange_failure Failure, mono_time Now);
   void onCallerGone(mono_time Now);
   void onTimer(mono_time Now);
+  /// Moves a stream off an endpoint that no longer answers.
+  void onSilence(mono_time Now);
 
   /// When onTimer() is to be called; none once the request is over.
   std::optional<mono_time> nextTimer() const;
@@ -88,10 +92,11 @@
   struct attempt {
     endpoint_info Endpoint;
     call_work Work;
-    double WorkLeft = 0;   ///< as the choice of endpoints counts it
-    double WorkBefore = 0; ///< before its first byte, when it was sent
+    double WorkLeft = 0; ///< as the choice of endpoints counts it
+    work_ahead Ahead;    ///< before its first byte, when it was sent
     std::size_t Model = 0;
     mono_time SentAt{};
+    mono_time HeardAt{}; ///< last sign of the endpoint
     std::optional<mono_time> HeadAt;
     std::optional<mono_time> FirstEventAt;
     unsigned Events = 0;
@@ -111,9 +116,15 @@
   choice_request choiceFor(std::size_t OnModel, mono_time Now) const;
   std::optional<chosen_endpoint> chooseEndpoint(mono_time Now);
   std::optional<chosen_endpoint> chooseWithoutPin(mono_time Now);
-  cascade_view cascadeView(double Confidence, mono_time Now) const;
+  double paceOf(std::size_t OnModel) const;
+  double priorQuality(std::size_t OnModel) const;
+  std::vector<model_option> modelOptions(mono_time Now) const;
+  cascade_view cascadeView(std::span<const model_option> Options,
+                           mono_time Now) const;
+  void chooseFirstModel(mono_time Now);
+  void learnQuality(double Confidence);
   void takeSuccessHead(mono_time Now);
-  bool dropsForLargerModel(mono_time Now);
+  bool dropsForOtherModel(mono_time Now);
   void forwardEvents(mono_time Now);
   void endAttempt(attempt_result Result, mono_time Now);
   void sample(sample_kind What, mono_time Now, duration Time = {});
@@ -121,6 +132,7 @@
               mono_time Now);
   bool isPatient() const;
   void retryOrGiveUp(std::string_view Why, mono_time Now);
+  bool waitsForEndpoint(mono_time Now);
   void giveUp(std::string_view Why, mono_time Now);
   void refuse(error_kind Kind, run_state Ran, mono_time Now);
   void finish(mono_time Now);
@@ -136,9 +148,13 @@
   std::optional<std::uint64_t> LastEvent;
   std::string PinnedVersion; ///< of a stream that has begun
   std::size_t Model = 0;
+  std::optional<first_answer> Dropped; ///< the last that wasn't kept
   version_side Side = version_side::Old;
   unsigned Sent = 0; ///< attempts that reached an endpoint
   unsigned ConnectFailures = 0;
+  bool HasPaidRepeat = false;       ///< for a repeat that hasn't arrived yet
+  mono_time ToldAt{};               ///< last event that went to the caller
+  std::optional<mono_time> RetryAt; ///< a stream waits for an endpoint
   bool AnyMayHaveRun = false;
   bool HasBegunAnswer = false;
   bool IsOver = false;
--- a/src/router.cpp
+++ b/src/router.cpp
@@ -62,11 +62,12 @@
                Budget,
                Cascade,
                Pace,
+               Quality,
                [this](std::string_view Service) { return shiftOf(Service); },
                [this](mono_time Now) { return keysHold(Now); },
                [this](const session_note &Note) { tellSession(Note); },
                [this] { return random(); }},
-      MetricsAddress(std::move(MetricsAddress)), Tick(Context),
+      Probes(Context), MetricsAddress(std::move(MetricsAddress)), Tick(Context),
       RandomState(stableHash(Settings.VmName, Incarnation + 1)) {}
 
 router::~router() { Relay.disconnect(); }
@@ -226,6 +227,14 @@
     return;
   }
   Table = std::move(Value);
+  for (const auto &[Name, Service] : Table->Services)
+    if (!Service.Models.empty())
+      Pace.know(Name, Service.Models);
+  for (const auto &[Name, Service] : Table->Services)
+    for (const model_price &Model : Service.Models)
+      if (Model.CostPerThousandTokens <= 0)
+        logs::warning("model_without_price",
+                      {{"service", Name}, {"model", Model.Name}});
   logs::info("configuration",
              {{"version", std::to_string(Table->Version)},
               {"routes", std::to_string(Table->Routes.size())},
@@ -415,14 +424,55 @@
   const mono_time Now = now();
   Directory.expire(Now);
   Choice.forgetGone();
+  tickReach(Now);
   tickRollouts(Now);
   tickDigest(Now);
+  logEstimates(Now);
   Relay.expire(Now);
   noteReadiness();
   if (StoppingAt)
     stopStep();
 }
 
+void router::tickReach(mono_time Now) {
+  for (const endpoint_info &Endpoint : Choice.probesDue(Now))
+    Probes.start(Endpoint.Address, Choice.connectTimeout(Endpoint),
+                 [this, Endpoint, Now] {
+                   Choice.connected(Endpoint, now() - Now);
+                   logs::info("endpoint_answers",
+                              {{"endpoint", Endpoint.Id},
+                               {"data_centre", Endpoint.DataCentre}});
+                 });
+  // A session may end, and leave the set, with its look.
+  const std::vector<std::shared_ptr<session>> Open(Sessions.begin(),
+                                                   Sessions.end());
+  for (const auto &Session : Open)
+    Session->lookForSilence();
+}
+
+void router::logEstimates(mono_time Now) {
+  if (Now - EstimatesLoggedAt < config::EstimateLogPeriod)
+    return;
+  EstimatesLoggedAt = Now;
+  for (const auto &[Service, Known] : Pace.all())
+    for (const auto &[Model, Its] : Known.Models)
+      logs::info(
+          "model_pace",
+          {{"service", Service},
+           {"model", Model},
+           {"pace", std::to_string(Its.Factor)},
+           {"prior", std::to_string(Its.Prior)},
+           {"waits", std::to_string(Its.Samples)},
+           {"fixed_ms", std::to_string(1000 * Its.Seconds[0])},
+           {"own_ms", std::to_string(1000 * engine_pace::secondsForOwn(Its))},
+           {"others_ms",
+            std::to_string(1000 * engine_pace::secondsForOthers(Its))}});
+  for (const auto &[Model, Its] : Quality.all())
+    logs::info("model_quality", {{"model", Model},
+                                 {"quality", std::to_string(Its.Quality)},
+                                 {"answers", std::to_string(Its.Answers)}});
+}
+
 void router::noteReadiness() {
   if (isReady() == WasReady)
     return;
--- a/src/router.h
+++ b/src/router.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "caller_server.h"
+#include "connect_probes.h"
 #include "endpoint_choice.h"
 #include "key_lease.h"
 #include "peer_datagrams.h"
@@ -76,6 +77,8 @@
   void noteEndpoints(std::string_view Service);
   void armTick();
   void tick();
+  void tickReach(mono_time Now);
+  void logEstimates(mono_time Now);
   void tickRollouts(mono_time Now);
   void shareReport(const version_shift &Shift, mono_time Now);
   unsigned oldRunning(std::string_view Service,
@@ -105,11 +108,14 @@
   repeat_budget Budget;
   model_cascade Cascade;
   engine_pace Pace;
+  answer_quality Quality;
+  mono_time EstimatesLoggedAt{};
   std::map<std::string, std::unique_ptr<version_shift>, std::less<>> Shifts;
   std::map<std::string, status_times, std::less<>> StatusTimes;
   request_context Requests;
   router_metrics Metrics;
   std::set<std::shared_ptr<session>> Sessions;
+  connect_probes Probes;
   std::unique_ptr<caller_server> Callers;
   std::unique_ptr<caller_server> Ready;
   std::unique_ptr<caller_server> MetricsServer;
--- a/src/router_session.cpp
+++ b/src/router_session.cpp
@@ -33,6 +33,10 @@
   advance([this](mono_time Now) { Request.begin(Now); });
 }
 
+void router::session::lookForSilence() {
+  advance([this](mono_time Now) { Request.onSilence(Now); });
+}
+
 void router::session::abandon() {
   const auto Keep = shared_from_this();
   cancelAttempt();
@@ -66,7 +70,7 @@
            Self->Router.Platform.isAnswerTo(Head, Self->call().Facts.Id);
   };
   Events.OnSent = [With] {
-    With([](session &Self, mono_time) { Self.Request.onSent(); });
+    With([](session &Self, mono_time Now) { Self.Request.onSent(Now); });
   };
   Events.OnHead = [With](const http_head &Head) {
     With([&Head](session &Self, mono_time Now) {
@@ -104,7 +108,7 @@
   Attempt = startExchange(Router.Context,
                           {Order.Endpoint.Address, call().Head.Method,
                            Router.Platform.encodeAttempt(call(), Order),
-                           config::EndpointConnectTimeout},
+                           Order.ConnectTimeout},
                           attemptEvents());
 }
 
--- a/src/router_session_p.h
+++ b/src/router_session_p.h
@@ -18,6 +18,8 @@
   /// The version its attempt runs on, for roll-outs.
   std::string_view runningVersion() const { return Request.runningVersion(); }
   const std::string &service() const { return Request.call().Service; }
+  /// With each tick of the router.
+  void lookForSilence();
   /// Ends the answer at once; a stop has no time left.
   void abandon();
 
--- /dev/null
+++ b/tests/engine_pace_test.cpp
@@ -0,0 +1,108 @@
+#define BOOST_TEST_MODULE engine_pace
+#include "config.h"
+#include "engine_pace.h"
+
+#include <boost/test/unit_test.hpp>
+#include <cmath>
+#include <random>
+
+using namespace clementinelane;
+using namespace std::chrono_literals;
+
+namespace {
+
+const std::vector<model_price> Prices{{"small", 0.02}, {"large", 0.2}};
+
+struct fixture {
+  std::mt19937 Random{3};
+  engine_pace Pace;
+  fixture() { Pace.know("s", Prices); }
+
+  /// Waits of an engine that reads a thousand tokens of the model in `OwnMs`,
+  /// with noise, and work of others that costs a tenth of a ms a unit.
+  void see(const std::string &Model, double OwnMs, int Times) {
+    std::uniform_real_distribution<double> Tokens(5, 40);
+    std::uniform_real_distribution<double> Others(0, 300);
+    std::lognormal_distribution<double> Noise(0, 0.2);
+    for (int Each = 0; Each < Times; ++Each) {
+      const double Thousands = Tokens(Random);
+      const double Beside = Others(Random);
+      const double Ms =
+          (120 + OwnMs * Thousands + 0.1 * Beside) * Noise(Random);
+      Pace.observe("s", Model, {Pace.of("s", Model) * Thousands, Beside},
+                   std::chrono::microseconds(long(1000 * Ms)));
+    }
+  }
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(pace_is_learned_from_long_work) {
+  engine_pace Pace;
+  BOOST_TEST((Pace.predict("s", "", {}) == 120ms));
+  for (int Each = 0; Each < 200; ++Each) {
+    Pace.observe("s", "", {100, 0}, 2120ms);
+    Pace.observe("s", "", {1, 0}, 5s); // says nothing of the pace
+  }
+  const auto Wait = Pace.predict("s", "", {50, 0});
+  BOOST_TEST((Wait > 1100ms && Wait < 1140ms));
+  BOOST_TEST((Pace.predict("other", "", {50, 0}) < 1s));
+}
+
+// Before any answer the dearer model is taken for the slower one. Then both are
+// seen to read alike, or much further apart than their prices.
+BOOST_FIXTURE_TEST_CASE(pace_of_a_model_is_learned, fixture) {
+  BOOST_TEST(Pace.of("s", "small") == 1.0);
+  BOOST_TEST(Pace.of("s", "large") > 5.0);
+  see("small", 10, 400);
+  see("large", 12, 400);
+  BOOST_TEST(Pace.of("s", "large") > 1.0);
+  BOOST_TEST(Pace.of("s", "large") < 1.7);
+  see("large", 200, 1200);
+  BOOST_TEST(Pace.of("s", "large") > 13.0);
+}
+
+BOOST_FIXTURE_TEST_CASE(waits_are_expected_model_by_model, fixture) {
+  see("small", 10, 400);
+  see("large", 100, 400);
+  const double Small =
+      std::chrono::duration<double>(Pace.predict("s", "small", {20, 100}))
+          .count();
+  BOOST_TEST(std::abs(Small - 0.33) < 0.06);
+  const double Large =
+      std::chrono::duration<double>(
+          Pace.predict("s", "large", {20 * Pace.of("s", "large"), 100}))
+          .count();
+  BOOST_TEST(std::abs(Large - 2.13) < 0.4);
+}
+
+// An engine turns slow amid the day; what it was before is forgotten.
+BOOST_FIXTURE_TEST_CASE(waits_follow_a_change, fixture) {
+  see("small", 10, 500);
+  see("small", 40, 800);
+  BOOST_TEST((Pace.predict("s", "small", {20, 0}) > 750ms));
+}
+
+// Waits of nothing, and of hours: no coefficient turns negative or into no
+// number, and the next waits set it right.
+BOOST_FIXTURE_TEST_CASE(strange_waits_do_no_lasting_harm, fixture) {
+  for (int Each = 0; Each < 50; ++Each) {
+    Pace.observe("s", "small", {0, 50}, 0ms);
+    Pace.observe("s", "large", {50, 0}, 0ms);
+    Pace.observe("s", "small", {50, 50}, 1h);
+  }
+  const auto Wait = Pace.predict("s", "small", {20, 100});
+  BOOST_TEST((Wait >= 0ms));
+  BOOST_TEST(std::isfinite(Pace.of("s", "large")));
+  see("small", 10, 2000);
+  BOOST_TEST((Pace.predict("s", "small", {20, 100}) < 600ms));
+}
+
+// Nobody said what the models cost: they count alike until they were seen.
+BOOST_AUTO_TEST_CASE(models_without_prices_count_alike) {
+  engine_pace Pace;
+  Pace.know("s", std::vector<model_price>{{"a", 0}, {"b", 0}});
+  BOOST_TEST(Pace.of("s", "a") == 1.0);
+  BOOST_TEST(Pace.of("s", "b") == 1.0);
+  BOOST_TEST(Pace.of("t", "b") == 1.0);
+}
--- a/tests/http_exchange_test.cpp
+++ b/tests/http_exchange_test.cpp
@@ -36,8 +36,8 @@
     Events.OnBody = [this](const std::string &Bytes) { Body += Bytes; };
     Events.OnEnd = [this] { Ended.set_value("whole"); };
     Events.OnFailure = [this](exchange_failure Failure) {
-      constexpr std::array<const char *, 3> Names{"not_connected", "no_answer",
-                                                  "broken_answer"};
+      constexpr std::array<const char *, 4> Names{"not_connected", "unanswered",
+                                                  "no_answer", "broken_answer"};
       Ended.set_value(Names[static_cast<std::size_t>(Failure)]);
     };
     Events.IsMine = [](const http_head &Head) {
--- a/tests/routed_fixture.h
+++ b/tests/routed_fixture.h
@@ -53,12 +53,14 @@
   repeat_budget Budget{{0.9, std::chrono::seconds(10), 3}};
   model_cascade Cascade;
   engine_pace Pace;
+  answer_quality Quality;
   std::map<std::string, version_shift, std::less<>> Shifts;
   request_context Context{
       Choice,
       Budget,
       Cascade,
       Pace,
+      Quality,
       [this](std::string_view Service) {
         const auto Found = Shifts.find(Service);
         return Found == Shifts.end() ? nullptr : &Found->second;
@@ -94,6 +96,10 @@
     Booking.Kind = call_kind::NonIdempotent;
     Booking.MaxAttempts = 1;
     Table->Routes = {Stream, Lookup, Booking};
+    service_rule Engine;
+    Engine.Models = {{"small", 0.2}, {"middle", 1.2}, {"large", 2.5}};
+    Table->Services.emplace("engine", Engine);
+    Pace.know("engine", Engine.Models);
     for (const char *Id : {"e1", "e2", "e3", "e4"})
       add(Id, "engine");
     for (const char *Id : {"p1", "p2", "p3"})
@@ -101,12 +107,13 @@
   }
 
   void add(const std::string &Id, const std::string &Service,
-           const std::string &Version = "v1") {
+           const std::string &Version = "v1",
+           const std::string &DataCentre = "hall-a") {
     endpoint_info Info;
     Info.Id = Id;
     Info.Service = Service;
     Info.Address = "127.0.0.1:1";
-    Info.DataCentre = "hall-a";
+    Info.DataCentre = DataCentre;
     Info.Version = Version;
     Info.Slots = 6;
     Directory.apply(Id, Info, Now);
--- a/tests/routed_request_test.cpp
+++ b/tests/routed_request_test.cpp
@@ -126,7 +126,7 @@
 // final answer at once, and the endpoint's connection closes.
 BOOST_FIXTURE_TEST_CASE(timeout_answers_at_once, routed_fixture) {
   auto Request = booking();
-  Request->onSent();
+  Request->onSent(Now);
   Now += 1200ms;
   BOOST_TEST((*Request->nextTimer() == Now));
   Request->onTimer(Now);
@@ -282,7 +282,7 @@
     case 0:
       if (HasHead)
         break;
-      Request.onSent();
+      Request.onSent(Fixture.Now);
       HasHead = true;
       if (Value % 3 == 0) {
         Request.onHead(routed_fixture::notRun(Value % 2 == 0), Fixture.Now);
@@ -304,7 +304,7 @@
       break;
     case 3:
       if (!HasHead && Value % 2 == 1) {
-        Request.onSent();
+        Request.onSent(Fixture.Now);
         ++Runs; // it may have run without a word
       }
       Request.onFailure(HasHead          ? exchange_failure::BrokenAnswer
@@ -377,7 +377,7 @@
   Shift.takeSession(Hash, version_side::Old, Now);
   const auto Stream = begin(std::move(First));
   BOOST_TEST(Out.Attempts.at(0).Endpoint.Version == "v1");
-  Stream->onSent();
+  Stream->onSent(Now);
   Stream->onHead(answer(200), Now);
   Now += 8s;
   Stream->onBody("id: 1\ndata: x\n\n", Now);
@@ -390,3 +390,108 @@
   BOOST_TEST(Out.Attempts.at(0).Endpoint.Version == "v1");
   BOOST_TEST((Shift.sideFor(Name, Hash, Now) == version_side::Old));
 }
+
+// A data centre is cut off: two endpoints there don't answer. Callers' requests
+// went on trying the others there, and were refused after some tries while the
+// own data centre idled. Now all that follow go to endpoints that answer.
+BOOST_FIXTURE_TEST_CASE(cut_off_data_centre_gets_no_work, routed_fixture) {
+  for (const char *Id : {"f1", "f2", "f3", "f4", "f5", "f6", "f7", "f8"})
+    add(Id, "engine", "v1", "hall-b");
+  stream();
+  for (const char *Id : {"f1", "f2"})
+    Choice.ended(Id, 0, attempt_result::Unreachable, std::nullopt, Now);
+  for (int Each = 0; Each < 50; ++Each) {
+    auto Request = stream();
+    BOOST_REQUIRE(Out.Attempts.size() == 1U);
+    BOOST_TEST(Out.Attempts[0].Endpoint.DataCentre == "hall-a");
+    Request->onSent(Now);
+  }
+  const auto Probes = Choice.probesDue(Now + 1s);
+  BOOST_TEST(Probes.size() >= 2U);
+  Choice.connected(*Directory.find("f5"), 1ms);
+  BOOST_TEST(!Choice.isSilent(*Directory.find("f6")));
+}
+
+// The way to an endpoint is cut amid a stream. Its connection shows nothing; a
+// new one goes unanswered. The caller would see a pause of seconds until the
+// keep-alive gives the connection up. A stream that still brings events stays.
+BOOST_FIXTURE_TEST_CASE(stream_leaves_a_silent_endpoint, routed_fixture) {
+  auto Request = stream();
+  const std::string First = Out.Attempts[0].Endpoint.Id;
+  Request->onSent(Now);
+  Request->onHead(confident(90), Now);
+  Request->onBody(event(1), Now);
+  Request->onSilence(Now + 1s);
+  BOOST_TEST(Out.Attempts.size() == 1U); // others are answered there
+  Choice.ended(First, 0, attempt_result::Unreachable, std::nullopt, Now);
+  Now += config::SilentStreamPatience / 2;
+  Request->onBody(event(2), Now);
+  Now += config::SilentStreamPatience / 2;
+  Request->onSilence(Now);
+  BOOST_TEST(Out.Attempts.size() == 1U);
+  Now += config::SilentStreamPatience / 2;
+  Request->onSilence(Now);
+  BOOST_REQUIRE(Out.Attempts.size() == 2U);
+  BOOST_TEST(Out.Attempts[1].Endpoint.Id != First);
+  BOOST_TEST(*Out.Attempts[1].ResumeFrom == 2U);
+}
+
+// A booking waits at an endpoint that falls silent. It may be running there, so
+// it stays.
+BOOST_FIXTURE_TEST_CASE(booking_stays_at_a_silent_endpoint, routed_fixture) {
+  auto Request = booking();
+  Request->onSent(Now);
+  Choice.ended(Out.Attempts[0].Endpoint.Id, 0, attempt_result::Unreachable,
+               std::nullopt, Now);
+  Request->onSilence(Now + 1s);
+  BOOST_TEST(Out.Attempts.size() == 1U);
+}
+
+// A roll-out is completed: all endpoints of the old version stop at once, and
+// refuse connections before this VM has read why. The caller's stream was cut
+// with half an answer; now it waits some moments, without an attempt that would
+// be another repeat, and goes on once an endpoint is named.
+BOOST_FIXTURE_TEST_CASE(stream_waits_for_an_endpoint, routed_fixture) {
+  auto Request = stream();
+  Request->onSent(Now);
+  Request->onHead(confident(90), Now);
+  Request->onBody(event(1), Now);
+  Request->onFailure(exchange_failure::BrokenAnswer, Now);
+  for (unsigned Each = 0; Each < config::MaxConnectFailures; ++Each)
+    Request->onFailure(exchange_failure::NotConnected, Now);
+  BOOST_TEST(!Out.IsBrokenOff);
+  const std::size_t Tried = Out.Attempts.size();
+  const double Left = Budget.left("engine", Now);
+  for (const char *Id : {"e1", "e2", "e3", "e4"})
+    Directory.apply(Id, std::nullopt, Now);
+  Now += config::StreamRetryPause;
+  Request->onTimer(Now);
+  BOOST_TEST(!Out.IsBrokenOff);
+  BOOST_TEST(Out.Attempts.size() == Tried);
+  add("e9", "engine");
+  Now += config::StreamRetryPause;
+  Request->onTimer(Now);
+  BOOST_REQUIRE(Out.Attempts.size() == Tried + 1);
+  BOOST_TEST(Out.Attempts.back().Endpoint.Id == "e9");
+  BOOST_TEST(*Out.Attempts.back().ResumeFrom == 1U);
+  BOOST_TEST(Budget.left("engine", Now) == Left);
+}
+
+// No endpoint comes back: the caller sees a cut stream before it would leave by
+// itself.
+BOOST_FIXTURE_TEST_CASE(stream_waits_no_longer_than_callers, routed_fixture) {
+  auto Request = stream();
+  Request->onSent(Now);
+  Request->onHead(confident(90), Now);
+  Request->onBody(event(1), Now);
+  for (const char *Id : {"e1", "e2", "e3", "e4"})
+    Directory.apply(Id, std::nullopt, Now);
+  Request->onFailure(exchange_failure::BrokenAnswer, Now);
+  const mono_time Begun = Now;
+  while (!Out.IsBrokenOff && Request->nextTimer()) {
+    Now = *Request->nextTimer();
+    Request->onTimer(Now);
+  }
+  BOOST_TEST(Out.IsBrokenOff);
+  BOOST_TEST((Now - Begun < 2s));
+}
