--- a/tests/endpoint_choice_test.cpp
+++ b/tests/endpoint_choice_test.cpp
@@ -4,6 +4,7 @@
 #include "hashing.h"
 
 #include <boost/test/unit_test.hpp>
+#include <deque>
 #include <map>
 #include <memory>
 #include <random>
@@ -244,3 +245,49 @@
   Request.Excluded = Excluded;
   BOOST_TEST(!Choice.choose(Request, Now).has_value());
 }
+
+// Callers of three data centres send alike, then those of one alone send all.
+// Bytes between data centres are paid for, so work stays where it came from;
+// but nobody may wait there while the engines of the others idle.
+BOOST_FIXTURE_TEST_CASE(engines_of_the_own_data_centre_first, fixture) {
+  const std::vector<std::string> Centres{"hall-a", "hall-b", "hall-c"};
+  for (const std::string &Centre : Centres)
+    add(4, "engine", Centre);
+  constexpr double Work = 20;
+  constexpr std::size_t UnderWay = 40;
+  /// The part of the calls that stays, if the first `Senders` VMs send.
+  const auto Stays = [&](std::size_t Senders) {
+    std::vector<peer_loads> Loads(Centres.size());
+    std::vector<std::unique_ptr<endpoint_choice>> Vms;
+    for (std::size_t I = 0; I < Centres.size(); ++I)
+      Vms.push_back(std::make_unique<endpoint_choice>(Directory, Loads[I],
+                                                      Centres[I], I));
+    std::deque<std::pair<std::size_t, std::string>> Open;
+    int Own = 0;
+    constexpr int Calls = 600;
+    for (int Call = 0; Call < Calls; ++Call) {
+      const std::size_t Vm = static_cast<std::size_t>(Call) % Senders;
+      const auto Chosen =
+          Vms[Vm]->choose(engine("part" + std::to_string(Call), Work, 0), Now);
+      Own += Chosen->DataCentre == Centres[Vm] ? 1 : 0;
+      Open.emplace_back(Vm, Chosen->Id);
+      for (std::size_t To = 0; To < Vms.size(); ++To)
+        if (To != Vm)
+          Loads[To].take({Centres[Vm], 1, static_cast<std::uint64_t>(Call + 1),
+                          Vms[Vm]->loads()},
+                         Now);
+      if (Open.size() <= UnderWay)
+        continue;
+      const auto [Holder, Id] = Open.front();
+      Open.pop_front();
+      Vms[Holder]->ended(Id, Work, attempt_result::Served, 100ms, Now);
+    }
+    return Own / double(Calls);
+  };
+  const double Even = Stays(3);
+  const double Skewed = Stays(1);
+  BOOST_TEST(Even > 0.8);
+  BOOST_TEST(Skewed < 0.7);
+  BOOST_TEST(Skewed > 1.0 / 3);
+  BOOST_TEST_MESSAGE("stays: " << Even << " even, " << Skewed << " skewed");
+}
