--- a/src/config.h
+++ b/src/config.h
@@ -603,7 +603,7 @@
 /// What another data centre costs an engine's call, in work under way: a fixed
 /// part, some short calls, so that idle engines don't draw calls over, and this
 /// part of the pool's mean. With half, a data centre that has half again its
-/// share of the load starts to give some away; 0.3 to 1.2 lie within 0.006.
+/// share of the load starts to give some away; 0.5 to 1.2 lie within 0.005.
 constexpr double OtherCentreWork = 10;
 constexpr double OtherCentreShare = 0.5;
 /// What another data centre costs a plain call, in requests under way.
@@ -662,7 +662,7 @@
 /// this sure of a request just as hard as it can answer, loses the slope from
 /// the easiest to the hardest, and errs by the noise (standard deviation). A
 /// prior: fitted to the chance of a poor answer by confidence in one fleet,
-/// which it meets within 0.02; it can't be observed where nobody rates answers.
+/// which it meets within 0.06; it can't be observed where nobody rates answers.
 constexpr double ConfidenceAtQuality = 43;
 constexpr double ConfidenceSlope = 110;
 constexpr double ConfidenceNoise = 18;
@@ -670,11 +670,11 @@
 constexpr double LeastChance = 1e-9;
 /// Prior of the smallest of several models, and what it counts for, in answers;
 /// the last is taken to answer all. Half, since a model that answers less is of
-/// little use; ten answers replace most of it within a second.
+/// little use; ten more answers replace half of it.
 constexpr double SmallestModelQuality = 0.5;
 constexpr double QualityPriorAnswers = 10;
-/// Answers after which an old one has faded to a third: a quality to within
-/// 0.03, and a changed model is known after some hundred answers.
+/// Answers after which an old one has faded to a third. Chance alone moves a
+/// quality by 0.03 then; a changed model is known after some hundreds.
 constexpr double QualityMemory = 300;
 /// What a poor answer and a late one are worth to a caller, against a good one
 /// in time, as the platform's sheets say.
@@ -683,7 +683,7 @@
 /// The most that the dearest model's answer costs, against a good answer in
 /// time; nobody would run a model that is dearer. And what a good answer is
 /// worth at least, in units of the prices: priors, since neither is told. A
-/// third was worth 0.004 to 0.010 more than a quarter on each of three fleets.
+/// third was worth 0.005 to 0.010 more than a quarter on each of three fleets.
 constexpr double MostModelPrice = 1.0 / 3;
 constexpr double LeastAnswerWorth = 1;
 /// A token that is read costs this part of one that is made, as the platform's
--- a/src/router.cpp
+++ b/src/router.cpp
@@ -30,7 +30,7 @@
 
 /// Load: a service fails while a fleet of any size repeats. The fixed part of
 /// the fleet's bound is shared by the VMs that are known to be at work; a share
-/// fixed for nine VMs would be five times the bound at seventy.
+/// fixed for nine VMs would be four times the bound at seventy.
 repeat_limits limitsOf(const router_settings &Settings, std::size_t Vms) {
   return {Settings.RepeatRatio * config::RepeatRatioPart, Settings.RepeatWindow,
           Settings.RepeatExtra * config::RepeatExtraPart /
