Complete roll-outs as late as the operator looks; tell verdicts and stranded sessions

A version that turns bad about the last step was completed 0.3 to 0.6 s after it, with the good answers of the trial outweighing the few bad ones; then nothing else is left to run on. Ruled out before: reports each 0.2 s.

What came since the last step is judged apart; doubt (failures that chance explains by 2 %, times 1.6 sigmas late) holds the completion for up to 3 s. A failure in haste and a verdict go to the readers at the next tick, a verdict from them to all. Sessions whose version goes are told to all VMs at the completion; under an order in its first half they are told when to come back, if their caller has time for a whole session's life.

Also: the sum of reports is kept up as they come, and binomial tails by ratios, which a reader of 195 VMs' reports needs.

--- a/src/config.h
+++ b/src/config.h
@@ -570,6 +570,8 @@
 constexpr int PatienceFactor = 2;
 /// Shortest timer, so that one in the past can't spin.
 constexpr auto LeastTimer = 1ms;
+/// Callers keep to a Retry-After of up to this part of the time they have left.
+constexpr int RetryAfterPartOfTimeLeft = 3;
 /// Retry-After is its base times this and up to this much more.
 constexpr double RetrySpreadFrom = 0.75;
 constexpr double RetrySpread = 0.5;
@@ -763,21 +765,28 @@
 constexpr auto RolloutReportLife = 2500ms;
 /// Events of a stream after which its pace is told.
 constexpr unsigned RolloutPaceEvents = 4;
-/// From the last step until the order may be completed, and kept before its
-/// deadline: the operator looks at the status from time to time.
-constexpr auto RolloutSettleTime = 300ms;
-/// The same where the last step came late: the answers of a second, and the way
-/// of the reports on them.
+/// From a last step that came late until the order may be completed: the
+/// answers of a second, and the way of the reports on them.
 constexpr auto RolloutLateProofTime = 2500ms;
-constexpr auto RolloutDeadlineMargin = 1200ms;
+/// Kept before the deadline: the operator looks at the status from time to
+/// time.
+constexpr auto RolloutDeadlineMargin = 600ms;
+/// What raises doubt: failures, so many at least, that the old version's rate
+/// explains by this chance only; or times of so many answers that are later by
+/// so many standard deviations. Doubt holds a completion back for so long.
+constexpr double RolloutDoubt = 0.02;
+constexpr unsigned RolloutDoubtHits = 2;
+constexpr double RolloutDoubtAnswers = 6;
+constexpr double RolloutDoubtSigmas = 1.6;
+constexpr auto RolloutDoubtTime = 3s;
 /// Between reports, the first while the roll-out needs haste, and between tries
-/// to write a status.
+/// to write a status. A failure seen in haste is told with the next tick.
 constexpr auto RolloutHastyPeriod = 500ms;
 constexpr auto RolloutReportPeriod = 1200ms;
 constexpr auto RolloutStatusPause = 700ms;
-/// All VMs come to the same status. The readers write it; if it doesn't stand
-/// after this time, any VM does, still before the deadline.
-constexpr auto RolloutOthersWriteAfter = 800ms;
+/// All VMs come to the same status. The readers, who hear all reports first,
+/// write it; if it doesn't stand after this time, any VM does.
+constexpr auto RolloutOthersWriteAfter = 1500ms;
 /// A status that was read before its order; the two reads are at most two
 /// pauses of the reads of statuses apart.
 constexpr auto RolloutEarlyStatusLife = 3s;
--- a/src/peer_loads.cpp
+++ b/src/peer_loads.cpp
@@ -27,8 +27,11 @@
 
 std::string encodeNotes(const std::vector<session_note> &Notes) {
   auto Body = json::array();
-  for (const session_note &Note : Notes)
+  for (const session_note &Note : Notes) {
     Body.push_back({Note.Service, Note.Session, Note.IsNew ? 1 : 0});
+    if (Note.StrandedFor)
+      Body.back().push_back(Note.StrandedFor->count());
+  }
   std::string Bytes;
   json::to_msgpack(Body, Bytes);
   return Bytes;
@@ -46,6 +49,9 @@
       Notes.push_back({Note[0].get<std::uint32_t>(),
                        Note[1].get<std::uint64_t>(),
                        Note[2].get<unsigned>() != 0});
+      if (Note.size() > SessionFields)
+        Notes.back().StrandedFor =
+            std::chrono::milliseconds(Note[SessionFields].get<std::uint32_t>());
     }
     return Notes;
   } catch (const json::exception &) {
--- a/src/rollout_codec.cpp
+++ b/src/rollout_codec.cpp
@@ -46,7 +46,7 @@
                      {"target", Report.Target},
                      {"order", Report.OrderOffset},
                      {"elapsed_ms", millisOf(Report.Elapsed)},
-                     {"old_running", Report.OldRunning},
+                     {"verdict", Report.Verdict},
                      {"vms", Report.Vms},
                      {"kinds", std::move(Kinds)}};
   std::string Bytes;
@@ -65,7 +65,7 @@
     Report.OrderOffset = Body.at("order").get<std::uint64_t>();
     Report.Elapsed =
         std::chrono::milliseconds(Body.at("elapsed_ms").get<std::int64_t>());
-    Report.OldRunning = Body.at("old_running").get<unsigned>();
+    Report.Verdict = Body.value("verdict", std::string{});
     if (const auto Vms = Body.find("vms"); Vms != Body.end())
       Report.Vms = Vms->get<std::vector<std::uint32_t>>();
     for (const auto &[Kind, Pair] : Body.at("kinds").items())
--- a/src/rollout_reports.cpp
+++ b/src/rollout_reports.cpp
@@ -24,34 +24,28 @@
 
 void rollout_reports::clear() {
   Direct.clear();
+  DirectSum = {};
   Summaries.clear();
 }
 
 void rollout_reports::take(const rollout_report &Report) {
-  if (Report.isSummary())
+  if (Report.isSummary()) {
     Summaries[Report.Vm] = Report;
-  else
-    Direct[{Report.Vm, Report.Incarnation}] = Report;
+    return;
+  }
+  rollout_report &Known = Direct[{Report.Vm, Report.Incarnation}];
+  DirectSum.remove(Known.Tally);
+  DirectSum.merge(Report.Tally);
+  Known = Report;
 }
 
-// The answers of a process that has ended still count; what it had under way
-// does not.
+// The answers of a process that has ended still count.
 rollout_report rollout_reports::summary(const rollout_report &Own) const {
   rollout_report Sum = Own;
   std::set<std::uint32_t> Vms{vmHash(Own.Vm)};
-  std::map<std::string_view, std::pair<std::uint64_t, unsigned>> Newest;
-  for (const auto &[Key, Report] : Direct) {
-    Sum.Tally.merge(Report.Tally);
+  Sum.Tally.merge(DirectSum);
+  for (const auto &[Key, Report] : Direct)
     Vms.insert(vmHash(Report.Vm));
-    auto &[Incarnation, Running] = Newest[Report.Vm];
-    if (Report.Incarnation >= Incarnation) {
-      Incarnation = Report.Incarnation;
-      Running = Report.OldRunning;
-    }
-  }
-  for (const auto &[Vm, Entry] : Newest)
-    if (Vm != Own.Vm)
-      Sum.OldRunning += Entry.second;
   Sum.Vms.assign(Vms.begin(), Vms.end());
   return Sum;
 }
@@ -59,8 +53,7 @@
 // The fullest summary first; another one is added only if it has no VM in
 // common, as when the fleet is cut in two and each part has its own. One with a
 // part in common would count answers twice.
-rollout_reports::whole
-rollout_reports::combined(const rollout_report &Own) const {
+version_tally rollout_reports::combined(const rollout_report &Own) const {
   const rollout_report Here = summary(Own);
   std::vector<const rollout_report *> Fullest{&Here};
   for (const auto &[Vm, Summary] : Summaries)
@@ -69,14 +62,13 @@
                    [](const rollout_report *A, const rollout_report *B) {
                      return A->Tally.answers() > B->Tally.answers();
                    });
-  whole Whole;
+  version_tally Whole;
   std::set<std::uint32_t> Counted;
   for (const rollout_report *Each : Fullest) {
     if (overlaps(Counted, Each->Vms))
       continue;
     Counted.insert(Each->Vms.begin(), Each->Vms.end());
-    Whole.Tally.merge(Each->Tally);
-    Whole.OldRunning += Each->OldRunning;
+    Whole.merge(Each->Tally);
   }
   return Whole;
 }
--- a/src/rollout_reports.h
+++ b/src/rollout_reports.h
@@ -19,9 +19,10 @@
   std::string Service;
   std::string Target;
   std::uint64_t OrderOffset = 0;
-  duration Elapsed{};      ///< since the order, as this VM knows
-  unsigned OldRunning = 0; ///< requests under way on the old version
+  duration Elapsed{}; ///< since the order, as this VM knows
   version_tally Tally;
+  /// What speaks against the target, if that was found out; see verdictOn.
+  std::string Verdict;
   /// Hashes of the VMs that it sums up, sorted; none: it tells of one VM only.
   std::vector<std::uint32_t> Vms;
 
@@ -40,18 +41,15 @@
   void clear();
   void take(const rollout_report &Report);
 
-  struct whole {
-    version_tally Tally;
-    unsigned OldRunning = 0;
-  };
-  /// Of all VMs, as far as it is known here.
-  whole combined(const rollout_report &Own) const;
+  /// The answers of all VMs, as far as they are known here.
+  version_tally combined(const rollout_report &Own) const;
   /// Own and the reports that came from other VMs themselves.
   rollout_report summary(const rollout_report &Own) const;
 
 private:
   using incarnation = std::pair<std::string, std::uint64_t>;
   std::map<incarnation, rollout_report> Direct;
+  version_tally DirectSum; ///< of Direct, kept up as reports come
   std::map<std::string, rollout_report, std::less<>> Summaries; ///< by writer
 };
 
--- a/src/routed_request.cpp
+++ b/src/routed_request.cpp
@@ -68,15 +68,13 @@
   return std::min(callerDeadline(), Call.ArrivedAt + Call.Route->Timeout);
 }
 
-std::string_view routed_request::runningVersion() const {
-  return Attempt ? std::string_view(Attempt->Endpoint.Version)
-                 : std::string_view{};
-}
-
 void routed_request::begin(mono_time Now) {
   Context.Budget.earn(Call.Service, Now);
-  if (version_shift *Shift = Context.ShiftOf(Call.Service))
+  if (version_shift *Shift = Context.ShiftOf(Call.Service)) {
+    if (waitsForLapse(*Shift, Now))
+      return;
     beginOn(*Shift, Now);
+  }
   if (choosesModel())
     chooseFirstModel(Now);
   if (finalTime() - Now < config::LeastTimeForAttempt) {
@@ -86,6 +84,24 @@
   send(Now);
 }
 
+// The caller is told when its session may go on. That is worth the wait only to
+// one with time for a session's whole life; any other gets its answer now, on
+// another version.
+bool routed_request::waitsForLapse(const version_shift &Shift, mono_time Now) {
+  const auto Lapse =
+      Shift.untilLapse(Call.Facts.Session, sessionHash(Call.Facts), Now);
+  if (!Lapse || Shift.sessionTtl() > mostRetryAfter(Now))
+    return false;
+  finish(Now);
+  Outputs.refuse({error_kind::NoVersionActive, run_state::NotRun, *Lapse});
+  return true;
+}
+
+duration routed_request::mostRetryAfter(mono_time Now) const {
+  return std::max(duration::zero(),
+                  (callerDeadline() - Now) / config::RetryAfterPartOfTimeLeft);
+}
+
 void routed_request::beginOn(version_shift &Shift, mono_time Now) {
   const std::uint64_t Hash = sessionHash(Call.Facts);
   Side = Shift.sideFor(Call.Facts.Session, Hash, Now);
@@ -515,13 +531,11 @@
 void routed_request::refuse(error_kind Kind, run_state Ran, mono_time Now) {
   finish(Now);
   const duration Base = answerOf(Kind).RetryAfter;
-  const duration Most = (callerDeadline() - Now) / 3;
   const auto Wait = std::chrono::duration_cast<duration>(
       Base *
       (config::RetrySpreadFrom + config::RetrySpread * Context.Spread()));
   Outputs.refuse(
-      {Kind, Ran,
-       std::clamp(Wait, duration::zero(), std::max(Most, duration::zero()))});
+      {Kind, Ran, std::clamp(Wait, duration::zero(), mostRetryAfter(Now))});
 }
 
 // Failure: a long stream, and the session's next request some seconds after its
--- a/src/routed_request.h
+++ b/src/routed_request.h
@@ -86,7 +86,6 @@
   bool isOver() const { return IsOver; }
   const routed_call &call() const { return Call; }
   /// The version that its attempt runs on; empty if none is under way.
-  std::string_view runningVersion() const;
 
 private:
   struct attempt {
@@ -111,6 +110,9 @@
   mono_time callerDeadline() const;
   mono_time finalTime() const;
   bool mayAttempt(mono_time Now) const;
+  bool waitsForLapse(const version_shift &Shift, mono_time Now);
+  /// The longest Retry-After that the caller will keep to.
+  duration mostRetryAfter(mono_time Now) const;
   void beginOn(version_shift &Shift, mono_time Now);
   void send(mono_time Now);
   choice_request choiceFor(std::size_t OnModel, mono_time Now) const;
--- a/src/router.cpp
+++ b/src/router.cpp
@@ -332,8 +332,33 @@
   logs::info("rollout_status", {{"service", std::string(Service)},
                                 {"target", std::string(Target)},
                                 {"state", std::string(nameOf(State))}});
-  ensureShift(Service).takeStatus(Target, State, now());
+  version_shift &Shift = ensureShift(Service);
+  const bool WasActive = Shift.isActive();
+  Shift.takeStatus(Target, State, now());
   noteEndpoints(Service);
+  if (WasActive && !Shift.isActive())
+    tellStranded(Service, Shift);
+}
+
+// A session's next request may come in at any VM.
+void router::tellStranded(std::string_view Service,
+                          const version_shift &Shift) {
+  if (!Peers)
+    return;
+  std::vector<session_note> Notes;
+  const auto Send = [this, &Notes] {
+    Peers->sendToAll(peer_message::Sessions,
+                     encodeNotes(std::exchange(Notes, {})));
+  };
+  for (const auto &[Hash, LastAt] : Shift.stranded()) {
+    Notes.push_back(
+        {digestHash(Service), Hash, false,
+         std::chrono::ceil<std::chrono::milliseconds>(now() - LastAt)});
+    if (Notes.size() == config::MaxDigestSessions)
+      Send();
+  }
+  if (!Notes.empty())
+    Send();
 }
 
 void router::onRolloutStatusesRead(mono_time SentAt) {
@@ -398,9 +423,16 @@
   for (const session_note &Note : *Notes)
     for (auto &[Service, Shift] : Shifts)
       if (digestHash(Service) == Note.Service)
-        Shift->takeSession(Note.Session,
-                           Note.IsNew ? version_side::New : version_side::Old,
-                           now());
+        takeNote(*Shift, Note);
+}
+
+void router::takeNote(version_shift &Shift, const session_note &Note) const {
+  if (Note.StrandedFor)
+    Shift.takeStranded(Note.Session, now() - *Note.StrandedFor);
+  else
+    Shift.takeSession(Note.Session,
+                      Note.IsNew ? version_side::New : version_side::Old,
+                      now());
 }
 
 void router::tickDigest(mono_time Now) {
@@ -493,24 +525,24 @@
               {"endpoints", std::to_string(Directory.size())}});
 }
 
-unsigned router::oldRunning(std::string_view Service,
-                            const version_shift &Shift) const {
-  return static_cast<unsigned>(
-      std::count_if(Sessions.begin(), Sessions.end(), [&](const auto &Session) {
-        const std::string_view Version = Session->runningVersion();
-        return Session->service() == Service && !Version.empty() &&
-               !Shift.isTarget(Version);
-      }));
-}
-
 // Readers hear from all VMs and write what they know together; where datagrams
 // don't get through, each part of the fleet has readers of its own.
 void router::shareReport(const version_shift &Shift, mono_time Now) {
   if (Relay.isReader(Now))
     Platform.shareReport(Settings.VmName, encodeReport(Shift.summary(Now)));
+  tellReport(Shift, Now);
+}
+
+// A verdict goes from the readers to all: each VM has to stop within seconds,
+// also while the store doesn't answer.
+void router::tellReport(const version_shift &Shift, mono_time Now) {
   if (!Peers)
     return;
   const std::string Report = encodeReport(Shift.report(Now));
+  if (!Shift.verdict().empty() && Relay.isReader(Now)) {
+    Peers->sendToAll(peer_message::Report, Report);
+    return;
+  }
   for (const std::string &Reader : Relay.readers(Now))
     if (Reader != Relay.own())
       Peers->sendTo(Reader, peer_message::Report, Report);
@@ -528,9 +560,11 @@
     if (!Shift->isActive())
       continue;
     IsAnyActive = true;
-    Shift->setOldRunning(oldRunning(Service, *Shift));
     if (IsReportDue)
       shareReport(*Shift, Now);
+    else if (Shift->hasUntoldFailure(Now))
+      tellReport(*Shift, Now);
+    Shift->noteReportTold();
     const auto Due = Shift->due(Now);
     status_times &Times = StatusTimes[Service];
     if (!Due) {
--- a/src/router.h
+++ b/src/router.h
@@ -83,13 +83,14 @@
   void logEstimates(mono_time Now);
   void tickRollouts(mono_time Now);
   void shareReport(const version_shift &Shift, mono_time Now);
-  unsigned oldRunning(std::string_view Service,
-                      const version_shift &Shift) const;
+  void tellReport(const version_shift &Shift, mono_time Now);
   void tickDigest(mono_time Now);
   void takeMessage(peer_message Kind, const std::string &Sender,
                    std::string_view Bytes);
   void takeDigest(std::string_view Bytes);
   void takeNotes(std::string_view Bytes);
+  void takeNote(version_shift &Shift, const session_note &Note) const;
+  void tellStranded(std::string_view Service, const version_shift &Shift);
   void noteReadiness();
   void stopStep();
   void tellSession(const session_note &Note);
--- a/src/router_session_p.h
+++ b/src/router_session_p.h
@@ -15,8 +15,6 @@
           routed_call Call);
 
   void begin();
-  /// The version its attempt runs on, for roll-outs.
-  std::string_view runningVersion() const { return Request.runningVersion(); }
   const std::string &service() const { return Request.call().Service; }
   /// With each tick of the router.
   void look();
--- a/src/version_shift.cpp
+++ b/src/version_shift.cpp
@@ -30,6 +30,8 @@
   Verdict.clear();
   Answers = 0;
   Own = {};
+  AtLastStep = {};
+  IsDoubtful = false;
   Reports.clear();
   Rejected.erase(Value.Target);
   // The target's endpoints may be in the list before the order is.
@@ -62,6 +64,8 @@
   Final = State;
   if (State == rollout_state::Completed) {
     Accepted = {Order->Target};
+    for (auto &[Hash, Session] : Sessions)
+      Session.IsStranded = Session.Side == version_side::Old;
   } else {
     Rejected.insert(Order->Target);
     Accepted.erase(Order->Target);
@@ -83,8 +87,15 @@
   OrderedAt = std::min(OrderedAt, Now - Report.Elapsed);
   if (Report.Vm == Vm && Report.Incarnation == Incarnation)
     return;
+  const bool WasStopped = !Verdict.empty();
   Reports.take(Report);
   judge(Now);
+  // Failure: the store loses answers while a bad version is under way, and the
+  // verdict of those who heard all reports reaches nobody else. Routers tell it
+  // to each other; it can only stop a version, so it needs no proof.
+  if (Verdict.empty() && isActive())
+    Verdict = Report.Verdict;
+  HasUntoldFailure = HasUntoldFailure || (!WasStopped && !Verdict.empty());
 }
 
 void version_shift::takeReportsRead(mono_time SentAt) {
@@ -200,14 +211,52 @@
       Side = Verdict.empty() ? version_side::New : version_side::Old;
     else if (isFirstHalf(Now) && (IsKnown || Now - StartedAt < SessionTtl))
       Side = version_side::Old;
+    else if (IsKnown && Known->second.IsStranded && Verdict.empty())
+      Side = version_side::New;
     else
       Side = freshSide(Hash, Now);
   }
   if (!Session.empty() && Sessions.size() < config::MaxShiftSessions)
-    Sessions[Hash] = {Side, Now};
+    Sessions[Hash] = {Side, Now, false};
   return Side;
 }
 
+// Failure: an order follows the end of another one within the sessions' time to
+// live. A session that last ran before that end has no version left: the
+// trial's is for new sessions, and the one in use isn't its own. In the second
+// half any session may move, so it goes to the trial's then.
+std::optional<duration> version_shift::untilLapse(std::string_view Session,
+                                                  std::uint64_t Hash,
+                                                  mono_time Now) const {
+  if (Session.empty() || !isActive() || !isFirstHalf(Now))
+    return std::nullopt;
+  const auto Known = Sessions.find(Hash);
+  if (Known == Sessions.end() || !Known->second.IsStranded)
+    return std::nullopt;
+  const duration Left =
+      std::min<duration>(Known->second.LastAt + SessionTtl - Now,
+                         OrderedAt + Order->Length / 2 - Now);
+  return Left > duration::zero() ? std::optional(Left) : std::nullopt;
+}
+
+std::vector<std::pair<std::uint64_t, mono_time>>
+version_shift::stranded() const {
+  std::vector<std::pair<std::uint64_t, mono_time>> Found;
+  for (const auto &[Hash, Session] : Sessions)
+    if (Session.IsStranded)
+      Found.emplace_back(Hash, Session.LastAt);
+  return Found;
+}
+
+void version_shift::takeStranded(std::uint64_t Hash, mono_time LastAt) {
+  if (Sessions.size() >= config::MaxShiftSessions)
+    return;
+  const auto [Known, IsNew] =
+      Sessions.try_emplace(Hash, session{version_side::Old, LastAt, true});
+  if (!IsNew && Known->second.LastAt < LastAt)
+    Known->second = {version_side::Old, LastAt, true};
+}
+
 bool version_shift::mayMeetTrial(std::uint64_t Hash) const {
   return static_cast<double>(Hash % ShareSteps) <
          ExposureBound * config::RolloutTrialShare * double{ShareSteps};
@@ -224,7 +273,7 @@
   session &Session = Sessions[Hash];
   const bool IsMoved =
       Session.Side == version_side::New && Now - Session.LastAt < SessionTtl;
-  Session = {IsMoved ? version_side::New : Side, Now};
+  Session = {IsMoved ? version_side::New : Side, Now, false};
 }
 
 void version_shift::forgetSessions(mono_time Now) {
@@ -262,17 +311,31 @@
   if (!isActive())
     return;
   Own.add(Sample);
-  if (Sample.IsNew)
-    judge(Now);
+  if (!Sample.IsNew)
+    return;
+  const bool WasStopped = !Verdict.empty();
+  judge(Now);
+  HasUntoldFailure = HasUntoldFailure || Sample.What == sample_kind::Failed ||
+                     (!WasStopped && !Verdict.empty());
 }
 
 void version_shift::judge(mono_time Now) {
   if (!Verdict.empty() || !isActive())
     return;
-  const version_tally Whole = Reports.combined(report(Now)).Tally;
+  const version_tally Whole = Reports.combined(report(Now));
   Answers = Whole.answers();
   JudgedAt = Now;
   Verdict = verdictOn(Whole);
+  if (elapsed(Now) < lastStep()) {
+    AtLastStep = Whole;
+    return;
+  }
+  // Failure: a version turns bad with the last step. Its good answers before
+  // hide it until it is completed, and then nothing else is left to run on.
+  const version_tally Recent = Whole.newSince(AtLastStep);
+  if (Verdict.empty())
+    Verdict = verdictOn(Recent);
+  IsDoubtful = raisesDoubt(Whole) || raisesDoubt(Recent);
 }
 
 rollout_report version_shift::report(mono_time Now) const {
@@ -283,8 +346,8 @@
   Report.Target = Order->Target;
   Report.OrderOffset = Order->Offset;
   Report.Elapsed = elapsed(Now);
-  Report.OldRunning = OldRunning;
   Report.Tally = Own;
+  Report.Verdict = Verdict;
   return Report;
 }
 
@@ -295,8 +358,9 @@
           PastStep < config::RolloutHasteTime);
 }
 
-// The old endpoints stop as soon as the order is completed, so it is held back
-// until the requests on them have ended, but not past its deadline.
+// The old endpoints stop as soon as the order is completed: requests on them
+// are cut, and a version that turns out to be bad is all that is left. So it is
+// completed as late as its deadline allows, with all answers until then.
 std::optional<rollout_state> version_shift::due(mono_time Now) const {
   if (!isActive() || !IsStatusKnown)
     return std::nullopt;
@@ -305,21 +369,20 @@
   if (!HasStatus)
     return rollout_state::InProgress;
   const duration Elapsed = elapsed(Now);
-  duration Settled = lastStep() + config::RolloutSettleTime;
+  duration Last = Order->Length - config::RolloutDeadlineMargin;
   // Failure: the store is away at the last step and back near the deadline. All
   // sessions move at once, and what the new version does to them isn't known
   // yet; a late order does less harm than a bad version that stays.
   if (ToldSince > OrderedAt + lastStep())
-    Settled = ToldSince - OrderedAt + config::RolloutLateProofTime;
-  const duration Last = std::max<duration>(
-      Order->Length - config::RolloutDeadlineMargin, Settled);
-  // Nothing is completed that only a first share has met.
-  if (shareAt(Now) < 1)
+    Last = std::max<duration>(Last, ToldSince - OrderedAt +
+                                        config::RolloutLateProofTime);
+  // Nothing is completed that only a first share has met, nor what looks bad
+  // and isn't judged yet: it can't be taken back.
+  if (shareAt(Now) < 1 ||
+      (IsDoubtful && Elapsed < Last + config::RolloutDoubtTime))
     return std::nullopt;
-  if (Elapsed >= Last ||
-      (Elapsed >= Settled && Reports.combined(report(Now)).OldRunning == 0))
-    return rollout_state::Completed;
-  return std::nullopt;
+  return Elapsed >= Last ? std::optional(rollout_state::Completed)
+                         : std::nullopt;
 }
 
 } // namespace clementinelane
--- a/src/version_shift.h
+++ b/src/version_shift.h
@@ -45,6 +45,7 @@
       : Vm(std::move(Vm)), Incarnation(Incarnation), StartedAt(StartedAt) {}
 
   void setSessionTtl(duration Value) { SessionTtl = Value; }
+  duration sessionTtl() const { return SessionTtl; }
   /// Part of all requests that a bad target may meet, and requests beside.
   void setExposureBound(double Share, double Requests) {
     ExposureBound = Share;
@@ -65,6 +66,15 @@
   /// The side for a request of `Session` (may be empty), whose hash is `Hash`.
   version_side sideFor(std::string_view Session, std::uint64_t Hash,
                        mono_time Now);
+  /// How long the session must stay away until a version may take it, if none
+  /// may now: its own is gone and a trial is under way.
+  std::optional<duration> untilLapse(std::string_view Session,
+                                     std::uint64_t Hash, mono_time Now) const;
+  /// Sessions whose version has just gone, by hash, with the time of their last
+  /// request; the other VMs are told of them.
+  std::vector<std::pair<std::uint64_t, mono_time>> stranded() const;
+  /// Another VM told of one.
+  void takeStranded(std::uint64_t Hash, mono_time LastAt);
   /// Whether a session with this hash may meet a trial; the other VMs are told
   /// of those, since a session's requests come in at several.
   bool mayMeetTrial(std::uint64_t Hash) const;
@@ -78,7 +88,6 @@
   bool isTarget(std::string_view Version) const;
 
   void observe(const answer_sample &Sample, mono_time Now);
-  void setOldRunning(unsigned Count) { OldRunning = Count; }
 
   /// An order is under way and has no final status.
   bool isActive() const { return Order && !Final; }
@@ -92,6 +101,11 @@
   /// Most of the traffic is about to meet the target, or has just met it: what
   /// one VM sees must reach the others within a second.
   bool needsHaste(mono_time Now) const;
+  /// In haste, and the target failed here or was judged since the last report.
+  bool hasUntoldFailure(mono_time Now) const {
+    return isActive() && HasUntoldFailure && needsHaste(Now);
+  }
+  void noteReportTold() { HasUntoldFailure = false; }
   /// The status that ought to be written now, if any.
   std::optional<rollout_state> due(mono_time Now) const;
   /// What speaks against the target; empty if nothing does.
@@ -100,8 +114,9 @@
 
 private:
   struct session {
-    version_side Side;
-    mono_time LastAt;
+    version_side Side = version_side::Old;
+    mono_time LastAt{};
+    bool IsStranded = false; ///< the version that it ran on is gone
   };
   /// A status whose order wasn't read yet.
   struct early_status {
@@ -141,8 +156,10 @@
   mono_time ToldSince{}; ///< no gap between reads of reports since then
   version_tally Own;
   rollout_reports Reports;
-  unsigned OldRunning = 0;
   std::string Verdict;
+  version_tally AtLastStep; ///< of all VMs, as last judged before it
+  bool IsDoubtful = false;  ///< what answered so far raises doubt
+  bool HasUntoldFailure = false;
   mono_time JudgedAt{};
   std::uint64_t Answers = 0; ///< of all VMs, as last judged
   std::unordered_map<std::uint64_t, session> Sessions; ///< by hash
--- a/src/version_tally.cpp
+++ b/src/version_tally.cpp
@@ -26,6 +26,16 @@
     Into[I] += From[I];
 }
 
+/// Counts never go below zero, whatever a report claimed before.
+void takeAway(std::uint32_t &From, std::uint32_t Count) {
+  From -= std::min(From, Count);
+}
+
+void takeAway(side_tally::histogram &From, const side_tally::histogram &Taken) {
+  for (std::size_t I = 0; I < From.size(); ++I)
+    takeAway(From[I], Taken[I]);
+}
+
 std::uint32_t sumFrom(const side_tally::histogram &Histogram,
                       std::size_t First) {
   return std::accumulate(Histogram.begin() + static_cast<std::ptrdiff_t>(First),
@@ -36,14 +46,23 @@
   const double Chance =
       std::min(0.99, std::max(config::RolloutRateFactor * OldRate,
                               OldRate + config::RolloutRateMargin));
-  return Hits >= config::RolloutLeastHits &&
+  // No more than expected is never unlikely, and would be the longest sum.
+  return Hits >= config::RolloutLeastHits && Hits > Chance * Count &&
          binomialTail(Count, Hits, Chance) < config::RolloutFalseAlarm;
 }
 
+double failureRate(const side_tally &Side) {
+  return (Side.Failures + config::RolloutPriorFailures) /
+         (Side.Count + config::RolloutPriorCount);
+}
+
 bool failsMore(const side_tally &Old, const side_tally &New) {
-  const double Rate = (Old.Failures + config::RolloutPriorFailures) /
-                      (Old.Count + config::RolloutPriorCount);
-  return isUnlikely(New.Count, New.Failures, Rate);
+  return isUnlikely(New.Count, New.Failures, failureRate(Old));
+}
+
+bool isDoubtful(const side_tally &Old, const side_tally &New, double Chance) {
+  return New.Failures >= config::RolloutDoubtHits &&
+         binomialTail(New.Count, New.Failures, failureRate(Old)) < Chance;
 }
 
 // A version that is several times slower in a part of its answers shows at some
@@ -90,7 +109,8 @@
 // kinds are judged together, each against its own old answers: by how many
 // doublings the new ones are later on average, and how sure that is.
 bool isSlowerInAll(const version_tally &Tally,
-                   side_tally::histogram side_tally::*Times) {
+                   side_tally::histogram side_tally::*Times,
+                   double LeastAnswers, double Sigmas) {
   double Count = 0;
   double Shift = 0;
   double Variance = 0;
@@ -106,9 +126,8 @@
     Variance +=
         New.Count * New.Count * Spread * (1 / New.Count + 1 / Old.Count);
   }
-  return Count >= config::RolloutLeastAnswers &&
-         Shift / Count - config::RolloutDoublings >
-             config::RolloutSigmas * std::sqrt(Variance) / Count;
+  return Count >= LeastAnswers && Shift / Count - config::RolloutDoublings >
+                                      Sigmas * std::sqrt(Variance) / Count;
 }
 
 std::string reasonFor(const side_tally &Old, const side_tally &New) {
@@ -147,6 +166,13 @@
   mergeInto(Pace, Other.Pace);
 }
 
+void side_tally::remove(const side_tally &Other) {
+  takeAway(Count, Other.Count);
+  takeAway(Failures, Other.Failures);
+  takeAway(Wait, Other.Wait);
+  takeAway(Pace, Other.Pace);
+}
+
 void version_tally::add(const answer_sample &Sample) {
   pair &Pair = Kinds[Sample.Kind];
   (Sample.IsNew ? Pair.New : Pair.Old).add(Sample);
@@ -159,6 +185,24 @@
   }
 }
 
+void version_tally::remove(const version_tally &Other) {
+  for (const auto &[Kind, Pair] : Other.Kinds) {
+    const auto Known = Kinds.find(Kind);
+    if (Known == Kinds.end())
+      continue;
+    Known->second.Old.remove(Pair.Old);
+    Known->second.New.remove(Pair.New);
+  }
+}
+
+version_tally version_tally::newSince(const version_tally &Before) const {
+  version_tally Since = *this;
+  for (auto &[Kind, Pair] : Since.Kinds)
+    if (const auto Known = Before.Kinds.find(Kind); Known != Before.Kinds.end())
+      Pair.New.remove(Known->second.New);
+  return Since;
+}
+
 std::uint64_t version_tally::answers() const {
   std::uint64_t Sum = 0;
   for (const auto &[Kind, Pair] : Kinds)
@@ -166,14 +210,22 @@
   return Sum;
 }
 
+// Each term is the one before times a ratio, so the sum ends soon after the
+// terms are too small to matter.
 double binomialTail(std::uint32_t Count, std::uint32_t Hits, double Chance) {
+  constexpr double Negligible = 1e-12;
+  const double LogWays = std::lgamma(Count + 1.0) - std::lgamma(Hits + 1.0) -
+                         std::lgamma(Count - Hits + 1.0);
+  double Term = std::exp(LogWays + Hits * std::log(Chance) +
+                         (Count - Hits) * std::log1p(-Chance));
+  const double Odds = Chance / (1 - Chance);
   double Tail = 0;
-  const double LogChance = std::log(Chance);
-  const double LogRest = std::log1p(-Chance);
   for (std::uint32_t K = Hits; K <= Count; ++K) {
-    const double LogWays = std::lgamma(Count + 1.0) - std::lgamma(K + 1.0) -
-                           std::lgamma(Count - K + 1.0);
-    Tail += std::exp(LogWays + K * LogChance + (Count - K) * LogRest);
+    Tail += Term;
+    const bool IsFalling = K > Chance * Count;
+    if (IsFalling && Term < Negligible * Tail)
+      break;
+    Term *= Odds * (Count - K) / (K + 1.0);
   }
   return std::min(Tail, 1.0);
 }
@@ -188,11 +240,33 @@
   }
   if (failsMore(Whole.Old, Whole.New))
     return "failures of all kinds";
-  if (isSlowerInAll(Tally, &side_tally::Wait))
+  const auto IsSlow = [&Tally](side_tally::histogram side_tally::*Times) {
+    return isSlowerInAll(Tally, Times, config::RolloutLeastAnswers,
+                         config::RolloutSigmas);
+  };
+  if (IsSlow(&side_tally::Wait))
     return "slow_first_byte of all kinds";
-  if (isSlowerInAll(Tally, &side_tally::Pace))
+  if (IsSlow(&side_tally::Pace))
     return "slow_events of all kinds";
   return {};
 }
 
+bool raisesDoubt(const version_tally &Tally) {
+  const double Chance =
+      config::RolloutDoubt / (static_cast<double>(Tally.Kinds.size()) + 1);
+  version_tally::pair Whole;
+  for (const auto &[Kind, Pair] : Tally.Kinds) {
+    if (isDoubtful(Pair.Old, Pair.New, Chance))
+      return true;
+    Whole.Old.merge(Pair.Old);
+    Whole.New.merge(Pair.New);
+  }
+  const auto IsSlow = [&Tally](side_tally::histogram side_tally::*Times) {
+    return isSlowerInAll(Tally, Times, config::RolloutDoubtAnswers,
+                         config::RolloutDoubtSigmas);
+  };
+  return isDoubtful(Whole.Old, Whole.New, Chance) ||
+         IsSlow(&side_tally::Wait) || IsSlow(&side_tally::Pace);
+}
+
 } // namespace clementinelane
--- a/src/version_tally.h
+++ b/src/version_tally.h
@@ -38,6 +38,7 @@
 
   void add(const answer_sample &Sample);
   void merge(const side_tally &Other);
+  void remove(const side_tally &Other);
 };
 
 /// Answers of both versions of a service, by kind.
@@ -50,6 +51,10 @@
 
   void add(const answer_sample &Sample);
   void merge(const version_tally &Other);
+  /// Takes counts away that were merged before.
+  void remove(const version_tally &Other);
+  /// The same, but of the new version only what came after `Before`.
+  version_tally newSince(const version_tally &Before) const;
   /// Of both versions.
   std::uint64_t answers() const;
 };
@@ -65,4 +70,9 @@
 /// about config::RolloutFalseAlarm.
 std::string verdictOn(const version_tally &Tally);
 
+/// Whether the new version fails more often, or is slower, than chance explains
+/// well. Far less than a verdict: enough to wait for more answers, not to stop
+/// a version.
+bool raisesDoubt(const version_tally &Tally);
+
 } // namespace clementinelane
--- a/tests/routed_request_test.cpp
+++ b/tests/routed_request_test.cpp
@@ -22,6 +22,34 @@
   BOOST_TEST(Request->isOver());
 }
 
+// A roll-out is ordered right after another was completed. A caller whose
+// session ran before that has no version left: it is told when to come back if
+// it has time for that, and else is answered on the version in use.
+BOOST_FIXTURE_TEST_CASE(session_without_version_comes_back_or_runs,
+                        routed_fixture) {
+  version_shift &Shift =
+      Shifts.try_emplace("engine", "vm1", 1, Now - 1h).first->second;
+  Shift.setSessionTtl(5s);
+  Shift.takeOrder({"engine", "v1", 20s, 5}, Now);
+  Shift.takeStatus("v1", rollout_state::InProgress, Now);
+  routed_call Call = call(0);
+  Call.Facts.Session = "s";
+  Shift.takeSession(sessionHash(Call.Facts), version_side::Old, Now);
+  Shift.takeStatus("v1", rollout_state::Completed, Now);
+  Now += 1s;
+  Call.ArrivedAt = Now;
+  Shift.takeOrder({"engine", "v2", 20s, 6}, Now);
+  routed_call Hasty = Call;
+  Hasty.Facts.Remaining = 14s;
+  begin(Call);
+  BOOST_TEST(Out.Attempts.empty());
+  BOOST_REQUIRE(Out.Refused.has_value());
+  BOOST_TEST((Out.Refused->Ran == run_state::NotRun));
+  BOOST_TEST((Out.Refused->RetryAfter == 4s));
+  begin(Hasty);
+  BOOST_TEST(Out.Attempts.size() == 1U);
+}
+
 // A booking is sent and the connection is lost before an answer. The endpoint
 // may have made the booking: it isn't sent again, and the caller isn't told
 // that nothing ran.
