Let digests live for their rounds; pack what routers tell each other

Cause, traced by a line a call: at 195 VMs a digest reaches a given peer each 1.8 s and lived 1 s, so VMs differed on who reads the store. An order lists 156 endpoints at once (50 KB), a configuration takes 10 KB, and answers between routers held 4 KB, their history 24 KB: 195 VMs read each such change themselves.

A digest lives for three of its rounds; an answer's records are packed by zlib, once for all that lack the same ones, up to 56 KB before packing; the history holds 256 KB.

--- a/src/config.h
+++ b/src/config.h
@@ -620,8 +620,10 @@
 
 /// Between digests: far below the seconds that a long prompt takes.
 constexpr auto DigestPeriod = 200ms;
-/// A VM that is silent for so long has lost its requests, or its way to us.
+/// A VM that is silent for so long has lost its requests, or its way to us; for
+/// so many rounds, where a digest takes several turns to reach all.
 constexpr auto DigestLife = 1s;
+constexpr int DigestLifeRounds = 3;
 /// Digests to peers that fell silent, and when they are forgotten; a VM that
 /// comes back names itself.
 constexpr auto QuietPeerPause = 2s;
@@ -646,13 +648,15 @@
 /// Older proofs are of no use: the store is read instead, while keys still hold
 /// for as long as callers expect.
 constexpr auto MaxRelayedAge = 1500ms;
-/// Records kept of a topic for those who ask, some minutes of them, and the
-/// bytes that go into an answer: a summary of a roll-out's reports takes 2,500.
-constexpr std::size_t MaxRelayRecords = 128;
-constexpr std::size_t MaxRelayBytes = 24U << 10U;
-constexpr std::size_t MaxRelayAnswerBytes = 4000;
-/// The largest message between routers.
-constexpr std::size_t MaxPeerMessageBytes = 8U << 10U;
+/// Records kept of a topic for those who ask: a roll-out lists each endpoint of
+/// a large service anew, 350 B each, and askers may lack a second of them.
+constexpr std::size_t MaxRelayRecords = 1024;
+constexpr std::size_t MaxRelayBytes = 256U << 10U;
+/// Of an answer's records before they are packed; they must fit into a datagram
+/// even where packing gains nothing.
+constexpr std::size_t MaxRelayAnswerBytes = 56U << 10U;
+/// The largest message between routers, which a datagram can carry.
+constexpr std::size_t MaxPeerMessageBytes = 63U << 10U;
 /// Of a record in an answer, beside key and value, at most.
 constexpr std::size_t RelayRecordBytes = 16;
 
--- a/src/peer_datagrams.cpp
+++ b/src/peer_datagrams.cpp
@@ -3,6 +3,7 @@
 #include "config.h"
 #include "sockets.h"
 
+#include <algorithm>
 #include <boost/asio/buffer.hpp>
 #include <stdexcept>
 
@@ -13,10 +14,6 @@
 using udp = boost::asio::ip::udp;
 using error_code = boost::system::error_code;
 
-bool isHeard(mono_time HeardAt, mono_time Now) {
-  return Now - HeardAt <= config::DigestLife;
-}
-
 std::string messageOf(peer_message Kind, std::string_view Bytes) {
   std::string Message(1, static_cast<char>(Kind));
   Message += Bytes;
@@ -43,6 +40,17 @@
   receive();
 }
 
+// Failure: a fleet so large that a digest takes several turns to reach all. A
+// life shorter than that makes each VM hear another part of the fleet: they
+// differ on who reads the store for all, and ask VMs that don't.
+duration peer_datagrams::life() const {
+  const auto Turns = static_cast<int>(
+      (Peers.size() + config::MaxDigestPeers - 1) / config::MaxDigestPeers);
+  return std::max<duration>(config::DigestLife, config::DigestLifeRounds *
+                                                    Turns *
+                                                    config::DigestPeriod);
+}
+
 void peer_datagrams::know(const std::vector<std::string> &Addresses) {
   const mono_time Now = Clock.bootNow();
   for (const std::string &Address : Addresses) {
@@ -86,9 +94,10 @@
 void peer_datagrams::send(peer_message Kind, std::string_view Bytes) {
   const mono_time Now = Clock.bootNow();
   forget(Now);
+  const duration Life = life();
   std::vector<std::pair<const udp::endpoint, peer> *> Due;
   for (auto &Entry : Peers) {
-    const bool IsQuiet = !isHeard(Entry.second.HeardAt, Now);
+    const bool IsQuiet = Now - Entry.second.HeardAt > Life;
     if (!IsQuiet || Now - Entry.second.SentAt > config::QuietPeerPause)
       Due.push_back(&Entry);
   }
@@ -105,8 +114,9 @@
 void peer_datagrams::sendToAll(peer_message Kind, std::string_view Bytes) {
   const mono_time Now = Clock.bootNow();
   const std::string Message = messageOf(Kind, Bytes);
+  const duration Life = life();
   for (const auto &[Address, Peer] : Peers)
-    if (isHeard(Peer.HeardAt, Now))
+    if (Now - Peer.HeardAt <= Life)
       sendBytes(Address, Message);
 }
 
@@ -119,8 +129,9 @@
 
 std::vector<std::string> peer_datagrams::heard(mono_time Now) const {
   std::vector<std::string> Addresses;
+  const duration Life = life();
   for (const auto &[Address, Peer] : Peers)
-    if (isHeard(Peer.HeardAt, Now))
+    if (Now - Peer.HeardAt <= Life)
       Addresses.push_back(textOf(Address));
   return Addresses;
 }
--- a/src/peer_datagrams.h
+++ b/src/peer_datagrams.h
@@ -44,6 +44,8 @@
   /// Sends to all that were heard lately.
   void sendToAll(peer_message Kind, std::string_view Bytes);
   std::size_t peers() const { return Peers.size(); }
+  /// After which a peer that sent nothing counts as silent.
+  duration life() const;
 
   std::vector<std::string> heard(mono_time Now) const override;
   void sendQuestion(const std::string &Address,
--- a/src/peer_loads.cpp
+++ b/src/peer_loads.cpp
@@ -120,9 +120,9 @@
   Vms.insert_or_assign(Digest.Vm, vm{Digest, Now});
 }
 
-void peer_loads::expire(mono_time Now) {
+void peer_loads::expire(mono_time Now, duration Life) {
   for (auto Each = Vms.begin(); Each != Vms.end();) {
-    if (Now - Each->second.At < config::DigestLife) {
+    if (Now - Each->second.At < Life) {
       ++Each;
       continue;
     }
--- a/src/peer_loads.h
+++ b/src/peer_loads.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "clock.h"
+#include "config.h"
 
 #include <cstdint>
 #include <map>
@@ -54,12 +55,12 @@
 /// tenth of what goes there. Harm prevented: two VMs send long prompts to one
 /// engine while others idle. Digests are lossy and late by design: an old one
 /// is overtaken by its sequence, and a VM that falls silent counts for nothing
-/// after config::DigestLife, since its requests end with it.
+/// for a time, since its requests end with it.
 class peer_loads {
 public:
   void take(const load_digest &Digest, mono_time Now);
-  /// Drops what is too old; call it from time to time.
-  void expire(mono_time Now);
+  /// Drops VMs that told nothing for `Life`; call it from time to time.
+  void expire(mono_time Now, duration Life = config::DigestLife);
   /// Under way at the endpoint from other VMs.
   endpoint_load at(std::string_view EndpointId) const {
     return at(digestHash(EndpointId));
--- a/src/read_relay.cpp
+++ b/src/read_relay.cpp
@@ -1,6 +1,7 @@
 #include "read_relay.h"
 
 #include "config.h"
+#include "deflate.h"
 #include "hashing.h"
 
 #include <algorithm>
@@ -16,7 +17,7 @@
 
 /// Fields of a question, an answer and a record, in their order on the wire.
 constexpr std::size_t QuestionFields = 3;
-constexpr std::size_t AnswerFields = 5;
+constexpr std::size_t AnswerFields = 6;
 constexpr std::size_t RecordFields = 4;
 
 std::string toBytes(const json &Body) {
@@ -35,6 +36,28 @@
           std::chrono::floor<milliseconds>(Now - Record.ReadAt).count()};
 }
 
+/// False if the bytes are no records; may throw json::exception.
+bool unpackRecords(const json::binary_t &Packed, mono_time PackedAt,
+                   std::vector<topic_record> &Out) {
+  const auto Bytes =
+      inflate({reinterpret_cast<const char *>(Packed.data()), Packed.size()},
+              2 * config::MaxRelayAnswerBytes);
+  if (!Bytes)
+    return false;
+  for (const json &Each : json::from_msgpack(*Bytes)) {
+    if (!Each.is_array() || Each.size() < RecordFields)
+      return false;
+    topic_record Record;
+    Record.Offset = Each[0].get<std::uint64_t>();
+    Record.Key = Each[1].get<std::string>();
+    if (!Each[2].is_null())
+      Record.Value = Each[2].get<std::string>();
+    Record.ReadAt = PackedAt - milliseconds(Each[3].get<std::uint32_t>());
+    Out.push_back(std::move(Record));
+  }
+  return true;
+}
+
 } // namespace
 
 std::string encodeQuestion(const relay_question &Question) {
@@ -58,12 +81,26 @@
   }
 }
 
-std::string encodeRelayAnswer(const relay_answer &Answer, mono_time Now) {
-  auto Records = json::array();
-  for (const topic_record &Record : Answer.Records)
-    Records.push_back(encodeRecordBody(Record, Now));
+std::string packRecords(std::span<const topic_record> Records, mono_time Now) {
+  auto Body = json::array();
+  for (const topic_record &Record : Records)
+    Body.push_back(encodeRecordBody(Record, Now));
+  return deflate(toBytes(Body));
+}
+
+std::string encodeRelayAnswer(const relay_answer &Answer,
+                              std::string_view Packed, mono_time PackedAt,
+                              mono_time Now) {
+  const auto *const Bytes =
+      reinterpret_cast<const std::uint8_t *>(Packed.data());
   return toBytes({Answer.Number, Answer.HasGap ? 1 : 0, Answer.End,
-                  Answer.Age.count(), std::move(Records)});
+                  Answer.Age.count(),
+                  std::chrono::floor<milliseconds>(Now - PackedAt).count(),
+                  json::binary({Bytes, Bytes + Packed.size()})});
+}
+
+std::string encodeRelayAnswer(const relay_answer &Answer, mono_time Now) {
+  return encodeRelayAnswer(Answer, packRecords(Answer.Records, Now), Now, Now);
 }
 
 std::optional<relay_answer> decodeRelayAnswer(std::string_view Bytes,
@@ -77,17 +114,9 @@
     Answer.HasGap = Body[1].get<unsigned>() != 0;
     Answer.End = Body[2].get<std::uint64_t>();
     Answer.Age = milliseconds(Body[3].get<std::uint32_t>());
-    for (const json &Each : Body[4]) {
-      if (!Each.is_array() || Each.size() < RecordFields)
-        return std::nullopt;
-      topic_record Record;
-      Record.Offset = Each[0].get<std::uint64_t>();
-      Record.Key = Each[1].get<std::string>();
-      if (!Each[2].is_null())
-        Record.Value = Each[2].get<std::string>();
-      Record.ReadAt = Now - milliseconds(Each[3].get<std::uint32_t>());
-      Answer.Records.push_back(std::move(Record));
-    }
+    const mono_time PackedAt = Now - milliseconds(Body[4].get<std::uint32_t>());
+    if (!unpackRecords(Body[5].get_binary(), PackedAt, Answer.Records))
+      return std::nullopt;
     return Answer;
   } catch (const json::exception &) {
     return std::nullopt; // the caller counts it
@@ -176,37 +205,50 @@
   return true;
 }
 
-relay_answer read_relay::answerTo(const relay_question &Question,
-                                  mono_time Now) {
+const read_relay::packed &read_relay::pack(relayed_topic Topic,
+                                           std::uint64_t From, mono_time Now) {
+  const topic &Known = at(Topic);
+  packed &Cached = Packed[static_cast<std::size_t>(Topic)];
+  const std::uint64_t End = Known.First + Known.Records.size();
+  if (!Cached.Bytes.empty() && Cached.From == From && Cached.End == End)
+    return Cached;
+  std::vector<topic_record> Records;
+  std::size_t Bytes = 0;
+  for (std::uint64_t I = From - Known.First; I < Known.Records.size(); ++I) {
+    const topic_record &Record = Known.Records[I];
+    Bytes += sizeOf(Record) + config::RelayRecordBytes;
+    if (Bytes > config::MaxRelayAnswerBytes)
+      break;
+    Records.push_back(Record);
+  }
+  Cached = {From, End, Records.size(), Now, packRecords(Records, Now)};
+  return Cached;
+}
+
+std::string read_relay::answerTo(const relay_question &Question,
+                                 mono_time Now) {
   const topic &Known = at(Question.Topic);
   relay_answer Answer;
   Answer.Number = Question.Number;
   Answer.End = Known.End;
   Answer.HasGap = !Known.ProvenAt || Question.From < Known.First;
   if (Answer.HasGap)
-    return Answer;
+    return encodeRelayAnswer(Answer, Now);
   // Rounded up: a proof is never told to be younger than it is.
   Answer.Age = std::chrono::ceil<milliseconds>(Now - *Known.ProvenAt);
-  std::size_t Bytes = 0;
-  for (std::uint64_t I = Question.From - Known.First; I < Known.Records.size();
-       ++I) {
-    const topic_record &Record = Known.Records[I];
-    Bytes += sizeOf(Record) + config::RelayRecordBytes;
-    if (Bytes > config::MaxRelayAnswerBytes) {
-      // One that fits into no datagram is read from the store.
-      Answer.HasGap = Answer.Records.empty();
-      break;
-    }
-    Answer.Records.push_back(Record);
-  }
-  return Answer;
+  const packed &Records =
+      pack(Question.Topic,
+           std::min(Question.From, Known.First + Known.Records.size()), Now);
+  // One that fits into no datagram is read from the store.
+  Answer.HasGap = Records.Count == 0 && Records.From < Records.End;
+  return encodeRelayAnswer(Answer, Records.Bytes, Records.At, Now);
 }
 
 void read_relay::takeQuestion(const std::string &From, std::string_view Bytes,
                               mono_time Now) {
   const auto Question = decodeQuestion(Bytes);
   if (Question && Peers)
-    Peers->sendAnswer(From, encodeRelayAnswer(answerTo(*Question, Now), Now));
+    Peers->sendAnswer(From, answerTo(*Question, Now));
 }
 
 // Failure: the reader that is asked lost the store, but not us. Its proof grows
--- a/src/read_relay.h
+++ b/src/read_relay.h
@@ -9,6 +9,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -55,6 +56,13 @@
 std::optional<relay_question> decodeQuestion(std::string_view Bytes);
 /// Times go as ages, since each router has a clock of its own.
 std::string encodeRelayAnswer(const relay_answer &Answer, mono_time Now);
+/// The records of an answer, packed: a roll-out lists hundreds of endpoints at
+/// once, and their entries differ in little.
+std::string packRecords(std::span<const topic_record> Records, mono_time Now);
+/// The same with records that were packed at `PackedAt`.
+std::string encodeRelayAnswer(const relay_answer &Answer,
+                              std::string_view Packed, mono_time PackedAt,
+                              mono_time Now);
 std::optional<relay_answer> decodeRelayAnswer(std::string_view Bytes,
                                               mono_time Now);
 
@@ -129,6 +137,15 @@
     std::uint64_t End = 0;
     std::optional<mono_time> ProvenAt;
   };
+  /// Records of a topic as they were last packed. All askers lack the same ones
+  /// when something is new, so packing them for each would be the most work.
+  struct packed {
+    std::uint64_t From = 0;
+    std::uint64_t End = 0;
+    std::size_t Count = 0;
+    mono_time At{};
+    std::string Bytes;
+  };
   struct question {
     mono_time AskedAt;
     handler Handler;
@@ -139,12 +156,14 @@
   }
   std::optional<std::string> readerToAsk(bool HasStoreFailed,
                                          mono_time Now) const;
-  relay_answer answerTo(const relay_question &Question, mono_time Now);
+  std::string answerTo(const relay_question &Question, mono_time Now);
+  const packed &pack(relayed_topic Topic, std::uint64_t From, mono_time Now);
   void end(std::uint64_t Number, std::optional<news> News);
 
   std::string Own;
   relay_peers *Peers = nullptr;
   std::array<topic, RelayedTopics> Topics;
+  std::array<packed, RelayedTopics> Packed;
   std::map<std::uint64_t, question> Asked;
   std::uint64_t LastNumber = 0;
   /// Readers that gave no use in a row; another one is asked next.
--- a/src/router.cpp
+++ b/src/router.cpp
@@ -436,7 +436,8 @@
 }
 
 void router::tickDigest(mono_time Now) {
-  Loads.expire(Now);
+  if (Peers)
+    Loads.expire(Now, Peers->life());
   if (!Peers || Now - DigestAt < config::DigestPeriod)
     return;
   DigestAt = Now;
--- a/src/version_shift.cpp
+++ b/src/version_shift.cpp
@@ -217,7 +217,7 @@
       Side = freshSide(Hash, Now);
   }
   if (!Session.empty() && Sessions.size() < config::MaxShiftSessions)
-    Sessions[Hash] = {Side, Now, false};
+    Sessions[Hash] = {Side, Now, false, true};
   return Side;
 }
 
@@ -243,7 +243,7 @@
 version_shift::stranded() const {
   std::vector<std::pair<std::uint64_t, mono_time>> Found;
   for (const auto &[Hash, Session] : Sessions)
-    if (Session.IsStranded)
+    if (Session.IsStranded && Session.IsOwn)
       Found.emplace_back(Hash, Session.LastAt);
   return Found;
 }
@@ -273,7 +273,7 @@
   session &Session = Sessions[Hash];
   const bool IsMoved =
       Session.Side == version_side::New && Now - Session.LastAt < SessionTtl;
-  Session = {IsMoved ? version_side::New : Side, Now, false};
+  Session = {IsMoved ? version_side::New : Side, Now, false, Session.IsOwn};
 }
 
 void version_shift::forgetSessions(mono_time Now) {
--- a/src/version_shift.h
+++ b/src/version_shift.h
@@ -70,8 +70,8 @@
   /// may now: its own is gone and a trial is under way.
   std::optional<duration> untilLapse(std::string_view Session,
                                      std::uint64_t Hash, mono_time Now) const;
-  /// Sessions whose version has just gone, by hash, with the time of their last
-  /// request; the other VMs are told of them.
+  /// Sessions of this VM whose version has just gone, by hash, with the time of
+  /// their last request; the other VMs are told of them.
   std::vector<std::pair<std::uint64_t, mono_time>> stranded() const;
   /// Another VM told of one.
   void takeStranded(std::uint64_t Hash, mono_time LastAt);
@@ -117,6 +117,7 @@
     version_side Side = version_side::Old;
     mono_time LastAt{};
     bool IsStranded = false; ///< the version that it ran on is gone
+    bool IsOwn = false;      ///< a request of it came in at this VM
   };
   /// A status whose order wasn't read yet.
   struct early_status {
--- a/tests/read_relay_test.cpp
+++ b/tests/read_relay_test.cpp
@@ -171,7 +171,7 @@
   for (std::uint64_t Offset = 3; Offset < 20; ++Offset)
     Fleet.keep(record(Offset, "key" + std::to_string(Offset),
                       Offset == 7 ? std::nullopt
-                                  : std::optional(std::string(400, 'x'))));
+                                  : std::optional(std::string(8000, 'x'))));
   Fleet.prove(20);
   read_relay &Asker = Fleet.asker();
   std::uint64_t Next = 3;
@@ -281,7 +281,8 @@
   BOOST_TEST(asked(Fleet, Asker, 12).News.has_value());
 
   const std::uint64_t Next = config::MaxRelayRecords + 10;
-  Fleet.keep(record(Next, "large", std::string(5000, 'x')));
+  Fleet.keep(
+      record(Next, "large", std::string(config::MaxRelayAnswerBytes + 1, 'x')));
   Fleet.prove(Next + 1);
   BOOST_TEST(!asked(Fleet, Asker, Next).News.has_value());
 }
--- a/tests/version_shift_test.cpp
+++ b/tests/version_shift_test.cpp
@@ -387,6 +387,7 @@
     Other.takeOrder({"engine", "v3", Length, 6}, Now);
     BOOST_TEST(
         (Other.untilLapse("any", Hash, Now) == std::optional<duration>(4s)));
+    BOOST_TEST(Other.stranded().empty()); // each VM tells of its own
   }
   BOOST_TEST(!Waits("moved on").has_value());
   BOOST_TEST(!Waits("fresh").has_value());
