Routers tell listings, follow what others ask for, and back off from the store

On the grown site, 25 VMs of a data centre that is cut off each went to the store at every turn.

What is kept for askers is the newest record of each key, so that a listing can be told as well, page by page; a VM that starts asks for it for 1.5 s before it reads the store. A router that is asked for a topic it doesn't follow follows it for two seconds. A VM that has readers doubles its pause after failed calls, up to 2 s. Other routers' addresses come first at a start.

--- a/src/config.h
+++ b/src/config.h
@@ -635,6 +635,8 @@
 constexpr std::size_t MaxDigestPeers = 24;
 /// Between tries to learn the other routers while the store doesn't answer.
 constexpr auto PeerListRetry = 2s;
+/// From the start until topics are followed without knowing other routers.
+constexpr auto PeerListWait = 700ms;
 
 // --- reads of the store for others -------------------------------------------
 
@@ -648,10 +650,14 @@
 /// Older proofs are of no use: the store is read instead, while keys still hold
 /// for as long as callers expect.
 constexpr auto MaxRelayedAge = 1500ms;
-/// Records kept of a topic for those who ask: a roll-out lists each endpoint of
-/// a large service anew, 350 B each, and askers may lack a second of them.
-constexpr std::size_t MaxRelayRecords = 1024;
-constexpr std::size_t MaxRelayBytes = 256U << 10U;
+/// Kept of a topic for those who ask, the newest of each key: an endpoint takes
+/// 350 B, and a roll-out has each of a large service twice.
+constexpr std::size_t MaxRelayBytes = 512U << 10U;
+/// A topic that was asked for is followed for so long.
+constexpr auto RelayWantedFor = 2s;
+/// Asked for a listing for so long before the store is: at a start of all VMs
+/// the readers have to list themselves first.
+constexpr auto RelayListPatience = 1500ms;
 /// Of an answer's records before they are packed; they must fit into a datagram
 /// even where packing gains nothing.
 constexpr std::size_t MaxRelayAnswerBytes = 56U << 10U;
@@ -835,12 +841,14 @@
 /// first while it needs haste.
 constexpr auto RolloutHastyPause = 400ms;
 constexpr auto RolloutReadPause = 1200ms;
-constexpr auto StatusReadPause = 1500ms;
+constexpr auto StatusReadPause = 1s;
 /// A call without a wait; the slowest answers seen took 300 ms.
 constexpr auto StoreCallTimeout = 1500ms;
 constexpr auto StoreConnectTimeout = 500ms;
-/// After a failed call.
+/// After a failed call; doubled with each further one, up to the most, for VMs
+/// that have a reader to ask as well.
 constexpr auto StoreRetryPause = 250ms;
+constexpr auto MostStoreRetryPause = 2s;
 /// Between looks at the settings file, which may change without a signal.
 constexpr auto SettingsLookPause = 1s;
 
--- a/src/read_relay.cpp
+++ b/src/read_relay.cpp
@@ -16,7 +16,7 @@
 using std::chrono::milliseconds;
 
 /// Fields of a question, an answer and a record, in their order on the wire.
-constexpr std::size_t QuestionFields = 3;
+constexpr std::size_t QuestionFields = 4;
 constexpr std::size_t AnswerFields = 6;
 constexpr std::size_t RecordFields = 4;
 
@@ -61,8 +61,8 @@
 } // namespace
 
 std::string encodeQuestion(const relay_question &Question) {
-  return toBytes(
-      {Question.Number, static_cast<unsigned>(Question.Topic), Question.From});
+  return toBytes({Question.Number, static_cast<unsigned>(Question.Topic),
+                  Question.From, Question.IsListing ? 1 : 0});
 }
 
 std::optional<relay_question> decodeQuestion(std::string_view Bytes) {
@@ -73,9 +73,9 @@
     const auto Topic = Body[1].get<std::size_t>();
     if (Topic >= RelayedTopics)
       return std::nullopt;
-    return relay_question{Body[0].get<std::uint64_t>(),
-                          static_cast<relayed_topic>(Topic),
-                          Body[2].get<std::uint64_t>()};
+    return relay_question{
+        Body[0].get<std::uint64_t>(), static_cast<relayed_topic>(Topic),
+        Body[2].get<std::uint64_t>(), Body[3].get<unsigned>() != 0};
   } catch (const json::exception &) {
     return std::nullopt; // the caller counts it
   }
@@ -135,29 +135,52 @@
   Known.ProvenAt = SentAt;
 }
 
+void read_relay::forget(topic &Known, std::uint64_t Offset) {
+  const auto Found = Known.Records.find(Offset);
+  Known.Bytes -= sizeOf(Found->second) + config::RelayRecordBytes;
+  Known.OffsetOf.erase(Found->second.Key);
+  Known.Records.erase(Found);
+}
+
+// Failure: keys come and go for days and what is kept of them grows. The oldest
+// goes; whoever lacks it reads the store.
+void read_relay::bound(topic &Known) {
+  while (Known.Bytes > config::MaxRelayBytes) {
+    const auto &[Offset, Oldest] = *Known.Records.begin();
+    Known.IsWhole = Known.IsWhole && !Oldest.Value;
+    Known.First = std::max(Known.First, Offset + 1);
+    forget(Known, Offset);
+  }
+}
+
 void read_relay::keep(relayed_topic Topic, const topic_record &Record) {
   topic &Known = at(Topic);
-  if (Known.First + Known.Records.size() != Record.Offset) {
-    Known.Records.clear();
-    Known.Bytes = 0;
-    Known.First = Record.Offset;
-  }
-  Known.Records.push_back(Record);
-  Known.Bytes += sizeOf(Record);
-  while (Known.Records.size() > config::MaxRelayRecords ||
-         Known.Bytes > config::MaxRelayBytes) {
-    Known.Bytes -= sizeOf(Known.Records.front());
-    Known.Records.pop_front();
-    ++Known.First;
-  }
+  if (const auto Before = Known.OffsetOf.find(Record.Key);
+      Before != Known.OffsetOf.end())
+    forget(Known, Before->second);
+  Known.Records[Record.Offset] = Record;
+  Known.OffsetOf[Record.Key] = Record.Offset;
+  Known.Bytes += sizeOf(Record) + config::RelayRecordBytes;
+  bound(Known);
 }
 
 void read_relay::restart(relayed_topic Topic, std::uint64_t End) {
+  const auto WantedAt = at(Topic).WantedAt;
   at(Topic) = topic{};
+  at(Topic).WantedAt = WantedAt;
   at(Topic).First = End;
   at(Topic).End = End;
 }
 
+void read_relay::listed(relayed_topic Topic,
+                        std::span<const topic_record> Records,
+                        std::uint64_t End) {
+  restart(Topic, End);
+  at(Topic).IsWhole = true;
+  for (const topic_record &Record : Records)
+    keep(Topic, Record);
+}
+
 // The order is by a hash, so that the readers differ from fleet to fleet and
 // are spread over the data centres. Routers that can't hear each other have
 // readers of their own.
@@ -194,28 +217,40 @@
   return Readers[(stableHash(Own) + Turn) % Readers.size()];
 }
 
-bool read_relay::ask(relayed_topic Topic, std::uint64_t From,
-                     bool HasStoreFailed, mono_time Now, handler Handler) {
+bool read_relay::send(relay_question Question, bool HasStoreFailed,
+                      mono_time Now, handler Handler) {
   const auto Reader = readerToAsk(HasStoreFailed, Now);
   if (!Reader)
     return false;
-  const relay_question Question{++LastNumber, Topic, From};
+  Question.Number = ++LastNumber;
   Asked[Question.Number] = {Now, std::move(Handler)};
   Peers->sendQuestion(*Reader, encodeQuestion(Question));
   return true;
 }
 
+bool read_relay::ask(relayed_topic Topic, std::uint64_t From,
+                     bool HasStoreFailed, mono_time Now, handler Handler) {
+  return send({0, Topic, From, false}, HasStoreFailed, Now, std::move(Handler));
+}
+
+bool read_relay::askListing(relayed_topic Topic, std::uint64_t From,
+                            mono_time Now, handler Handler) {
+  return send({0, Topic, From, true}, false, Now, std::move(Handler));
+}
+
 const read_relay::packed &read_relay::pack(relayed_topic Topic,
                                            std::uint64_t From, mono_time Now) {
   const topic &Known = at(Topic);
   packed &Cached = Packed[static_cast<std::size_t>(Topic)];
-  const std::uint64_t End = Known.First + Known.Records.size();
+  const std::uint64_t End =
+      Known.Records.empty() ? 0 : Known.Records.rbegin()->first + 1;
   if (!Cached.Bytes.empty() && Cached.From == From && Cached.End == End)
     return Cached;
   std::vector<topic_record> Records;
   std::size_t Bytes = 0;
-  for (std::uint64_t I = From - Known.First; I < Known.Records.size(); ++I) {
-    const topic_record &Record = Known.Records[I];
+  for (auto Each = Known.Records.lower_bound(From); Each != Known.Records.end();
+       ++Each) {
+    const topic_record &Record = Each->second;
     Bytes += sizeOf(Record) + config::RelayRecordBytes;
     if (Bytes > config::MaxRelayAnswerBytes)
       break;
@@ -227,11 +262,15 @@
 
 std::string read_relay::answerTo(const relay_question &Question,
                                  mono_time Now) {
-  const topic &Known = at(Question.Topic);
+  topic &Known = at(Question.Topic);
+  if (!Known.ProvenAt || Now - *Known.ProvenAt > config::MaxRelayedAge)
+    Known.WantedAt = Now;
   relay_answer Answer;
   Answer.Number = Question.Number;
   Answer.End = Known.End;
-  Answer.HasGap = !Known.ProvenAt || Question.From < Known.First;
+  Answer.HasGap =
+      !Known.ProvenAt ||
+      (Question.IsListing ? !Known.IsWhole : Question.From < Known.First);
   if (Answer.HasGap)
     return encodeRelayAnswer(Answer, Now);
   // Rounded up: a proof is never told to be younger than it is.
@@ -244,6 +283,11 @@
   return encodeRelayAnswer(Answer, Records.Bytes, Records.At, Now);
 }
 
+bool read_relay::isWanted(relayed_topic Topic, mono_time Now) const {
+  const auto &WantedAt = Topics[static_cast<std::size_t>(Topic)].WantedAt;
+  return WantedAt && Now - *WantedAt < config::RelayWantedFor;
+}
+
 void read_relay::takeQuestion(const std::string &From, std::string_view Bytes,
                               mono_time Now) {
   const auto Question = decodeQuestion(Bytes);
--- a/src/read_relay.h
+++ b/src/read_relay.h
@@ -5,13 +5,13 @@
 #include <array>
 #include <cstddef>
 #include <cstdint>
-#include <deque>
 #include <functional>
 #include <map>
 #include <optional>
 #include <span>
 #include <string>
 #include <string_view>
+#include <unordered_map>
 #include <vector>
 
 namespace clementinelane {
@@ -40,12 +40,13 @@
   std::uint64_t Number = 0; ///< of the asker's questions
   relayed_topic Topic = relayed_topic::Orders;
   std::uint64_t From = 0; ///< first record that the asker doesn't have
+  bool IsListing = false; ///< the newest record of every key from there on
 };
 
 /// What the asked router knows of the topic.
 struct relay_answer {
   std::uint64_t Number = 0;
-  bool HasGap = false;   ///< it no longer has the records from there on
+  bool HasGap = false;   ///< it doesn't have all records that were asked for
   std::uint64_t End = 0; ///< one past its newest record
   /// Since it sent the read that proved its records to be all.
   std::chrono::milliseconds Age{0};
@@ -110,8 +111,11 @@
   void proven(relayed_topic Topic, std::uint64_t End, mono_time SentAt);
   /// A record of the topic, in the order of the log.
   void keep(relayed_topic Topic, const topic_record &Record);
-  /// All records up to `End` are known, but not one by one.
+  /// All records up to `End` are known, but not told here.
   void restart(relayed_topic Topic, std::uint64_t End);
+  /// The newest record of every key up to `End`.
+  void listed(relayed_topic Topic, std::span<const topic_record> Records,
+              std::uint64_t End);
 
   /// Addresses of those that read the store for all, this one among them if it
   /// is one of them or hears no other.
@@ -123,19 +127,29 @@
   /// that the store just turned away asks another reader first.
   bool ask(relayed_topic Topic, std::uint64_t From, bool HasStoreFailed,
            mono_time Now, handler Handler);
+  /// The same for the newest record of every key, those from `From` on.
+  bool askListing(relayed_topic Topic, std::uint64_t From, mono_time Now,
+                  handler Handler);
   void takeQuestion(const std::string &From, std::string_view Bytes,
                     mono_time Now);
   void takeAnswer(std::string_view Bytes, mono_time Now);
+  /// Whether others asked lately for a topic of which this router has no fresh
+  /// proof; it follows the topic for them.
+  bool isWanted(relayed_topic Topic, mono_time Now) const;
   /// Ends questions without an answer; call it from time to time.
   void expire(mono_time Now);
 
 private:
+  /// The newest record of each key, which is all that followers need.
   struct topic {
-    std::uint64_t First = 0; ///< of the records that are kept
-    std::deque<topic_record> Records;
+    std::map<std::uint64_t, topic_record> Records;           ///< by offset
+    std::unordered_map<std::string, std::uint64_t> OffsetOf; ///< by key
     std::size_t Bytes = 0;
+    std::uint64_t First = 0; ///< from there on nothing is missing
+    bool IsWhole = false;    ///< has every key that has a value
     std::uint64_t End = 0;
     std::optional<mono_time> ProvenAt;
+    std::optional<mono_time> WantedAt; ///< last asked for without a fresh proof
   };
   /// Records of a topic as they were last packed. All askers lack the same ones
   /// when something is new, so packing them for each would be the most work.
@@ -157,6 +171,10 @@
   std::optional<std::string> readerToAsk(bool HasStoreFailed,
                                          mono_time Now) const;
   std::string answerTo(const relay_question &Question, mono_time Now);
+  static void forget(topic &Known, std::uint64_t Offset);
+  static void bound(topic &Known);
+  bool send(relay_question Question, bool HasStoreFailed, mono_time Now,
+            handler Handler);
   const packed &pack(relayed_topic Topic, std::uint64_t From, mono_time Now);
   void end(std::uint64_t Number, std::optional<news> News);
 
