Largest VMs read for all; listings in place of gaps; shorter probes of a lost store

After the store forgets its history each VM read it, was told that the records are gone, and listed.

Digests tell a VM's cores; readers are the largest, then by hash. An asked router that lacks old records but has the newest of every key says so, and is asked for a listing. A read after a failed call gives up after 0.6 s, pauses grow to 1 s, the wait for other routers' addresses falls from 0.7 to 0.4 s.

--- a/src/config.h
+++ b/src/config.h
@@ -636,7 +636,7 @@
 /// Between tries to learn the other routers while the store doesn't answer.
 constexpr auto PeerListRetry = 2s;
 /// From the start until topics are followed without knowing other routers.
-constexpr auto PeerListWait = 700ms;
+constexpr auto PeerListWait = 400ms;
 
 // --- reads of the store for others -------------------------------------------
 
@@ -844,11 +844,14 @@
 constexpr auto StatusReadPause = 1s;
 /// A call without a wait; the slowest answers seen took 300 ms.
 constexpr auto StoreCallTimeout = 1500ms;
+/// The same after a failed call: the store may be back before a silent one
+/// ends.
+constexpr auto StoreProbeTimeout = 600ms;
 constexpr auto StoreConnectTimeout = 500ms;
 /// After a failed call; doubled with each further one, up to the most, for VMs
 /// that have a reader to ask as well.
 constexpr auto StoreRetryPause = 250ms;
-constexpr auto MostStoreRetryPause = 2s;
+constexpr auto MostStoreRetryPause = 1s;
 /// Between looks at the settings file, which may change without a signal.
 constexpr auto SettingsLookPause = 1s;
 
--- a/src/peer_datagrams.cpp
+++ b/src/peer_datagrams.cpp
@@ -59,10 +59,20 @@
       continue;
     const udp::endpoint Peer(Parsed->address(), Parsed->port());
     if (Peer != Own)
-      Peers.try_emplace(Peer, peer{Now, mono_time{}});
+      Peers.try_emplace(Peer, peer{Now, mono_time{}, 0});
   }
 }
 
+void peer_datagrams::noteCores(const std::string &Address, double Cores) {
+  const auto Parsed = parseAddress(Address);
+  if (!Parsed)
+    return;
+  const auto Known =
+      Peers.find(udp::endpoint(Parsed->address(), Parsed->port()));
+  if (Known != Peers.end())
+    Known->second.Cores = Cores;
+}
+
 void peer_datagrams::receive() {
   Socket.async_receive_from(
       boost::asio::buffer(Buffer), Sender,
@@ -71,7 +81,7 @@
           return;
         if (!Error && Count > 0) {
           const mono_time Now = Clock.bootNow();
-          Peers.insert_or_assign(Sender, peer{Now, Peers[Sender].SentAt});
+          Peers[Sender].HeardAt = Now;
           Handler(static_cast<peer_message>(Buffer[0]), textOf(Sender),
                   std::string_view(Buffer.data() + 1, Count - 1));
         }
@@ -127,13 +137,13 @@
               messageOf(Kind, Bytes));
 }
 
-std::vector<std::string> peer_datagrams::heard(mono_time Now) const {
-  std::vector<std::string> Addresses;
+std::vector<relay_peer> peer_datagrams::heard(mono_time Now) const {
+  std::vector<relay_peer> Found;
   const duration Life = life();
   for (const auto &[Address, Peer] : Peers)
     if (Now - Peer.HeardAt <= Life)
-      Addresses.push_back(textOf(Address));
-  return Addresses;
+      Found.push_back({textOf(Address), Peer.Cores});
+  return Found;
 }
 
 } // namespace clementinelane
--- a/src/peer_datagrams.h
+++ b/src/peer_datagrams.h
@@ -47,7 +47,10 @@
   /// After which a peer that sent nothing counts as silent.
   duration life() const;
 
-  std::vector<std::string> heard(mono_time Now) const override;
+  /// The size of a VM, as its digest told.
+  void noteCores(const std::string &Address, double Cores);
+
+  std::vector<relay_peer> heard(mono_time Now) const override;
   void sendQuestion(const std::string &Address,
                     std::string_view Bytes) override {
     sendTo(Address, peer_message::Question, Bytes);
@@ -60,6 +63,7 @@
   struct peer {
     mono_time HeardAt;
     mono_time SentAt;
+    double Cores = 0;
   };
   void receive();
   void sendBytes(const boost::asio::ip::udp::endpoint &Peer,
--- a/src/peer_loads.cpp
+++ b/src/peer_loads.cpp
@@ -14,6 +14,8 @@
 
 /// Work is sent in tenths, as a whole number.
 constexpr double WorkUnit = 10;
+/// Cores are sent in hundredths.
+constexpr double CoresUnit = 100;
 /// Fields of one load or session and of a digest, in their order on the wire.
 constexpr std::size_t LoadFields = 3;
 constexpr std::size_t SessionFields = 3;
@@ -66,7 +68,8 @@
                      static_cast<std::uint64_t>(Load.Work * WorkUnit),
                      Load.Running});
   const json Body = {Digest.Vm, Digest.Incarnation, Digest.Sequence,
-                     std::move(Loads)};
+                     std::move(Loads),
+                     static_cast<std::uint64_t>(Digest.Cores * CoresUnit)};
   std::string Bytes;
   json::to_msgpack(Body, Bytes);
   return Bytes;
@@ -88,6 +91,8 @@
                               Load[1].get<double>() / WorkUnit,
                               Load[2].get<unsigned>()});
     }
+    if (Body.size() > DigestFields)
+      Digest.Cores = Body[DigestFields].get<double>() / CoresUnit;
     return Digest;
   } catch (const json::exception &) {
     return std::nullopt; // the caller counts it
--- a/src/peer_loads.h
+++ b/src/peer_loads.h
@@ -36,6 +36,7 @@
   std::uint64_t Incarnation = 0;
   std::uint64_t Sequence = 0; ///< grows with each digest of an incarnation
   std::vector<endpoint_load> Loads;
+  double Cores = 0; ///< of the VM; 0: not known
 };
 
 /// The hash by which digests name an endpoint or a service.
--- a/src/read_relay.cpp
+++ b/src/read_relay.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
+#include <tuple>
 #include <utility>
 
 namespace clementinelane {
@@ -17,7 +18,7 @@
 
 /// Fields of a question, an answer and a record, in their order on the wire.
 constexpr std::size_t QuestionFields = 4;
-constexpr std::size_t AnswerFields = 6;
+constexpr std::size_t AnswerFields = 7;
 constexpr std::size_t RecordFields = 4;
 
 std::string toBytes(const json &Body) {
@@ -93,8 +94,8 @@
                               mono_time Now) {
   const auto *const Bytes =
       reinterpret_cast<const std::uint8_t *>(Packed.data());
-  return toBytes({Answer.Number, Answer.HasGap ? 1 : 0, Answer.End,
-                  Answer.Age.count(),
+  return toBytes({Answer.Number, Answer.HasGap ? 1 : 0, Answer.CanList ? 1 : 0,
+                  Answer.End, Answer.Age.count(),
                   std::chrono::floor<milliseconds>(Now - PackedAt).count(),
                   json::binary({Bytes, Bytes + Packed.size()})});
 }
@@ -112,10 +113,11 @@
     relay_answer Answer;
     Answer.Number = Body[0].get<std::uint64_t>();
     Answer.HasGap = Body[1].get<unsigned>() != 0;
-    Answer.End = Body[2].get<std::uint64_t>();
-    Answer.Age = milliseconds(Body[3].get<std::uint32_t>());
-    const mono_time PackedAt = Now - milliseconds(Body[4].get<std::uint32_t>());
-    if (!unpackRecords(Body[5].get_binary(), PackedAt, Answer.Records))
+    Answer.CanList = Body[2].get<unsigned>() != 0;
+    Answer.End = Body[3].get<std::uint64_t>();
+    Answer.Age = milliseconds(Body[4].get<std::uint32_t>());
+    const mono_time PackedAt = Now - milliseconds(Body[5].get<std::uint32_t>());
+    if (!unpackRecords(Body[6].get_binary(), PackedAt, Answer.Records))
       return std::nullopt;
     return Answer;
   } catch (const json::exception &) {
@@ -181,24 +183,29 @@
     keep(Topic, Record);
 }
 
-// The order is by a hash, so that the readers differ from fleet to fleet and
-// are spread over the data centres. Routers that can't hear each other have
-// readers of their own.
+// Load: hundreds of VMs ask two others, some with a quarter of the cores of the
+// rest. Harm prevented: a small VM that answers for all is late with its own
+// requests and with its answers, so that those who ask read the store, which
+// makes it later still. The largest come first, then the order is by a hash, so
+// that readers differ from fleet to fleet and are spread over the data centres.
+// A peer whose size isn't known yet counts as large as this VM.
 std::vector<std::string> read_relay::readers(mono_time Now) const {
-  std::vector<std::string> Readers;
-  if (Peers)
-    Readers = Peers->heard(Now);
-  Readers.push_back(Own);
-  const auto Rank = [](const std::string &Address) {
-    return std::pair(stableHash(Address), Address);
+  using rank = std::tuple<double, std::uint64_t, std::string>;
+  std::vector<rank> Ranks;
+  const auto Add = [&Ranks](const std::string &Address, double Size) {
+    Ranks.emplace_back(-Size, stableHash(Address), Address);
   };
-  const std::size_t Count = std::min(config::RelayReaders, Readers.size());
-  std::partial_sort(
-      Readers.begin(), Readers.begin() + static_cast<std::ptrdiff_t>(Count),
-      Readers.end(), [&Rank](const std::string &A, const std::string &B) {
-        return Rank(A) < Rank(B);
-      });
-  Readers.resize(Count);
+  if (Peers)
+    for (const relay_peer &Peer : Peers->heard(Now))
+      Add(Peer.Address, Peer.Cores > 0 ? Peer.Cores : Cores);
+  Add(Own, Cores);
+  const std::size_t Count = std::min(config::RelayReaders, Ranks.size());
+  std::partial_sort(Ranks.begin(),
+                    Ranks.begin() + static_cast<std::ptrdiff_t>(Count),
+                    Ranks.end());
+  std::vector<std::string> Readers;
+  for (std::size_t Each = 0; Each < Count; ++Each)
+    Readers.push_back(std::get<std::string>(Ranks[Each]));
   return Readers;
 }
 
@@ -260,6 +267,16 @@
   return Cached;
 }
 
+// A record that is too large for a datagram would hold a listing up.
+bool read_relay::canList(const topic &Known) {
+  return Known.IsWhole &&
+         std::none_of(Known.Records.begin(), Known.Records.end(),
+                      [](const auto &Entry) {
+                        return sizeOf(Entry.second) + config::RelayRecordBytes >
+                               config::MaxRelayAnswerBytes;
+                      });
+}
+
 std::string read_relay::answerTo(const relay_question &Question,
                                  mono_time Now) {
   topic &Known = at(Question.Topic);
@@ -271,10 +288,13 @@
   Answer.HasGap =
       !Known.ProvenAt ||
       (Question.IsListing ? !Known.IsWhole : Question.From < Known.First);
-  if (Answer.HasGap)
-    return encodeRelayAnswer(Answer, Now);
   // Rounded up: a proof is never told to be younger than it is.
-  Answer.Age = std::chrono::ceil<milliseconds>(Now - *Known.ProvenAt);
+  if (Known.ProvenAt)
+    Answer.Age = std::chrono::ceil<milliseconds>(Now - *Known.ProvenAt);
+  if (Answer.HasGap) {
+    Answer.CanList = Known.ProvenAt && canList(Known);
+    return encodeRelayAnswer(Answer, Now);
+  }
   const packed &Records =
       pack(Question.Topic,
            std::min(Question.From, Known.First + Known.Records.size()), Now);
@@ -306,11 +326,19 @@
     return;
   const mono_time AskedAt = Found->second.AskedAt;
   const mono_time ProvenAt = AskedAt - Answer->Age;
-  if (Answer->HasGap || Now - ProvenAt > config::MaxRelayedAge) {
+  const bool IsOld = Now - ProvenAt > config::MaxRelayedAge;
+  // Failure: the store forgets its history. Its readers list it anew, and all
+  // the others lack what came before their listing; they take it over.
+  if (Answer->HasGap && Answer->CanList && !IsOld) {
+    end(Answer->Number, news{{}, Answer->End, ProvenAt, true});
+    return;
+  }
+  if (Answer->HasGap || IsOld) {
     end(Answer->Number, std::nullopt);
     return;
   }
-  end(Answer->Number, news{std::move(Answer->Records), Answer->End, ProvenAt});
+  end(Answer->Number,
+      news{std::move(Answer->Records), Answer->End, ProvenAt, false});
 }
 
 void read_relay::end(std::uint64_t Number, std::optional<news> News) {
--- a/src/read_relay.h
+++ b/src/read_relay.h
@@ -47,6 +47,7 @@
 struct relay_answer {
   std::uint64_t Number = 0;
   bool HasGap = false;   ///< it doesn't have all records that were asked for
+  bool CanList = false;  ///< but it has the newest of every key
   std::uint64_t End = 0; ///< one past its newest record
   /// Since it sent the read that proved its records to be all.
   std::chrono::milliseconds Age{0};
@@ -67,12 +68,18 @@
 std::optional<relay_answer> decodeRelayAnswer(std::string_view Bytes,
                                               mono_time Now);
 
+/// Another router.
+struct relay_peer {
+  std::string Address; ///< of its datagrams
+  double Cores = 0;    ///< 0: not known yet
+};
+
 /// The other routers, by the addresses of their datagrams.
 class relay_peers {
 public:
   virtual ~relay_peers() = default;
   /// Those that were heard within the life of a digest.
-  virtual std::vector<std::string> heard(mono_time Now) const = 0;
+  virtual std::vector<relay_peer> heard(mono_time Now) const = 0;
   virtual void sendQuestion(const std::string &Address,
                             std::string_view Bytes) = 0;
   virtual void sendAnswer(const std::string &Address,
@@ -97,10 +104,12 @@
     std::vector<topic_record> Records;
     std::uint64_t End = 0;
     mono_time ProvenAt{};
+    bool MustList = false; ///< a listing has what is missing
   };
   using handler = std::function<void(std::optional<news>)>;
 
-  explicit read_relay(std::string OwnAddress) : Own(std::move(OwnAddress)) {}
+  explicit read_relay(std::string OwnAddress, double Cores = 0)
+      : Own(std::move(OwnAddress)), Cores(Cores) {}
 
   /// From now on questions go out; the peers must outlive the relay's use.
   void connect(relay_peers &Value) { Peers = &Value; }
@@ -171,6 +180,7 @@
   std::optional<std::string> readerToAsk(bool HasStoreFailed,
                                          mono_time Now) const;
   std::string answerTo(const relay_question &Question, mono_time Now);
+  static bool canList(const topic &Known);
   static void forget(topic &Known, std::uint64_t Offset);
   static void bound(topic &Known);
   bool send(relay_question Question, bool HasStoreFailed, mono_time Now,
@@ -179,6 +189,7 @@
   void end(std::uint64_t Number, std::optional<news> News);
 
   std::string Own;
+  double Cores; ///< of this VM
   relay_peers *Peers = nullptr;
   std::array<topic, RelayedTopics> Topics;
   std::array<packed, RelayedTopics> Packed;
--- a/src/router.cpp
+++ b/src/router.cpp
@@ -394,7 +394,7 @@
                          std::string_view Bytes) {
   switch (Kind) {
   case peer_message::Loads:
-    return takeDigest(Bytes);
+    return takeDigest(Sender, Bytes);
   case peer_message::Sessions:
     return takeNotes(Bytes);
   case peer_message::Report:
@@ -407,11 +407,14 @@
   logs::warning("datagram_unreadable", {{"from", Sender}});
 }
 
-void router::takeDigest(std::string_view Bytes) {
-  if (const auto Digest = decodeDigest(Bytes))
-    Loads.take(*Digest, now());
-  else
+void router::takeDigest(const std::string &Sender, std::string_view Bytes) {
+  const auto Digest = decodeDigest(Bytes);
+  if (!Digest) {
     logs::warning("digest_unreadable", {});
+    return;
+  }
+  Peers->noteCores(Sender, Digest->Cores);
+  Loads.take(*Digest, now());
 }
 
 void router::takeNotes(std::string_view Bytes) {
@@ -443,7 +446,7 @@
   DigestAt = Now;
   Peers->send(peer_message::Loads,
               encodeDigest({Settings.VmName, Incarnation, ++DigestSequence,
-                            Choice.loads()}));
+                            Choice.loads(), Settings.Cores}));
   // All others need them: a session's next request may come in anywhere.
   if (!SessionNotes.empty())
     Peers->sendToAll(peer_message::Sessions,
--- a/src/router.h
+++ b/src/router.h
@@ -87,7 +87,7 @@
   void tickDigest(mono_time Now);
   void takeMessage(peer_message Kind, const std::string &Sender,
                    std::string_view Bytes);
-  void takeDigest(std::string_view Bytes);
+  void takeDigest(const std::string &Sender, std::string_view Bytes);
   void takeNotes(std::string_view Bytes);
   void takeNote(version_shift &Shift, const session_note &Note) const;
   void tellStranded(std::string_view Service, const version_shift &Shift);
--- a/src/router_settings.h
+++ b/src/router_settings.h
@@ -16,6 +16,7 @@
   std::string ReadyAddress;  ///< where the balancer asks
   std::string PeerAddress;   ///< where other routers' digests come in
   std::string PlatformAddress;
+  double Cores = 0; ///< part of a core that this VM has; 0: not known
   /// A key may be used for at most this long after it was revoked.
   std::chrono::milliseconds RevocationBound{5'000};
   /// From a stop's signal to the kill.
--- /dev/null
+++ b/tests/peer_datagrams_test.cpp
@@ -0,0 +1,48 @@
+#define BOOST_TEST_MODULE peer_datagrams
+#include "peer_datagrams.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace clementinelane;
+using namespace std::chrono_literals;
+
+namespace {
+
+std::vector<std::string> addresses(int Count) {
+  std::vector<std::string> Addresses;
+  for (int Each = 1; Each <= Count; ++Each)
+    Addresses.push_back("127.0.1." + std::to_string(Each) + ":17461");
+  return Addresses;
+}
+
+} // namespace
+
+// A digest goes to 24 peers in turn, so 194 of them hear it each 1.8 s. Counted
+// as silent after 1 s, each VM would hear another part of the fleet.
+BOOST_AUTO_TEST_CASE(life_covers_the_rounds_of_a_large_fleet) {
+  boost::asio::io_context Context;
+  const system_runtime_clock Clock;
+  peer_datagrams Datagrams(Context, Clock, "127.0.0.1:17460",
+                           [](auto, const auto &, auto) {});
+  Datagrams.know(addresses(8));
+  BOOST_TEST((Datagrams.life() == config::DigestLife));
+  Datagrams.know(addresses(194));
+  const duration Round = 9 * config::DigestPeriod;
+  BOOST_TEST((Datagrams.life() >= 2 * Round));
+  BOOST_TEST(Datagrams.heard(Clock.bootNow()).size() == 194U);
+}
+
+// A peer tells its size with its digests; before that it isn't known.
+BOOST_AUTO_TEST_CASE(sizes_are_noted) {
+  boost::asio::io_context Context;
+  const system_runtime_clock Clock;
+  peer_datagrams Datagrams(Context, Clock, "127.0.0.1:17460",
+                           [](auto, const auto &, auto) {});
+  Datagrams.know(addresses(2));
+  Datagrams.noteCores(addresses(2)[1], 0.5);
+  Datagrams.noteCores("127.0.1.9:17461", 0.5); // not known
+  const auto Heard = Datagrams.heard(Clock.bootNow());
+  BOOST_REQUIRE(Heard.size() == 2U);
+  BOOST_TEST(Heard[0].Cores == 0);
+  BOOST_TEST(Heard[1].Cores == 0.5);
+}
--- a/tests/platform_headers_test.cpp
+++ b/tests/platform_headers_test.cpp
@@ -37,6 +37,9 @@
 [listen_addresses]
 frontend = "10.1.0.40:8227"
 ready = "10.1.0.40:8220"
+[limits]
+cpu_quota = 0.25
+cpu_cores = 2
 [bounds]
 revoke_timeout_ms = 5000
 grace_period_s = 8
@@ -140,6 +143,7 @@
   BOOST_TEST(Parsed.Value.RepeatRatio == 0.9);
   BOOST_TEST(Parsed.Value.CallerAddress == "10.1.0.40:8227");
   BOOST_TEST(Parsed.Value.PeerAddress == "10.1.0.40:7340");
+  BOOST_TEST(Parsed.Value.Cores == 0.5);
 }
 
 BOOST_AUTO_TEST_CASE(settings_tell_every_mistake_with_its_line) {
--- a/tools/router/main.cpp
+++ b/tools/router/main.cpp
@@ -100,7 +100,7 @@
   constexpr int OneThread = 1;
   boost::asio::io_context Context(OneThread);
   const cl::system_runtime_clock Clock;
-  cl::read_relay Relay(Settings.PeerAddress);
+  cl::read_relay Relay(Settings.PeerAddress, Settings.Cores);
   cl::platform_adapter Platform(Context, Clock, Settings.PlatformAddress,
                                 Relay);
   const std::string Metrics =
