Tell only the records that an asker lacks

Cause, found by reading the diff: the offset asked from was still bounded by the count of records kept, which held when records lay without gaps. With the newest of each key only, an asker far along the log was told all records again at every turn, and never the last ones where all don't fit into one answer.

Change: the offset is taken as asked. Test: whoever lacks one record is told one.

--- a/src/read_relay.cpp
+++ b/src/read_relay.cpp
@@ -295,9 +295,7 @@
     Answer.CanList = Known.ProvenAt && canList(Known);
     return encodeRelayAnswer(Answer, Now);
   }
-  const packed &Records =
-      pack(Question.Topic,
-           std::min(Question.From, Known.First + Known.Records.size()), Now);
+  const packed &Records = pack(Question.Topic, Question.From, Now);
   // One that fits into no datagram is read from the store.
   Answer.HasGap = Records.Count == 0 && Records.From < Records.End;
   return encodeRelayAnswer(Answer, Records.Bytes, Records.At, Now);
--- a/tests/read_relay_test.cpp
+++ b/tests/read_relay_test.cpp
@@ -359,6 +359,12 @@
     }
   }
   BOOST_TEST(Pages > 1U);
+  // Whoever has all but the last record is told that one alone.
+  std::optional<read_relay::news> Last;
+  Asker.ask(relayed_topic::Endpoints, 101, false, Fleet.Now,
+            [&Last](std::optional<read_relay::news> Value) { Last = Value; });
+  BOOST_REQUIRE(Last.has_value());
+  BOOST_TEST(Last->Records.size() == 1U);
   BOOST_TEST(Told.size() == 40U);
   BOOST_TEST(!Told["k3"].has_value());
   BOOST_TEST((Told["k4"] == std::optional<std::string>("new")));
