--- a/tests/read_relay_test.cpp
+++ b/tests/read_relay_test.cpp
@@ -313,9 +313,11 @@
   read_relay &Asker = Fleet.asker();
   const auto List = [&](std::uint64_t From) {
     std::optional<read_relay::news> News;
-    BOOST_TEST(Asker.askListing(
-        relayed_topic::Endpoints, From, Fleet.Now,
-        [&News](std::optional<read_relay::news> Value) { News = Value; }));
+    BOOST_TEST(
+        Asker.askListing(relayed_topic::Endpoints, From, Fleet.Now,
+                         [&News](const std::optional<read_relay::news> &Value) {
+                           News = Value;
+                         }));
     return News;
   };
   BOOST_TEST(!List(0).has_value()); // the readers have none yet
@@ -344,8 +346,9 @@
   const asked Behind(Fleet, Asker, 50);
   BOOST_TEST(!Behind.News.has_value()); // another topic, of which nobody knows
   std::optional<read_relay::news> Gap;
-  Asker.ask(relayed_topic::Endpoints, 50, false, Fleet.Now,
-            [&Gap](std::optional<read_relay::news> Value) { Gap = Value; });
+  Asker.ask(
+      relayed_topic::Endpoints, 50, false, Fleet.Now,
+      [&Gap](const std::optional<read_relay::news> &Value) { Gap = Value; });
   BOOST_REQUIRE(Gap.has_value());
   BOOST_TEST(Gap->MustList);
   std::map<std::string, std::optional<std::string>> Told;
@@ -361,8 +364,9 @@
   BOOST_TEST(Pages > 1U);
   // Whoever has all but the last record is told that one alone.
   std::optional<read_relay::news> Last;
-  Asker.ask(relayed_topic::Endpoints, 101, false, Fleet.Now,
-            [&Last](std::optional<read_relay::news> Value) { Last = Value; });
+  Asker.ask(
+      relayed_topic::Endpoints, 101, false, Fleet.Now,
+      [&Last](const std::optional<read_relay::news> &Value) { Last = Value; });
   BOOST_REQUIRE(Last.has_value());
   BOOST_TEST(Last->Records.size() == 1U);
   BOOST_TEST(Told.size() == 40U);
