--- a/src/config.h
+++ b/src/config.h
@@ -673,8 +673,7 @@
 /// What a confidence, 0 to 100, tells of a request's difficulty: a model is
 /// this sure of a request just as hard as it can answer, loses the slope from
 /// the easiest to the hardest, and errs by the noise (standard deviation). A
-/// prior: fitted to the chance of a poor answer by confidence in one fleet,
-/// which it meets within 0.06; it can't be observed where nobody rates answers.
+/// prior, since it can't be observed where nobody rates answers.
 constexpr double ConfidenceAtQuality = 43;
 constexpr double ConfidenceSlope = 110;
 constexpr double ConfidenceNoise = 18;
@@ -694,17 +693,14 @@
 constexpr double LateAnswerWorth = 0.3;
 /// The most that the dearest model's answer costs, against a good answer in
 /// time; nobody would run a model that is dearer. And what a good answer is
-/// worth at least, in units of the prices: priors, since neither is told. A
-/// third was worth 0.005 to 0.010 more than a quarter on each of three fleets.
+/// worth at least, in units of the prices: priors, since neither is told.
 constexpr double MostModelPrice = 1.0 / 3;
 constexpr double LeastAnswerWorth = 1;
 /// A token that is read costs this part of one that is made, as the platform's
 /// price lists say.
 constexpr double ReadTokenPrice = 0.25;
 /// What the slowest model's engine time costs the others, times their expected
-/// wait over the target. On twenty deployments drawn by seed the regret against
-/// the best fixed choice is least at 3 (mean 0.022, 0.040 at 0.6), on days of
-/// trouble worth is least changed from 0.6 to 1.2; at 2 it falls by 0.014.
+/// wait over the target.
 constexpr double EngineTimePrice = 1.0;
 /// How sharply waits meet their expectation.
 constexpr double WaitSharpness = 3;
--- a/src/endpoint_choice.cpp
+++ b/src/endpoint_choice.cpp
@@ -104,9 +104,7 @@
 // engine on every VM without talk; there the part is likely to be cached, which
 // counts as work saved. An engine of another data centre is used only if it has
 // much less to do: bytes between data centres are paid for, and what runs in
-// the own one goes on when the others are cut off. Played on five days of
-// trouble and five seeds of a fleet of 12 engines in three data centres, that
-// was worth 0.022 of what callers were owed, most of it bytes.
+// the own one goes on when the others are cut off.
 chosen_endpoint
 endpoint_choice::pickEngine(const candidates &From,
                             const choice_request &Request) const {
