--- a/src/version_shift.cpp
+++ b/src/version_shift.cpp
@@ -217,7 +217,8 @@
       Side = freshSide(Hash, Now);
   }
   if (!Session.empty() && Sessions.size() < config::MaxShiftSessions)
-    Sessions[Hash] = {Side, Now, false, true};
+    Sessions[Hash] = {
+        .Side = Side, .LastAt = Now, .IsStranded = false, .IsOwn = true};
   return Side;
 }
 
@@ -251,10 +252,12 @@
 void version_shift::takeStranded(std::uint64_t Hash, mono_time LastAt) {
   if (Sessions.size() >= config::MaxShiftSessions)
     return;
-  const auto [Known, IsNew] =
-      Sessions.try_emplace(Hash, session{version_side::Old, LastAt, true});
-  if (!IsNew && Known->second.LastAt < LastAt)
-    Known->second = {version_side::Old, LastAt, true};
+  session &Session = Sessions[Hash];
+  if (Session.LastAt >= LastAt)
+    return; // it has run since
+  Session.Side = version_side::Old;
+  Session.LastAt = LastAt;
+  Session.IsStranded = true;
 }
 
 bool version_shift::mayMeetTrial(std::uint64_t Hash) const {
@@ -273,7 +276,9 @@
   session &Session = Sessions[Hash];
   const bool IsMoved =
       Session.Side == version_side::New && Now - Session.LastAt < SessionTtl;
-  Session = {IsMoved ? version_side::New : Side, Now, false, Session.IsOwn};
+  Session.Side = IsMoved ? version_side::New : Side;
+  Session.LastAt = Now;
+  Session.IsStranded = false;
 }
 
 void version_shift::forgetSessions(mono_time Now) {
