Bound what cold endpoints get over all VMs, and leave evacuated data centres

Cause: an endpoint that has just started had nothing under way, so the choice of every VM fell on it at once; nothing read its cold time or the operator's evacuations.

Weighed: (a) two owners of each cold endpoint by rendezvous hash over all VMs that are known, each at half of the rate, evenly spaced; (b) each VM a random share of the rate divided by the VMs; (c) spent permits told in digests. By formula (a) gives at most owners * (1 + rate / owners) in a second, 7.3 at 5.3 where 12.95 are allowed. (b) is a Poisson count of mean 5.3: 13 and more has a chance of about 0.004 a second and endpoint, and dozens turn cold at once. (c) is late by a digest's round, in which dozens arrive.

Change: warm_up shares out cold endpoints; what turns one cold is its entry, a connection that failed or broke and what other VMs tell of it, a data centre that answers again or is taken back. Evacuated data centres take no new work. Homes of routes and customers bind the choice of endpoints.

--- a/src/config.h
+++ b/src/config.h
@@ -616,6 +616,14 @@
 /// return; then they are gone.
 constexpr auto LapsedEntryGrace = 2200ms;
 
+/// VMs that send to a cold endpoint: one may be lost or without requests. More
+/// would send more in one second, since each rounds its part up.
+constexpr std::size_t WarmUpOwners = 2;
+/// Of what an entry or another VM says; a wrong one must not stay for long.
+constexpr auto MostColdTime = 60s;
+/// Cold endpoints named in one digest; a data centre's may turn cold at once.
+constexpr std::size_t MaxDigestCold = 400;
+
 // --- loads told between routers ----------------------------------------------
 
 /// Between digests: far below the seconds that a long prompt takes.
--- a/src/endpoint_choice.cpp
+++ b/src/endpoint_choice.cpp
@@ -40,14 +40,17 @@
 }
 
 endpoint_choice::candidates
-endpoint_choice::candidatesFor(const choice_request &Request) {
+endpoint_choice::candidatesFor(const choice_request &Request, mono_time Now) {
   candidates Found;
   for (const endpoint_info *Info : Directory.usable(Request.Service)) {
     const bool IsExcluded =
         std::find(Request.Excluded.begin(), Request.Excluded.end(), Info->Id) !=
         Request.Excluded.end();
-    if (!IsExcluded && (!Request.IsAllowed || Request.IsAllowed(*Info)))
-      Found.emplace_back(Info, &stateOf(*Info));
+    if (IsExcluded || (Request.IsAllowed && !Request.IsAllowed(*Info)))
+      continue;
+    state &State = stateOf(*Info);
+    if (WarmUp.mayTake(State.DigestHash, Request.Service, Now))
+      Found.emplace_back(Info, &State);
   }
   return Found;
 }
@@ -169,7 +172,7 @@
 
 std::optional<chosen_endpoint>
 endpoint_choice::peek(const choice_request &Request, mono_time Now) {
-  const candidates All = candidatesFor(Request);
+  const candidates All = candidatesFor(Request, Now);
   if (All.empty())
     return std::nullopt;
   const candidates Healthy = healthy(answering(All), Now);
@@ -183,6 +186,7 @@
   if (!Picked)
     return std::nullopt;
   state &State = States[Picked->Id];
+  WarmUp.taken(State.DigestHash, Request.Service, Now);
   ++State.Running;
   State.Work += Request.Work;
   return Picked;
@@ -238,6 +242,8 @@
       Reach.failed(Id, Info->DataCentre, Now);
     [[fallthrough]];
   case attempt_result::Broken: {
+    if (const endpoint_info *Info = Directory.find(Id))
+      WarmUp.noteStart(State.DigestHash, Info->Service, Now);
     average(State.FailureRate, 1);
     if (Result == attempt_result::Broken && State.Strikes == 0) {
       State.Strikes = 1; // one broken answer may be the request's own
@@ -253,13 +259,33 @@
   }
 }
 
+// Failure: endpoints were away for less time than it takes until their entries
+// tell of it, and are back at their old addresses, cold.
+void endpoint_choice::connected(const endpoint_info &Endpoint, duration Took,
+                                mono_time Now) {
+  if (Reach.isCentreSilent(Endpoint.DataCentre))
+    noteColdCentre(Endpoint.DataCentre, Now);
+  else if (Reach.isSilent(Endpoint.Id, Endpoint.DataCentre))
+    WarmUp.noteStart(digestHash(Endpoint.Id), Endpoint.Service, Now);
+  Reach.connected(Endpoint.Id, Endpoint.DataCentre, Took);
+}
+
+void endpoint_choice::noteColdCentre(std::string_view DataCentre,
+                                     mono_time Now) {
+  for (const endpoint_info *Info : Directory.in(DataCentre))
+    WarmUp.noteStart(digestHash(Info->Id), Info->Service, Now);
+}
+
 std::vector<endpoint_info> endpoint_choice::probesDue(mono_time Now) {
   std::vector<endpoint_info> Due;
   const auto IsKnown = [this](std::string_view Id) {
     return Directory.find(Id) != nullptr;
   };
-  for (const std::string &Id : Reach.probesDue(IsKnown, Now))
+  for (const std::string &Id : Reach.probesDue(IsKnown, Now)) {
     Due.push_back(*Directory.find(Id));
+    // It may be back at any moment, and others may not have seen it go.
+    WarmUp.noteStart(digestHash(Id), Due.back().Service, Now);
+  }
   // One of those that are out only because of their data centre, at random.
   std::vector<const endpoint_info *> Others;
   for (const auto &[Id, State] : States)
--- a/src/endpoint_choice.h
+++ b/src/endpoint_choice.h
@@ -5,6 +5,7 @@
 #include "engine_pace.h"
 #include "peer_loads.h"
 #include "reach_watch.h"
+#include "warm_up.h"
 
 #include <cstdint>
 #include <functional>
@@ -74,9 +75,11 @@
   void ended(std::string_view Id, double Work, attempt_result Result,
              std::optional<duration> FirstByte, mono_time Now);
   /// A connection to the endpoint was answered, an attempt's or a probe's.
-  void connected(const endpoint_info &Endpoint, duration Took) {
-    Reach.connected(Endpoint.Id, Endpoint.DataCentre, Took);
-  }
+  void connected(const endpoint_info &Endpoint, duration Took, mono_time Now);
+  /// The endpoints of a data centre may have lost what they had cached.
+  void noteColdCentre(std::string_view DataCentre, mono_time Now);
+  warm_up &warmUp() { return WarmUp; }
+  const warm_up &warmUp() const { return WarmUp; }
   duration connectTimeout(const endpoint_info &Endpoint) const {
     return Reach.connectTimeout(Endpoint.DataCentre);
   }
@@ -114,7 +117,7 @@
   using candidates = std::vector<std::pair<const endpoint_info *, state *>>;
 
   state &stateOf(const endpoint_info &Info);
-  candidates candidatesFor(const choice_request &Request);
+  candidates candidatesFor(const choice_request &Request, mono_time Now);
   candidates answering(const candidates &All) const;
   candidates healthy(const candidates &All, mono_time Now) const;
   chosen_endpoint pickEngine(const candidates &From,
@@ -129,6 +132,7 @@
   std::uint64_t Random;
   std::map<std::string, state, std::less<>> States;
   reach_watch Reach;
+  warm_up WarmUp;
 };
 
 } // namespace clementinelane
--- a/src/endpoint_directory.cpp
+++ b/src/endpoint_directory.cpp
@@ -70,7 +70,17 @@
   std::vector<const endpoint_info *> Found;
   for (const auto &[Id, Entry] : Entries)
     if (Entry.Info.Service == Service &&
-        Entry.Info.State == endpoint_state::Ready)
+        Entry.Info.State == endpoint_state::Ready &&
+        !Evacuated.contains(Entry.Info.DataCentre))
+      Found.push_back(&Entry.Info);
+  return Found;
+}
+
+std::vector<const endpoint_info *>
+endpoint_directory::in(std::string_view DataCentre) const {
+  std::vector<const endpoint_info *> Found;
+  for (const auto &[Id, Entry] : Entries)
+    if (Entry.Info.DataCentre == DataCentre)
       Found.push_back(&Entry.Info);
   return Found;
 }
--- a/src/endpoint_directory.h
+++ b/src/endpoint_directory.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -19,6 +20,7 @@
   std::string Service;
   std::string Address; ///< IP number and port
   std::string DataCentre;
+  std::string Region;  ///< empty: not known
   std::string Version; ///< of its software
   unsigned Slots = 1;
   endpoint_state State = endpoint_state::Ready;
@@ -46,6 +48,14 @@
   /// The list can't be reached, or can be again.
   void lost(mono_time Now);
   void regained(mono_time Now);
+  /// The data centres whose endpoints must get nothing, until they are taken
+  /// back.
+  void setEvacuated(std::set<std::string, std::less<>> DataCentres) {
+    Evacuated = std::move(DataCentres);
+  }
+  const std::set<std::string, std::less<>> &evacuated() const {
+    return Evacuated;
+  }
   /// Drops what has lapsed for good.
   void expire(mono_time Now);
 
@@ -54,6 +64,8 @@
   /// Endpoints of `Service` that take new work.
   std::vector<const endpoint_info *> usable(std::string_view Service) const;
   const endpoint_info *find(std::string_view Id) const;
+  /// Endpoints of a data centre, also those that take no new work.
+  std::vector<const endpoint_info *> in(std::string_view DataCentre) const;
   std::size_t size() const { return Entries.size(); }
 
 private:
@@ -66,6 +78,7 @@
 
   duration Grace;
   std::map<std::string, entry, std::less<>> Entries;
+  std::set<std::string, std::less<>> Evacuated;
   std::optional<mono_time> RegainedAt;
   bool IsLost = false;
   bool IsKnown = false;
--- a/src/peer_datagrams.cpp
+++ b/src/peer_datagrams.cpp
@@ -1,6 +1,7 @@
 #include "peer_datagrams.h"
 
 #include "config.h"
+#include "hashing.h"
 #include "sockets.h"
 
 #include <algorithm>
@@ -58,8 +59,9 @@
     if (!Parsed)
       continue;
     const udp::endpoint Peer(Parsed->address(), Parsed->port());
-    if (Peer != Own)
-      Peers.try_emplace(Peer, peer{Now, mono_time{}, 0});
+    if (Peer != Own &&
+        Peers.try_emplace(Peer, peer{Now, mono_time{}, 0}).second)
+      ++Generation;
   }
 }
 
@@ -81,7 +83,9 @@
           return;
         if (!Error && Count > 0) {
           const mono_time Now = Clock.bootNow();
-          Peers[Sender].HeardAt = Now;
+          const auto [Peer, IsNew] = Peers.try_emplace(Sender);
+          Peer->second.HeardAt = Now;
+          Generation += IsNew ? 1 : 0;
           Handler(static_cast<peer_message>(Buffer[0]), textOf(Sender),
                   std::string_view(Buffer.data() + 1, Count - 1));
         }
@@ -90,7 +94,7 @@
 }
 
 void peer_datagrams::forget(mono_time Now) {
-  std::erase_if(Peers, [Now](const auto &Entry) {
+  Generation += std::erase_if(Peers, [Now](const auto &Entry) {
     return Now - Entry.second.HeardAt > config::PeerMemory;
   });
 }
@@ -137,6 +141,14 @@
               messageOf(Kind, Bytes));
 }
 
+std::vector<std::uint64_t> peer_datagrams::hashes() const {
+  std::vector<std::uint64_t> Known;
+  Known.reserve(Peers.size());
+  for (const auto &[Address, Peer] : Peers)
+    Known.push_back(stableHash(textOf(Address)));
+  return Known;
+}
+
 std::vector<relay_peer> peer_datagrams::heard(mono_time Now) const {
   std::vector<relay_peer> Found;
   const duration Life = life();
--- a/src/peer_datagrams.h
+++ b/src/peer_datagrams.h
@@ -44,6 +44,11 @@
   /// Sends to all that were heard lately.
   void sendToAll(peer_message Kind, std::string_view Bytes);
   std::size_t peers() const { return Peers.size(); }
+  /// Hashes of the addresses of all that are known, also of those that fell
+  /// silent.
+  std::vector<std::uint64_t> hashes() const;
+  /// Grows whenever a peer becomes known or is forgotten.
+  std::uint64_t generation() const { return Generation; }
   /// After which a peer that sent nothing counts as silent.
   duration life() const;
 
@@ -76,6 +81,7 @@
   boost::asio::ip::udp::endpoint Sender;
   std::array<char, config::MaxPeerMessageBytes> Buffer{};
   std::map<boost::asio::ip::udp::endpoint, peer> Peers;
+  std::uint64_t Generation = 0;
   std::size_t Turn = 0; ///< where sending goes on if there are too many
   handler Handler;
 };
--- a/src/peer_loads.cpp
+++ b/src/peer_loads.cpp
@@ -20,6 +20,7 @@
 constexpr std::size_t LoadFields = 3;
 constexpr std::size_t SessionFields = 3;
 constexpr std::size_t DigestFields = 4;
+constexpr std::size_t ColdFields = 2;
 
 } // namespace
 
@@ -67,9 +68,15 @@
     Loads.push_back({Load.Endpoint,
                      static_cast<std::uint64_t>(Load.Work * WorkUnit),
                      Load.Running});
-  const json Body = {Digest.Vm, Digest.Incarnation, Digest.Sequence,
+  auto Cold = json::array();
+  for (const cold_note &Note : Digest.Cold)
+    Cold.push_back({Note.Endpoint, Note.Left.count()});
+  const json Body = {Digest.Vm,
+                     Digest.Incarnation,
+                     Digest.Sequence,
                      std::move(Loads),
-                     static_cast<std::uint64_t>(Digest.Cores * CoresUnit)};
+                     static_cast<std::uint64_t>(Digest.Cores * CoresUnit),
+                     std::move(Cold)};
   std::string Bytes;
   json::to_msgpack(Body, Bytes);
   return Bytes;
@@ -93,6 +100,14 @@
     }
     if (Body.size() > DigestFields)
       Digest.Cores = Body[DigestFields].get<double>() / CoresUnit;
+    if (Body.size() > DigestFields + 1)
+      for (const json &Note : Body[DigestFields + 1]) {
+        if (!Note.is_array() || Note.size() < ColdFields)
+          return std::nullopt;
+        Digest.Cold.push_back(
+            {Note[0].get<std::uint32_t>(),
+             std::chrono::milliseconds(Note[1].get<std::uint32_t>())});
+      }
     return Digest;
   } catch (const json::exception &) {
     return std::nullopt; // the caller counts it
--- a/src/peer_loads.h
+++ b/src/peer_loads.h
@@ -2,6 +2,7 @@
 
 #include "clock.h"
 #include "config.h"
+#include "warm_up.h"
 
 #include <cstdint>
 #include <map>
@@ -37,6 +38,7 @@
   std::uint64_t Sequence = 0; ///< grows with each digest of an incarnation
   std::vector<endpoint_load> Loads;
   double Cores = 0; ///< of the VM; 0: not known
+  std::vector<cold_note> Cold = {};
 };
 
 /// The hash by which digests name an endpoint or a service.
--- a/src/platform.h
+++ b/src/platform.h
@@ -4,6 +4,7 @@
 #include "version_shift.h"
 
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -23,6 +24,8 @@
                           std::optional<endpoint_info> Info) = 0;
   virtual void onEndpointList(std::vector<endpoint_info> Infos) = 0;
   virtual void onListReachable(bool IsReachable) = 0;
+  /// The data centres that the operator has evacuated, all of them.
+  virtual void onEvacuations(std::set<std::string, std::less<>> Ordered) = 0;
   /// `ReadAt` is the same moment, but for the way, on all routers.
   virtual void onRolloutOrder(const rollout_order &Order, mono_time ReadAt) = 0;
   virtual void onRolloutStatus(std::string_view Service,
--- a/src/reach_watch.h
+++ b/src/reach_watch.h
@@ -41,6 +41,7 @@
                         std::string_view DataCentre) const {
     return !Silent.contains(Id) && isCentreSilent(DataCentre);
   }
+  bool isCentreSilent(std::string_view DataCentre) const;
   /// For the next connection to that data centre.
   duration connectTimeout(std::string_view DataCentre) const;
 
@@ -65,7 +66,6 @@
     /// Endpoints that didn't answer since the last one that did.
     std::set<std::string, std::less<>> Unanswered;
   };
-  bool isCentreSilent(std::string_view DataCentre) const;
 
   std::map<std::string, silent_endpoint, std::less<>> Silent;
   std::map<std::string, data_centre, std::less<>> Centres;
--- a/src/route_table.h
+++ b/src/route_table.h
@@ -41,6 +41,7 @@
   bool IsPublic = false;    ///< needs no key
   bool IsSticky = false;    ///< requests share parts of their prompts
   bool IsResumable = false;
+  std::vector<std::string> Regions; ///< where it may run; empty: anywhere
 
   /// A second run harms nobody.
   bool mayRepeat() const {
@@ -62,6 +63,8 @@
   unsigned Slots = 0;               ///< requests in one batch of an engine
   std::uint64_t KvTokens = 0;       ///< an engine's memory
   std::vector<model_price> Models;
+  std::chrono::milliseconds ColdTime{0}; ///< of an endpoint after its start
+  double ColdRequestsPerSecond = 0; ///< that it takes meanwhile; 0: not bounded
 };
 
 /// Limits on what callers may send.
@@ -75,6 +78,7 @@
 struct customer_rule {
   std::string Name;
   std::optional<unsigned> Priority; ///< goes before the route's
+  std::vector<std::string> Regions; ///< where it may run; empty: anywhere
 };
 
 /// One version of the configuration, immutable once built.
--- a/src/routed_call.h
+++ b/src/routed_call.h
@@ -30,6 +30,7 @@
   std::vector<prompt_part> Parts;
   unsigned PromptTokens = 0;
   unsigned AnswerTokens = 0; ///< at most
+  unsigned LengthHint = 0;   ///< the caller's guess of them; 0: none
 };
 
 /// A caller's request with what the configuration says of it.
--- a/src/routed_request.cpp
+++ b/src/routed_request.cpp
@@ -22,6 +22,13 @@
                           : attempt_result::Unreachable;
 }
 
+/// Whether a request that may run in these regions alone may run there.
+bool isHome(const std::vector<std::string> &Regions,
+            const endpoint_info &Endpoint) {
+  return Regions.empty() || std::find(Regions.begin(), Regions.end(),
+                                      Endpoint.Region) != Regions.end();
+}
+
 std::string_view nameOf(exchange_failure Failure) {
   switch (Failure) {
   case exchange_failure::NotConnected:
@@ -124,6 +131,9 @@
   Request.Affinity = affinityHash(Call.Facts);
   Request.Excluded = Excluded;
   Request.IsAllowed = [this, Shift, Now](const endpoint_info &Info) {
+    if (!isHome(Call.Route->Regions, Info) ||
+        !isHome(Call.Customer.Regions, Info))
+      return false;
     if (!PinnedVersion.empty() && Info.Version != PinnedVersion)
       return false;
     if (!Shift)
@@ -227,7 +237,7 @@
   Attempt->IsSent = true;
   Attempt->HeardAt = Now;
   HasPaidRepeat = false;
-  Context.Choice.connected(Attempt->Endpoint, Now - Attempt->SentAt);
+  Context.Choice.connected(Attempt->Endpoint, Now - Attempt->SentAt, Now);
 }
 
 void routed_request::onHead(endpoint_answer Answer, mono_time Now) {
--- a/src/router.cpp
+++ b/src/router.cpp
@@ -213,6 +213,9 @@
   Gauges.Connections = static_cast<double>(Callers->connections());
   Gauges.Endpoints = static_cast<double>(Directory.size());
   Gauges.AvoidedEndpoints = static_cast<double>(Choice.avoided(now()));
+  Gauges.ColdEndpoints = static_cast<double>(Choice.warmUp().cold(now()));
+  Gauges.EvacuatedDataCentres =
+      static_cast<double>(Directory.evacuated().size());
   Gauges.ConfigurationVersion =
       Table ? static_cast<double>(Table->Version) : 0.0;
   Gauges.KeyLeaseAgeSeconds =
@@ -243,6 +246,7 @@
       if (Model.CostPerThousandTokens <= 0)
         logs::warning("model_without_price",
                       {{"service", Name}, {"model", Model.Name}});
+  noteColdRules();
   logs::info("configuration",
              {{"version", std::to_string(Table->Version)},
               {"routes", std::to_string(Table->Routes.size())},
@@ -259,6 +263,11 @@
   noteReadiness();
 }
 
+std::string router::regionOf(std::string_view DataCentre) const {
+  const auto Known = Settings.Regions.find(DataCentre);
+  return Known == Settings.Regions.end() ? std::string{} : Known->second;
+}
+
 void router::onEndpoint(std::string_view Id,
                         std::optional<endpoint_info> Info) {
   const endpoint_info *Known = Directory.find(Id);
@@ -274,6 +283,10 @@
                           : Info->State == endpoint_state::Leaving ? "leaving"
                                                                    : "ready"},
                 {"version", Info ? Info->Version : std::string{}}});
+  if (Info) {
+    Info->Region = regionOf(Info->DataCentre);
+    Choice.warmUp().noteEntry(digestHash(Id), Info->ColdFor, now());
+  }
   Directory.apply(Id, std::move(Info), now());
   if (IsChange)
     noteEndpoints(Service);
@@ -281,8 +294,11 @@
 
 void router::onEndpointList(std::vector<endpoint_info> Infos) {
   std::set<std::string> Services;
-  for (const endpoint_info &Info : Infos)
+  for (endpoint_info &Info : Infos) {
+    Info.Region = regionOf(Info.DataCentre);
     Services.insert(Info.Service);
+    Choice.warmUp().noteEntry(digestHash(Info.Id), Info.ColdFor, now());
+  }
   logs::info("endpoint_list", {{"endpoints", std::to_string(Infos.size())}});
   Directory.replace(std::move(Infos), now());
   for (const std::string &Service : Services)
@@ -297,6 +313,35 @@
     Directory.lost(now());
 }
 
+void router::noteColdRules() {
+  for (const auto &[Name, Service] : Table->Services) {
+    Choice.warmUp().setRule(Name,
+                            {Service.ColdTime, Service.ColdRequestsPerSecond});
+    if (Service.ColdTime > duration::zero() &&
+        Service.ColdRequestsPerSecond <= 0)
+      logs::warning("cold_endpoints_not_bounded", {{"service", Name}});
+  }
+}
+
+// Endpoints that are taken back have been idle, and may be cold before their
+// entries say so.
+void router::onEvacuations(std::set<std::string, std::less<>> Ordered) {
+  const auto Before = Directory.evacuated();
+  if (Ordered == Before)
+    return;
+  for (const std::string &Centre : Ordered)
+    if (!Before.contains(Centre))
+      logs::info("data_centre_evacuated", {{"data_centre", Centre}});
+  Directory.setEvacuated(std::move(Ordered));
+  for (const std::string &Centre : Before)
+    if (!Directory.evacuated().contains(Centre)) {
+      logs::info("data_centre_taken_back", {{"data_centre", Centre}});
+      Choice.noteColdCentre(Centre, now());
+    }
+  for (const auto &[Service, Shift] : Shifts)
+    noteEndpoints(Service);
+}
+
 version_shift *router::shiftOf(std::string_view Service) {
   const auto Found = Shifts.find(Service);
   return Found == Shifts.end() ? nullptr : Found->second.get();
@@ -415,6 +460,8 @@
   }
   Peers->noteCores(Sender, Digest->Cores);
   Loads.take(*Digest, now());
+  for (const cold_note &Note : Digest->Cold)
+    Choice.warmUp().noteTold(Note, now());
 }
 
 void router::takeNotes(std::string_view Bytes) {
@@ -446,7 +493,8 @@
   DigestAt = Now;
   Peers->send(peer_message::Loads,
               encodeDigest({Settings.VmName, Incarnation, ++DigestSequence,
-                            Choice.loads(), Settings.Cores}));
+                            Choice.loads(), Settings.Cores,
+                            Choice.warmUp().notes(Now)}));
   // All others need them: a session's next request may come in anywhere.
   if (!SessionNotes.empty())
     Peers->sendToAll(peer_message::Sessions,
@@ -471,6 +519,7 @@
   Choice.forgetGone();
   Budget.setLimits(limitsOf(Settings, knownVms()));
   tickReach(Now);
+  tickWarmUp(Now);
   tickRollouts(Now);
   tickDigest(Now);
   logEstimates(Now);
@@ -484,7 +533,7 @@
   for (const endpoint_info &Endpoint : Choice.probesDue(Now))
     Probes.start(Endpoint.Address, Choice.connectTimeout(Endpoint),
                  [this, Endpoint, Now] {
-                   Choice.connected(Endpoint, now() - Now);
+                   Choice.connected(Endpoint, now() - Now, now());
                    logs::info("endpoint_answers",
                               {{"endpoint", Endpoint.Id},
                                {"data_centre", Endpoint.DataCentre}});
@@ -496,6 +545,17 @@
     Session->look();
 }
 
+void router::tickWarmUp(mono_time Now) {
+  Choice.warmUp().expire(Now);
+  const std::uint64_t Generation = Peers ? Peers->generation() : 0;
+  if ((Peers && !ArePeersKnown) || VmsGeneration == Generation)
+    return;
+  VmsGeneration = Generation;
+  Choice.warmUp().setVms(stableHash(Settings.PeerAddress),
+                         Peers ? Peers->hashes()
+                               : std::vector<std::uint64_t>{});
+}
+
 void router::logEstimates(mono_time Now) {
   if (Now - EstimatesLoggedAt < config::EstimateLogPeriod)
     return;
--- a/src/router.h
+++ b/src/router.h
@@ -44,6 +44,7 @@
                   std::optional<endpoint_info> Info) override;
   void onEndpointList(std::vector<endpoint_info> Infos) override;
   void onListReachable(bool IsReachable) override;
+  void onEvacuations(std::set<std::string, std::less<>> Ordered) override;
   void onRolloutOrder(const rollout_order &Order, mono_time ReadAt) override;
   void onRolloutStatus(std::string_view Service, std::string_view Target,
                        rollout_state State) override;
@@ -80,6 +81,9 @@
   void armTick();
   void tick();
   void tickReach(mono_time Now);
+  void tickWarmUp(mono_time Now);
+  void noteColdRules();
+  std::string regionOf(std::string_view DataCentre) const;
   void logEstimates(mono_time Now);
   void tickRollouts(mono_time Now);
   void shareReport(const version_shift &Shift, mono_time Now);
@@ -123,6 +127,7 @@
   std::unique_ptr<caller_server> Ready;
   std::unique_ptr<caller_server> MetricsServer;
   std::unique_ptr<peer_datagrams> Peers;
+  std::optional<std::uint64_t> VmsGeneration; ///< that shares go by
   std::uint64_t DigestSequence = 0;
   std::vector<session_note> SessionNotes; ///< not sent yet
   mono_time DigestAt{};
--- a/src/router_metrics.h
+++ b/src/router_metrics.h
@@ -34,6 +34,8 @@
     double Connections = 0;
     double Endpoints = 0;
     double AvoidedEndpoints = 0;
+    double ColdEndpoints = 0;
+    double EvacuatedDataCentres = 0;
     double ConfigurationVersion = 0;
     double KeyLeaseAgeSeconds = 0;
     double DroppedLogLines = 0;
--- a/src/router_settings.h
+++ b/src/router_settings.h
@@ -3,6 +3,7 @@
 #include "clock.h"
 
 #include <cstddef>
+#include <map>
 #include <string>
 
 namespace clementinelane {
@@ -11,6 +12,8 @@
 struct router_settings {
   std::string VmName;
   std::string DataCentre;
+  /// The region of each data centre.
+  std::map<std::string, std::string, std::less<>> Regions;
   std::string Address;       ///< IP number of this VM
   std::string CallerAddress; ///< where callers connect
   std::string ReadyAddress;  ///< where the balancer asks
--- a/tests/peer_loads_test.cpp
+++ b/tests/peer_loads_test.cpp
@@ -116,3 +116,14 @@
     Second.reset();
   });
 }
+
+// Guards against what one VM sees of a crash staying with it.
+BOOST_AUTO_TEST_CASE(cold_endpoints_are_told_in_digests) {
+  load_digest Digest = digest("a", 1, 10);
+  Digest.Cold = {{digestHash("e1"), 2500ms}, {digestHash("e2"), 1ms}};
+  const auto Decoded = decodeDigest(encodeDigest(Digest));
+  BOOST_REQUIRE(Decoded);
+  BOOST_REQUIRE(Decoded->Cold.size() == 2U);
+  BOOST_TEST(Decoded->Cold[0].Endpoint == digestHash("e1"));
+  BOOST_TEST((Decoded->Cold[0].Left == 2500ms));
+}
--- a/tests/platform_headers_test.cpp
+++ b/tests/platform_headers_test.cpp
@@ -146,6 +146,19 @@
   BOOST_TEST(Parsed.Value.Cores == 0.5);
 }
 
+// Guards against a region that is guessed where its entry can't be read.
+BOOST_AUTO_TEST_CASE(regions_of_data_centres_are_read) {
+  const auto Parsed = parsePlatformSettings(
+      "node.toml", Settings + "\n[zones]\nhall-a = \"north\"\n");
+  BOOST_TEST(Parsed.Errors.empty());
+  BOOST_TEST(Parsed.Value.Regions.at("hall-a") == "north");
+  const auto Wrong =
+      parsePlatformSettings("node.toml", Settings + "\n[zones]\nhall-a = 5\n");
+  BOOST_REQUIRE(Wrong.Errors.size() == 1U);
+  BOOST_TEST(
+      formatError(Wrong.Errors[0]).ends_with("zones.hall-a: must be a text"));
+}
+
 BOOST_AUTO_TEST_CASE(settings_tell_every_mistake_with_its_line) {
   const auto Parsed = parsePlatformSettings("node.toml", R"(node_name = 5
 zone = "a"
--- a/tests/platform_records_test.cpp
+++ b/tests/platform_records_test.cpp
@@ -170,3 +170,32 @@
   });
   BOOST_TEST(IsOk);
 }
+
+BOOST_AUTO_TEST_CASE(cold_rules_and_regions_are_decoded) {
+  const std::string Text =
+      replaced(replaced(replaced(Routes, "\"max_connections\":370",
+                                 "\"max_connections\":370,\"cold_start_s\":3.5,"
+                                 "\"cold_per_s\":5.3"),
+                        "\"max_attempts\":2",
+                        "\"max_attempts\":2,\"allowed_regions\":[\"north\"]"),
+               "\"api_keys\":[\"k3\"]",
+               "\"api_keys\":[\"k3\"],\"allowed_regions\":[\"south\"]");
+  const auto [Table, Problem] = decodeRoutes(Text);
+  BOOST_REQUIRE(Table);
+  BOOST_TEST((Table->Services.at("x").ColdTime == 3500ms));
+  BOOST_TEST(Table->Services.at("x").ColdRequestsPerSecond == 5.3);
+  BOOST_TEST(Table->Services.at("y").ColdRequestsPerSecond == 0);
+  BOOST_TEST(Table->find("h.example", "/a/b/")->Regions.size() == 1U);
+  BOOST_TEST(Table->CustomerByKey.at("k3").Regions[0] == "south");
+}
+
+// Guards against a cold time or rate that no endpoint can have.
+BOOST_AUTO_TEST_CASE(impossible_cold_rules_are_bounded) {
+  const auto [Table, Problem] =
+      decodeRoutes(replaced(Routes, "\"max_connections\":370",
+                            "\"max_connections\":370,\"cold_start_s\":1e300,"
+                            "\"cold_per_s\":-4"));
+  BOOST_REQUIRE(Table);
+  BOOST_TEST((Table->Services.at("x").ColdTime == 1h));
+  BOOST_TEST(Table->Services.at("x").ColdRequestsPerSecond == 0);
+}
--- a/tests/routed_request_test.cpp
+++ b/tests/routed_request_test.cpp
@@ -436,7 +436,7 @@
   }
   const auto Probes = Choice.probesDue(Now + 1s);
   BOOST_TEST(Probes.size() >= 2U);
-  Choice.connected(*Directory.find("f5"), 1ms);
+  Choice.connected(*Directory.find("f5"), 1ms, Now);
   BOOST_TEST(!Choice.isSilent(*Directory.find("f6")));
 }
 
@@ -523,3 +523,36 @@
   BOOST_TEST(Out.IsBrokenOff);
   BOOST_TEST((Now - Begun < 2s));
 }
+
+// Guards against a request that leaves the regions of its route or customer.
+BOOST_FIXTURE_TEST_CASE(homes_of_route_and_customer_both_bind, routed_fixture) {
+  const auto AddIn = [this](const std::string &Id, const std::string &Region) {
+    endpoint_info Info = *Directory.find("e1");
+    Info.Id = Id;
+    Info.Region = Region;
+    Directory.apply(Id, Info, Now);
+  };
+  AddIn("n1", "north");
+  AddIn("s1", "south");
+  const auto Begin = [this](const std::vector<std::string> &OfRoute,
+                            const std::vector<std::string> &OfCustomer) {
+    Table->Routes[0].Regions = OfRoute;
+    routed_call Call = call(0);
+    Call.Customer.Regions = OfCustomer;
+    return begin(std::move(Call));
+  };
+  for (int Each = 0; Each < 10; ++Each) {
+    auto Request = Begin({"north"}, {});
+    BOOST_TEST(Out.Attempts[0].Endpoint.Id == "n1");
+    // Its only home fails: it isn't repeated elsewhere.
+    Request->onFailure(exchange_failure::NotConnected, Now);
+    for (const attempt_order &Order : Out.Attempts)
+      BOOST_TEST(Order.Endpoint.Id == "n1");
+  }
+  const auto Of = Begin({"north", "south"}, {"south"});
+  BOOST_TEST(Out.Attempts[0].Endpoint.Id == "s1");
+  const auto None = Begin({"north"}, {"south"});
+  BOOST_REQUIRE(Out.Refused);
+  BOOST_TEST((Out.Refused->Ran == run_state::NotRun));
+  BOOST_TEST((Out.Refused->RetryAfter > 0s));
+}
--- a/tests/router_test.cpp
+++ b/tests/router_test.cpp
@@ -242,6 +242,36 @@
   BOOST_TEST(call("/booking/1", "b2", "k2").starts_with("HTTP/1.1 200"));
 }
 
+// Guards against requests for a data centre that the operator has evacuated,
+// and against an evacuation that outlives its end.
+BOOST_FIXTURE_TEST_CASE(evacuated_data_centre_is_left_and_used_again, fixture) {
+  Thread.run([&] { Store->put("keyed.op", "evacuate/hall-a", "{}"); });
+  await([] { return call("/booking/1", "b1").starts_with("HTTP/1.1 503"); });
+  const std::string Refused = call("/review/1", "r1");
+  BOOST_TEST(Refused.starts_with("HTTP/1.1 503"));
+  BOOST_TEST(Refused.find("Retry-After: ") != std::string::npos);
+  BOOST_TEST(runsOf("r1") == 0U);
+  Thread.run([&] { Store->remove("keyed.op", "evacuate/hall-a"); });
+  await([] { return call("/booking/1", "b2").starts_with("HTTP/1.1 200"); });
+}
+
+// Guards against a router that starts amid an evacuation, or lists all orders
+// after it was taken back.
+BOOST_FIXTURE_TEST_CASE(listed_evacuations_are_all_there_are, fixture) {
+  Thread.run([&] {
+    Store->put("keyed.op", "evacuate/hall-a", "not an order");
+    Store->compact("keyed.op");
+  });
+  await([] { return call("/booking/1", "b1").starts_with("HTTP/1.1 503"); });
+  Thread.run([&] {
+    Store->setFault(store_fault::Reset);
+    Store->remove("keyed.op", "evacuate/hall-a");
+    Store->compact("keyed.op");
+    Store->setFault(store_fault::None);
+  });
+  await([] { return call("/booking/1", "b2").starts_with("HTTP/1.1 200"); });
+}
+
 // A router starts after a roll-out was rolled back. Its order and its status
 // both stand in the store; the router must not begin it again.
 BOOST_FIXTURE_TEST_CASE(ended_rollout_is_not_begun_again, fixture) {
--- a/tests/standin/platform/store.cpp
+++ b/tests/standin/platform/store.cpp
@@ -59,6 +59,10 @@
   add(Topic, std::string(1, static_cast<char>(Key.size())) + Key + Value);
 }
 
+void platform_store::remove(const std::string &Topic, const std::string &Key) {
+  put(Topic, Key, {});
+}
+
 std::optional<std::string>
 platform_store::newest(const std::string &Topic, const std::string &Key) const {
   const auto Found = Topics.find(Topic);
--- a/tests/standin/platform/store.h
+++ b/tests/standin/platform/store.h
@@ -29,6 +29,7 @@
 
   void put(const std::string &Topic, const std::string &Key,
            const std::string &Value);
+  void remove(const std::string &Topic, const std::string &Key);
   void compact(const std::string &Topic);
   void setFault(store_fault Value) { Fault = Value; }
   /// The newest value of a key.
--- /dev/null
+++ b/tests/warm_up_test.cpp
@@ -0,0 +1,272 @@
+#define BOOST_TEST_MODULE warm_up
+#include "config.h"
+#include "endpoint_choice.h"
+#include "hashing.h"
+#include "warm_up.h"
+
+#include <algorithm>
+#include <boost/test/unit_test.hpp>
+#include <deque>
+#include <map>
+#include <random>
+
+using namespace clementinelane;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::string_view Service = "engine";
+constexpr double Rate = 5.3;
+constexpr double Overshoot = 1.5;
+constexpr double Tolerance = 5;
+constexpr auto ColdTime = 3s;
+
+/// What the fleet's VMs believe of each other.
+struct fleet_beliefs {
+  double Unknown = 0;   ///< part of the others that a VM doesn't know
+  std::size_t Late = 0; ///< VMs that started just now: they know all, nobody
+                        ///< knows them
+};
+
+/// A fleet whose VMs send a cold endpoint whatever they may, all the time.
+class eager_fleet {
+public:
+  eager_fleet(std::size_t Count, std::uint64_t Seed,
+              const fleet_beliefs &Beliefs = {})
+      : Random(Seed), Vms(Count) {
+    std::vector<std::uint64_t> Hashes;
+    for (std::size_t Vm = 0; Vm < Count; ++Vm)
+      Hashes.push_back(stableHash("vm" + std::to_string(Vm), Seed));
+    std::uniform_real_distribution<double> Point;
+    for (std::size_t Vm = 0; Vm < Count; ++Vm) {
+      std::vector<std::uint64_t> Others;
+      for (std::size_t Other = 0; Other < Count; ++Other) {
+        const bool IsLate = Vm >= Beliefs.Late && Other < Beliefs.Late;
+        if (Other != Vm && !IsLate && Point(Random) >= Beliefs.Unknown)
+          Others.push_back(Hashes[Other]);
+      }
+      Vms[Vm].setVms(Hashes[Vm], std::move(Others));
+      Vms[Vm].setRule(Service, {ColdTime, Rate});
+    }
+  }
+
+  /// The most arrivals within any one second until the endpoint is warm, each
+  /// up to `TravelTime` after it was sent.
+  std::size_t mostInOneSecond(duration TravelTime = 20ms) {
+    constexpr std::uint32_t Endpoint = 77;
+    const mono_time Start{1h};
+    for (warm_up &Vm : Vms)
+      Vm.noteEntry(Endpoint, ColdTime, Start);
+    std::vector<mono_time> Arrivals;
+    std::uniform_int_distribution<duration::rep> Travel(0, TravelTime.count());
+    for (mono_time Now = Start; Now < Start + ColdTime; Now += 5ms)
+      for (warm_up &Vm : Vms)
+        if (Vm.mayTake(Endpoint, Service, Now)) {
+          Vm.taken(Endpoint, Service, Now);
+          Arrivals.push_back(Now + duration(Travel(Random)));
+        }
+    std::sort(Arrivals.begin(), Arrivals.end());
+    std::deque<mono_time> Window;
+    std::size_t Most = 0;
+    for (const mono_time At : Arrivals) {
+      Window.push_back(At);
+      while (At - Window.front() >= 1s)
+        Window.pop_front();
+      Most = std::max(Most, Window.size());
+    }
+    return Most;
+  }
+
+private:
+  std::mt19937_64 Random;
+  std::vector<warm_up> Vms;
+};
+
+constexpr double Bound = Rate * Overshoot + Tolerance;
+
+/// An engine in each of two data centres, and one VM that knows no other.
+struct choice_fixture {
+  mono_time Now{1h};
+  endpoint_directory Directory{2s};
+  peer_loads Peers;
+  endpoint_choice Choice{Directory, Peers, "hall-a", 1};
+
+  choice_fixture() {
+    Choice.warmUp().setRule(Service, {ColdTime, Rate});
+    Choice.warmUp().setVms(1, {});
+    for (const char *Centre : {"hall-a", "hall-b"}) {
+      endpoint_info Info;
+      Info.Id = std::string("engine-") + Centre;
+      Info.Service = Service;
+      Info.DataCentre = Centre;
+      Directory.apply(Info.Id, Info, Now);
+    }
+  }
+  const endpoint_info &endpoint(std::string_view DataCentre) const {
+    return *Directory.in(DataCentre).front();
+  }
+  bool isCold(std::string_view DataCentre) const {
+    return Choice.warmUp().isCold(digestHash(endpoint(DataCentre).Id), Now);
+  }
+  static choice_request request() {
+    choice_request Request;
+    Request.Service = Service;
+    Request.Model = "small";
+    return Request;
+  }
+  std::optional<chosen_endpoint> choose() {
+    return Choice.choose(request(), Now);
+  }
+};
+
+} // namespace
+
+// Guards against a bound that holds for small fleets only.
+BOOST_AUTO_TEST_CASE(cold_endpoint_gets_its_rate_from_fleets_of_any_size) {
+  for (const std::size_t Vms : {1U, 9U, 71U, 300U, 1100U})
+    for (std::uint64_t Seed = 0; Seed < (Vms > 300 ? 20U : 250U); ++Seed)
+      BOOST_TEST(static_cast<double>(eager_fleet(Vms, Seed).mostInOneSecond()) <
+                 Bound);
+}
+
+// Guards against VMs that each take themselves for an owner since they haven't
+// heard of some of the others.
+BOOST_AUTO_TEST_CASE(bound_holds_where_vms_know_different_others) {
+  for (const std::size_t Vms : {9U, 71U, 300U})
+    for (std::uint64_t Seed = 0; Seed < 330; ++Seed)
+      BOOST_TEST(static_cast<double>(
+                     eager_fleet(Vms, Seed, {0.1, 0}).mostInOneSecond()) <
+                 Bound);
+}
+
+// Guards against newcomers that own endpoints beside those who don't know them.
+BOOST_AUTO_TEST_CASE(bound_holds_while_vms_start) {
+  for (const std::size_t Vms : {9U, 71U, 300U})
+    for (std::uint64_t Seed = 0; Seed < 330; ++Seed)
+      BOOST_TEST(static_cast<double>(
+                     eager_fleet(Vms, Seed, {0, Vms / 6}).mostInOneSecond()) <
+                 Bound);
+}
+
+// Guards against a VM that starts, knows nobody yet and takes itself for the
+// only one.
+BOOST_AUTO_TEST_CASE(vm_that_knows_no_others_sends_nothing) {
+  warm_up Vm;
+  Vm.setRule(Service, {ColdTime, Rate});
+  const mono_time Now{1h};
+  Vm.noteEntry(7, 2s, Now);
+  BOOST_TEST(!Vm.mayTake(7, Service, Now));
+  BOOST_TEST(Vm.mayTake(8, Service, Now));
+  Vm.setVms(1, {});
+  BOOST_TEST(Vm.mayTake(7, Service, Now));
+}
+
+// Guards against a wrong entry that keeps an endpoint out for good.
+BOOST_AUTO_TEST_CASE(cold_times_are_bounded) {
+  warm_up Vm;
+  Vm.setRule(Service, {ColdTime, Rate});
+  const mono_time Now{1h};
+  Vm.noteEntry(7, -5s, Now);
+  BOOST_TEST(!Vm.isCold(7, Now));
+  Vm.noteEntry(7, 1000h, Now);
+  BOOST_TEST(Vm.isCold(7, Now));
+  BOOST_TEST(!Vm.isCold(7, Now + config::MostColdTime));
+  Vm.expire(Now + config::MostColdTime);
+  BOOST_TEST(Vm.cold(Now) == 0U);
+}
+
+// Guards against rumours that VMs keep alive by telling what they were told.
+BOOST_AUTO_TEST_CASE(only_what_a_vm_saw_itself_is_told) {
+  warm_up Vm;
+  Vm.setRule(Service, {ColdTime, Rate});
+  const mono_time Now{1h};
+  Vm.noteTold({7, 2s}, Now);
+  Vm.noteEntry(8, 2s, Now);
+  BOOST_TEST(Vm.notes(Now).empty());
+  Vm.noteStart(9, Service, Now);
+  BOOST_REQUIRE(Vm.notes(Now + 1s).size() == 1U);
+  BOOST_TEST(Vm.notes(Now + 1s)[0].Endpoint == 9U);
+  BOOST_TEST((Vm.notes(Now + 1s)[0].Left == 2s));
+  BOOST_TEST(Vm.notes(Now + ColdTime).empty());
+}
+
+// Guards against a bound on services that don't ask for one.
+BOOST_AUTO_TEST_CASE(service_without_a_rate_is_not_bounded) {
+  warm_up Vm;
+  Vm.setRule(Service, {ColdTime, 0});
+  const mono_time Now{1h};
+  Vm.noteStart(7, Service, Now);
+  Vm.noteEntry(7, 2s, Now);
+  BOOST_TEST(Vm.mayTake(7, Service, Now));
+  Vm.taken(7, Service, Now);
+  BOOST_TEST(Vm.mayTake(7, Service, Now));
+}
+
+// Guards against a crash that is over before an entry tells of it.
+BOOST_FIXTURE_TEST_CASE(endpoint_back_at_its_address_is_cold, choice_fixture) {
+  const auto First = choose();
+  BOOST_REQUIRE(First);
+  Choice.ended(First->Id, 1, attempt_result::Unreachable, std::nullopt, Now);
+  Now += 4s;
+  BOOST_TEST(!isCold(First->DataCentre));
+  Choice.connected(*First, 1ms, Now);
+  BOOST_TEST(isCold(First->DataCentre));
+  Now += ColdTime;
+  BOOST_TEST(!isCold(First->DataCentre));
+}
+
+// Guards against a stream that breaks with a crash, noticed by few VMs.
+BOOST_FIXTURE_TEST_CASE(endpoint_that_breaks_streams_may_be_cold,
+                        choice_fixture) {
+  const auto First = choose();
+  Choice.ended(First->Id, 1, attempt_result::Broken, std::nullopt, Now);
+  BOOST_TEST(isCold(First->DataCentre));
+  BOOST_TEST(Choice.warmUp().notes(Now).size() == 1U);
+}
+
+// Guards against a whole data centre that is idle, cold and the first choice of
+// all when it answers again.
+BOOST_FIXTURE_TEST_CASE(data_centre_that_answers_again_is_cold,
+                        choice_fixture) {
+  for (const char *Id : {"b1", "b2", "b3"}) {
+    endpoint_info Info = endpoint("hall-b");
+    Info.Id = Id;
+    Directory.apply(Id, Info, Now);
+  }
+  for (const char *Id : {"b1", "b2"}) {
+    Choice.peek(request(), Now);
+    Choice.ended(Id, 0, attempt_result::Unreachable, std::nullopt, Now);
+  }
+  Now += 10s;
+  BOOST_TEST(!Choice.warmUp().isCold(digestHash("b3"), Now));
+  Choice.connected(*Directory.find("b1"), 1ms, Now);
+  BOOST_TEST(Choice.warmUp().isCold(digestHash("b3"), Now));
+}
+
+// Guards against a burst on a cold endpoint that is the only one left.
+BOOST_FIXTURE_TEST_CASE(requests_go_to_warm_endpoints_beyond_the_rate,
+                        choice_fixture) {
+  Choice.noteColdCentre("hall-a", Now);
+  std::map<std::string, int> Sent;
+  for (int Each = 0; Each < 20; ++Each)
+    ++Sent[choose()->DataCentre];
+  BOOST_TEST(Sent["hall-a"] <= 1);
+  BOOST_TEST(Sent["hall-b"] >= 19);
+  Choice.noteColdCentre("hall-b", Now);
+  BOOST_TEST(choose().has_value());
+  BOOST_TEST(!choose().has_value());
+  Now += 1s;
+  BOOST_TEST(choose().has_value());
+}
+
+// Guards against work for an evacuated data centre, and against what it is like
+// when it is taken back.
+BOOST_FIXTURE_TEST_CASE(evacuated_data_centre_gets_nothing, choice_fixture) {
+  Directory.setEvacuated({"hall-a"});
+  for (int Each = 0; Each < 20; ++Each)
+    BOOST_TEST(choose()->DataCentre == "hall-b");
+  Directory.setEvacuated({"hall-a", "hall-b"});
+  BOOST_TEST(!choose().has_value());
+  Directory.setEvacuated({});
+  BOOST_TEST(choose().has_value());
+}
