Keep crashes from making other endpoints cold; wait briefly for a cold one's turn

Two silent engines make their data centre silent to a VM; with the next answer that VM took all engines there for cold and told all others, so the whole fleet thought nearly every engine cold. And a request whose VM had just used its turn at each cold engine was refused, though the next came within 0.4 s. Ruled out: the rate itself (93 cold engines take 490 requests a second, 300 came).

Change: only what a VM saw of the engine itself makes it cold; where a turn, or the end of the cold time, comes within an eighth of the target latency the request waits for it, and else is refused at once. An endpoint whose address answers as another one is not asked again until it is another incarnation, and a newer entry at an address ends the older.

--- a/src/endpoint_choice.cpp
+++ b/src/endpoint_choice.cpp
@@ -49,7 +49,8 @@
     if (IsExcluded || (Request.IsAllowed && !Request.IsAllowed(*Info)))
       continue;
     state &State = stateOf(*Info);
-    if (WarmUp.mayTake(State.DigestHash, Request.Service, Now))
+    if (!State.IsReplaced &&
+        WarmUp.mayTake(State.DigestHash, Request.Service, Now))
       Found.emplace_back(Info, &State);
   }
   return Found;
@@ -234,6 +235,12 @@
     State.Strikes = 0;
     average(State.FailureRate, 1);
     break;
+  // Failure: endpoints restart as others at their old addresses, and the list
+  // names the old ones for seconds. Their addresses answer, so a probe says
+  // nothing, and each request would try several of them in vain.
+  case attempt_result::Replaced:
+    State.IsReplaced = true;
+    break;
   case attempt_result::Full:
     State.AvoidedUntil = Now + config::FullEndpointPause;
     break;
@@ -259,13 +266,11 @@
   }
 }
 
-// Failure: endpoints were away for less time than it takes until their entries
-// tell of it, and are back at their old addresses, cold.
+// Failure: an endpoint was away for less time than it takes until its entry
+// tells of it, and is back at its old address, cold.
 void endpoint_choice::connected(const endpoint_info &Endpoint, duration Took,
                                 mono_time Now) {
-  if (Reach.isCentreSilent(Endpoint.DataCentre))
-    noteColdCentre(Endpoint.DataCentre, Now);
-  else if (Reach.isSilent(Endpoint.Id, Endpoint.DataCentre))
+  if (Reach.isSilent(Endpoint.Id))
     WarmUp.noteStart(digestHash(Endpoint.Id), Endpoint.Service, Now);
   Reach.connected(Endpoint.Id, Endpoint.DataCentre, Took);
 }
@@ -273,7 +278,19 @@
 void endpoint_choice::noteColdCentre(std::string_view DataCentre,
                                      mono_time Now) {
   for (const endpoint_info *Info : Directory.in(DataCentre))
-    WarmUp.noteStart(digestHash(Info->Id), Info->Service, Now);
+    WarmUp.noteCold(digestHash(Info->Id), WarmUp.coldTime(Info->Service), Now);
+}
+
+std::optional<mono_time>
+endpoint_choice::nextPlace(const choice_request &Request, mono_time Now) const {
+  std::optional<mono_time> Earliest;
+  for (const endpoint_info *Info : Directory.usable(Request.Service)) {
+    if (Request.IsAllowed && !Request.IsAllowed(*Info))
+      continue;
+    const mono_time At = WarmUp.nextAt(digestHash(Info->Id), Now);
+    Earliest = std::min(Earliest.value_or(At), At);
+  }
+  return Earliest;
 }
 
 std::vector<endpoint_info> endpoint_choice::probesDue(mono_time Now) {
--- a/src/endpoint_choice.h
+++ b/src/endpoint_choice.h
@@ -41,6 +41,7 @@
   Failed,      ///< an answer that tells of an endpoint's own failure
   Full,        ///< refused, not run
   Unreachable, ///< no connection
+  Replaced,    ///< another endpoint has its address
   Broken,      ///< connection lost or silent, or bytes that are no answer
   Dropped      ///< given up by us or by the caller
 };
@@ -64,6 +65,10 @@
   /// An endpoint, and counts the attempt as under way there.
   std::optional<chosen_endpoint> choose(const choice_request &Request,
                                         mono_time Now);
+  /// When this VM may next send a request for which there is no endpoint now,
+  /// as far as it waits for cold ones.
+  std::optional<mono_time> nextPlace(const choice_request &Request,
+                                     mono_time Now) const;
   /// Work under way at an endpoint, from all VMs.
   double workAt(std::string_view Id) const;
   /// The same for the mean endpoint of a service.
@@ -104,6 +109,7 @@
 
 private:
   struct state {
+    bool IsReplaced = false; ///< until it comes back as another incarnation
     std::uint64_t Incarnation = 0;
     std::uint64_t IdHash = 0;
     std::uint32_t DigestHash = 0;
--- a/src/endpoint_directory.cpp
+++ b/src/endpoint_directory.cpp
@@ -9,6 +9,8 @@
                                std::optional<endpoint_info> Info,
                                mono_time Now) {
   if (Info) {
+    if (!Entries.contains(Id))
+      removeReplaced(*Info);
     Entries.insert_or_assign(std::string(Id),
                              entry{std::move(*Info), std::nullopt});
     return;
@@ -17,6 +19,15 @@
     remove(Entry, Now);
 }
 
+// Failure: an endpoint crashes and another one starts at its address. The old
+// entry stays for some heartbeats and gets requests that can't run there.
+void endpoint_directory::removeReplaced(const endpoint_info &By) {
+  std::erase_if(Entries, [&By](const auto &Entry) {
+    const endpoint_info &Old = Entry.second.Info;
+    return Old.Address == By.Address && Old.Incarnation < By.Incarnation;
+  });
+}
+
 void endpoint_directory::remove(
     std::map<std::string, entry, std::less<>>::iterator Entry, mono_time Now) {
   const bool IsLapse = IsLost || (RegainedAt && Now - *RegainedAt < Grace);
--- a/src/endpoint_directory.h
+++ b/src/endpoint_directory.h
@@ -73,6 +73,7 @@
     endpoint_info Info;
     std::optional<mono_time> LapsedUntil;
   };
+  void removeReplaced(const endpoint_info &By);
   void remove(std::map<std::string, entry, std::less<>>::iterator Entry,
               mono_time Now);
 
--- a/src/peer_datagrams.h
+++ b/src/peer_datagrams.h
@@ -19,7 +19,8 @@
   Sessions = 'S',
   Report = 'R',
   Question = 'Q',
-  Answer = 'A'
+  Answer = 'A',
+  News = 'N'
 };
 
 /// Datagrams between the routers of a fleet. A router that sends becomes known
@@ -63,6 +64,9 @@
   void sendAnswer(const std::string &Address, std::string_view Bytes) override {
     sendTo(Address, peer_message::Answer, Bytes);
   }
+  void sendNews(std::string_view Bytes) override {
+    sendToAll(peer_message::News, Bytes);
+  }
 
 private:
   struct peer {
--- a/src/reach_watch.h
+++ b/src/reach_watch.h
@@ -41,7 +41,8 @@
                         std::string_view DataCentre) const {
     return !Silent.contains(Id) && isCentreSilent(DataCentre);
   }
-  bool isCentreSilent(std::string_view DataCentre) const;
+  /// The endpoint itself, whatever its data centre.
+  bool isSilent(std::string_view Id) const { return Silent.contains(Id); }
   /// For the next connection to that data centre.
   duration connectTimeout(std::string_view DataCentre) const;
 
@@ -66,6 +67,7 @@
     /// Endpoints that didn't answer since the last one that did.
     std::set<std::string, std::less<>> Unanswered;
   };
+  bool isCentreSilent(std::string_view DataCentre) const;
 
   std::map<std::string, silent_endpoint, std::less<>> Silent;
   std::map<std::string, data_centre, std::less<>> Centres;
--- a/src/read_relay.cpp
+++ b/src/read_relay.cpp
@@ -133,8 +133,32 @@
 void read_relay::proven(relayed_topic Topic, std::uint64_t End,
                         mono_time SentAt) {
   topic &Known = at(Topic);
+  const bool IsNew = Known.End != End || !Known.ProvenAt ||
+                     SentAt - *Known.ProvenAt > config::MaxRelayedAge;
   Known.End = End;
   Known.ProvenAt = SentAt;
+  if (IsNew)
+    announce(Topic, SentAt);
+}
+
+// Failure: an order is known to the readers, or they have the store back, and
+// the others ask up to a pause later. Requests run meanwhile on endpoints that
+// a completed roll-out has stopped, or are refused though keys hold again.
+void read_relay::announce(relayed_topic Topic, mono_time Now) {
+  const bool IsUrgent =
+      Topic == relayed_topic::Orders || Topic == relayed_topic::Statuses;
+  if (IsUrgent && Peers && isReader(Now))
+    Peers->sendNews(toBytes(static_cast<unsigned>(Topic)));
+}
+
+void read_relay::takeNews(std::string_view Bytes) {
+  try {
+    const auto Topic = json::from_msgpack(Bytes).get<std::size_t>();
+    if (Topic < RelayedTopics && NewsHandler)
+      NewsHandler(static_cast<relayed_topic>(Topic));
+  } catch (const json::exception &) {
+    return; // the next question finds it out
+  }
 }
 
 void read_relay::forget(topic &Known, std::uint64_t Offset) {
--- a/src/read_relay.h
+++ b/src/read_relay.h
@@ -84,6 +84,8 @@
                             std::string_view Bytes) = 0;
   virtual void sendAnswer(const std::string &Address,
                           std::string_view Bytes) = 0;
+  /// To all that were heard lately.
+  virtual void sendNews(std::string_view Bytes) = 0;
 };
 
 /// Lets a few routers read the platform's store for all, without I/O.
@@ -113,6 +115,10 @@
 
   /// From now on questions go out; the peers must outlive the relay's use.
   void connect(relay_peers &Value) { Peers = &Value; }
+  /// Called when a reader has something new in a topic.
+  void onNews(std::function<void(relayed_topic)> Handler) {
+    NewsHandler = std::move(Handler);
+  }
   /// No more questions; those under way come to nothing.
   void disconnect();
 
@@ -142,6 +148,7 @@
   void takeQuestion(const std::string &From, std::string_view Bytes,
                     mono_time Now);
   void takeAnswer(std::string_view Bytes, mono_time Now);
+  void takeNews(std::string_view Bytes);
   /// Whether others asked lately for a topic of which this router has no fresh
   /// proof; it follows the topic for them.
   bool isWanted(relayed_topic Topic, mono_time Now) const;
@@ -187,10 +194,12 @@
             handler Handler);
   const packed &pack(relayed_topic Topic, std::uint64_t From, mono_time Now);
   void end(std::uint64_t Number, std::optional<news> News);
+  void announce(relayed_topic Topic, mono_time Now);
 
   std::string Own;
   double Cores; ///< of this VM
   relay_peers *Peers = nullptr;
+  std::function<void(relayed_topic)> NewsHandler;
   std::array<topic, RelayedTopics> Topics;
   std::array<packed, RelayedTopics> Packed;
   std::map<std::uint64_t, question> Asked;
--- a/src/routed_request.cpp
+++ b/src/routed_request.cpp
@@ -10,6 +10,8 @@
 namespace {
 
 constexpr std::string_view AnyModel = "*";
+/// Of the target latency, for a wait at this VM.
+constexpr int UnnoticedPartOfTarget = 8;
 
 bool wasSent(exchange_failure Failure) {
   return Failure != exchange_failure::NotConnected &&
@@ -184,7 +186,7 @@
   }
   const auto Endpoint = chooseEndpoint(Now);
   if (!Endpoint) {
-    if (!waitsForEndpoint(Now))
+    if (!waitsForEndpoint(Now) && !waitsForColdEndpoint(Now))
       giveUp("no_endpoint", Now);
     return;
   }
@@ -248,8 +250,7 @@
   Attempt->Answer = std::move(Answer);
   const endpoint_answer &Head = *Attempt->Answer;
   if (Head.SaysNotRun) {
-    failed(Head.IsElsewhere ? attempt_result::Unreachable
-                            : attempt_result::Full,
+    failed(Head.IsElsewhere ? attempt_result::Replaced : attempt_result::Full,
            false, Head.IsElsewhere ? "elsewhere" : "endpoint_full", Now);
     return;
   }
@@ -517,6 +518,21 @@
   return true;
 }
 
+// Load: most endpoints have just started, and each VM may send them a request
+// now and then. Harm prevented: a request is refused though its turn comes
+// within a time that its caller doesn't notice. Any longer wait is for the
+// caller to decide.
+bool routed_request::waitsForColdEndpoint(mono_time Now) {
+  const auto At = Context.Choice.nextPlace(choiceFor(Model, Now), Now);
+  const mono_time Latest =
+      Call.ArrivedAt + Call.Route->TargetLatency / UnnoticedPartOfTarget;
+  if (!At || *At <= Now || *At > std::min(Latest, finalTime()))
+    return false;
+  Excluded.clear();
+  RetryAt = *At;
+  return true;
+}
+
 void routed_request::giveUp(std::string_view Why, mono_time Now) {
   if (HasBegunAnswer) {
     Outputs.note("broken_off", Why, "");
--- a/src/routed_request.h
+++ b/src/routed_request.h
@@ -135,6 +135,7 @@
   bool isPatient() const;
   void retryOrGiveUp(std::string_view Why, mono_time Now);
   bool waitsForEndpoint(mono_time Now);
+  bool waitsForColdEndpoint(mono_time Now);
   void giveUp(std::string_view Why, mono_time Now);
   void refuse(error_kind Kind, run_state Ran, mono_time Now);
   void finish(mono_time Now);
@@ -156,7 +157,7 @@
   unsigned ConnectFailures = 0;
   bool HasPaidRepeat = false;       ///< for a repeat that hasn't arrived yet
   mono_time ToldAt{};               ///< last event that went to the caller
-  std::optional<mono_time> RetryAt; ///< a stream waits for an endpoint
+  std::optional<mono_time> RetryAt; ///< while it waits for an endpoint
   bool AnyMayHaveRun = false;
   bool HasBegunAnswer = false;
   bool IsOver = false;
--- a/src/router.cpp
+++ b/src/router.cpp
@@ -285,7 +285,7 @@
                 {"version", Info ? Info->Version : std::string{}}});
   if (Info) {
     Info->Region = regionOf(Info->DataCentre);
-    Choice.warmUp().noteEntry(digestHash(Id), Info->ColdFor, now());
+    Choice.warmUp().noteCold(digestHash(Id), Info->ColdFor, now());
   }
   Directory.apply(Id, std::move(Info), now());
   if (IsChange)
@@ -297,7 +297,7 @@
   for (endpoint_info &Info : Infos) {
     Info.Region = regionOf(Info.DataCentre);
     Services.insert(Info.Service);
-    Choice.warmUp().noteEntry(digestHash(Info.Id), Info.ColdFor, now());
+    Choice.warmUp().noteCold(digestHash(Info.Id), Info.ColdFor, now());
   }
   logs::info("endpoint_list", {{"endpoints", std::to_string(Infos.size())}});
   Directory.replace(std::move(Infos), now());
@@ -448,6 +448,8 @@
     return Relay.takeQuestion(Sender, Bytes, now());
   case peer_message::Answer:
     return Relay.takeAnswer(Bytes, now());
+  case peer_message::News:
+    return Relay.takeNews(Bytes);
   }
   logs::warning("datagram_unreadable", {{"from", Sender}});
 }
--- a/src/warm_up.cpp
+++ b/src/warm_up.cpp
@@ -16,6 +16,11 @@
   return Rule != Rules.end() && Rule->second.RequestsPerSecond > 0;
 }
 
+duration warm_up::coldTime(std::string_view Service) const {
+  return isBounded(Service) ? Rules.find(Service)->second.Time
+                            : duration::zero();
+}
+
 void warm_up::setVms(std::uint64_t OwnHash,
                      std::vector<std::uint64_t> OtherHashes) {
   if (AreVmsKnown && Own == OwnHash && Others == OtherHashes)
@@ -47,7 +52,7 @@
   return Found->second;
 }
 
-void warm_up::noteEntry(std::uint32_t Endpoint, duration For, mono_time Now) {
+void warm_up::noteCold(std::uint32_t Endpoint, duration For, mono_time Now) {
   if (For <= duration::zero())
     return;
   entry &Entry = at(Endpoint);
@@ -60,12 +65,12 @@
   if (!isBounded(Service))
     return;
   entry &Entry = at(Endpoint);
-  Entry.SeenUntil = Now + Rules.find(Service)->second.Time;
+  Entry.SeenUntil = Now + coldTime(Service);
   Entry.ColdUntil = std::max(Entry.ColdUntil, Entry.SeenUntil);
 }
 
 void warm_up::noteTold(const cold_note &Note, mono_time Now) {
-  noteEntry(Note.Endpoint, Note.Left, Now);
+  noteCold(Note.Endpoint, Note.Left, Now);
 }
 
 bool warm_up::isCold(std::uint32_t Endpoint, mono_time Now) const {
@@ -82,6 +87,15 @@
   return Entry->second.IsOwner && Entry->second.NextAt <= Now;
 }
 
+mono_time warm_up::nextAt(std::uint32_t Endpoint, mono_time Now) const {
+  const auto Found = Entries.find(Endpoint);
+  if (Found == Entries.end())
+    return Now;
+  const entry &Entry = Found->second;
+  const mono_time Place = Entry.IsOwner ? Entry.NextAt : Entry.ColdUntil;
+  return std::max(Now, std::min(Place, Entry.ColdUntil));
+}
+
 duration warm_up::spacing(std::string_view Service) const {
   const double Owners =
       static_cast<double>(std::min(config::WarmUpOwners, Others.size() + 1));
--- a/src/warm_up.h
+++ b/src/warm_up.h
@@ -40,11 +40,13 @@
   void setRule(std::string_view Service, const cold_rule &Rule);
   /// Whether endpoints of the service are bounded while they are cold.
   bool isBounded(std::string_view Service) const;
+  /// For which they are cold after a start; 0 if they aren't bounded.
+  duration coldTime(std::string_view Service) const;
   /// Hashes of this VM and of all others that are known.
   void setVms(std::uint64_t Own, std::vector<std::uint64_t> Others);
 
-  /// The endpoint's own entry says that it is cold for so long.
-  void noteEntry(std::uint32_t Endpoint, duration For, mono_time Now);
+  /// The endpoint is cold for so long, as all VMs know.
+  void noteCold(std::uint32_t Endpoint, duration For, mono_time Now);
   /// This VM saw that the endpoint was, or may have been, started anew: it is
   /// cold for as long as its service's endpoints are after a start.
   void noteStart(std::uint32_t Endpoint, std::string_view Service,
@@ -56,6 +58,8 @@
   /// Whether this VM may send the endpoint a request now.
   bool mayTake(std::uint32_t Endpoint, std::string_view Service,
                mono_time Now) const;
+  /// When this VM may send the endpoint the next one.
+  mono_time nextAt(std::uint32_t Endpoint, mono_time Now) const;
   /// This VM sends it one.
   void taken(std::uint32_t Endpoint, std::string_view Service, mono_time Now);
   /// Forgets what is over; call it from time to time.
--- a/tests/endpoint_choice_test.cpp
+++ b/tests/endpoint_choice_test.cpp
@@ -291,3 +291,19 @@
   BOOST_TEST(Skewed > 1.0 / 3);
   BOOST_TEST_MESSAGE("stays: " << Even << " even, " << Skewed << " skewed");
 }
+
+// Guards against asking an endpoint that has gone again and again, since its
+// address answers.
+BOOST_FIXTURE_TEST_CASE(replaced_endpoint_is_asked_once, fixture) {
+  add(3, "engine");
+  const auto First = Choice.choose(engine("ledger"), Now);
+  Choice.ended(First->Id, 10, attempt_result::Replaced, std::nullopt, Now);
+  Choice.connected(*First, 1ms, Now);
+  Now += 10s;
+  for (int Each = 0; Each < 30; ++Each)
+    BOOST_TEST(Choice.choose(engine("ledger"), Now)->Id != First->Id);
+  endpoint_info Back = *Directory.find(First->Id);
+  Back.Incarnation = 7;
+  Directory.apply(Back.Id, Back, Now);
+  BOOST_TEST(Choice.peek(engine("ledger"), Now)->Id == First->Id);
+}
--- a/tests/endpoint_directory_test.cpp
+++ b/tests/endpoint_directory_test.cpp
@@ -142,3 +142,21 @@
   Lease.confirm(SentAt - 1s); // an older read proves nothing new
   BOOST_TEST((Lease.age(Now) == 4s));
 }
+
+// Guards against requests for an endpoint whose address another one has now.
+BOOST_FIXTURE_TEST_CASE(newer_endpoint_ends_the_older_at_its_address, fixture) {
+  const auto Add = [this](const std::string &Id, std::uint64_t Incarnation,
+                          const std::string &Address) {
+    endpoint_info Info = info(Id);
+    Info.Incarnation = Incarnation;
+    Info.Address = Address;
+    Directory.apply(Id, Info, Now);
+  };
+  Add("old", 5, "127.0.0.1:1");
+  Add("other", 5, "127.0.0.1:2");
+  Add("new", 6, "127.0.0.1:1");
+  BOOST_TEST(!Directory.find("old"));
+  BOOST_TEST(Directory.find("other"));
+  Add("late", 4, "127.0.0.1:1"); // an old entry that comes late ends nobody
+  BOOST_TEST(Directory.find("new"));
+}
--- a/tests/read_relay_test.cpp
+++ b/tests/read_relay_test.cpp
@@ -41,6 +41,11 @@
       else
         Fleet.Vms.at(To)->Relay.takeAnswer(Bytes, Fleet.Now);
     }
+    void sendNews(std::string_view Bytes) override {
+      for (const auto &[Address, Vm] : Fleet.Vms)
+        if (Address != Own && !Fleet.Silent.contains(Address))
+          Vm->Relay.takeNews(Bytes);
+    }
     fleet &Fleet;
     std::string Own;
   };
@@ -391,3 +396,41 @@
   });
   BOOST_TEST(IsOk);
 }
+
+// Guards against routers that learn of an order, or of the store's return, only
+// with their next question.
+BOOST_AUTO_TEST_CASE(readers_announce_what_is_new) {
+  fleet Fleet(9);
+  read_relay &Asker = Fleet.asker();
+  std::vector<relayed_topic> News;
+  Asker.onNews([&News](relayed_topic Topic) { News.push_back(Topic); });
+  Fleet.prove(7);
+  BOOST_TEST(News.size() == config::RelayReaders);
+  Fleet.Now += 400ms;
+  Fleet.prove(7); // nothing new
+  BOOST_TEST(News.size() == config::RelayReaders);
+  Fleet.Now += 400ms;
+  Fleet.prove(8);
+  BOOST_TEST(News.size() == 2 * config::RelayReaders);
+  Fleet.Now += 10s; // the store was away
+  Fleet.prove(8);
+  BOOST_TEST(News.size() == 3 * config::RelayReaders);
+  for (const relayed_topic Topic : News)
+    BOOST_TEST((Topic == relayed_topic::Orders));
+}
+
+// Guards against datagrams for each change of an endpoint, and from routers
+// that don't read for others.
+BOOST_AUTO_TEST_CASE(only_readers_announce_and_only_orders) {
+  fleet Fleet(9);
+  unsigned News = 0;
+  for (auto &[Address, Vm] : Fleet.Vms)
+    Vm->Relay.onNews([&News](relayed_topic) { ++News; });
+  Fleet.asker().proven(relayed_topic::Orders, 5, Fleet.Now);
+  for (auto &[Address, Vm] : Fleet.Vms)
+    Vm->Relay.proven(relayed_topic::Endpoints, 5, Fleet.Now);
+  BOOST_TEST(News == 0U);
+  Fleet.asker().takeNews("no message");
+  Fleet.asker().takeNews({});
+  BOOST_TEST(News == 0U);
+}
--- a/tests/routed_request_test.cpp
+++ b/tests/routed_request_test.cpp
@@ -556,3 +556,33 @@
   BOOST_TEST((Out.Refused->Ran == run_state::NotRun));
   BOOST_TEST((Out.Refused->RetryAfter > 0s));
 }
+
+// Guards against a refusal where a cold endpoint's turn comes at once, and
+// against a caller that is kept for longer than it doesn't notice.
+BOOST_FIXTURE_TEST_CASE(short_wait_for_a_cold_endpoint, routed_fixture) {
+  Choice.warmUp().setRule("engine", {5s, 4});
+  Choice.warmUp().setVms(1, {});
+  Choice.noteColdCentre("hall-a", Now);
+  for (int Each = 0; Each < 4; ++Each) {
+    stream();
+    BOOST_TEST(Out.Attempts.size() == 1U);
+  }
+  const auto Waiting = stream();
+  BOOST_TEST(Out.Attempts.empty());
+  BOOST_TEST(!Out.Refused.has_value());
+  BOOST_REQUIRE(Waiting->nextTimer());
+  BOOST_TEST(
+      (*Waiting->nextTimer() <= Now + Table->Routes[0].TargetLatency / 8));
+  Now = *Waiting->nextTimer();
+  Waiting->onTimer(Now);
+  BOOST_TEST(Out.Attempts.size() == 1U);
+  // With a lower rate the next turn is too far away.
+  Now += 1s;
+  Choice.warmUp().setRule("engine", {5s, 0.2});
+  for (int Each = 0; Each < 4; ++Each)
+    stream();
+  stream();
+  BOOST_REQUIRE(Out.Refused);
+  BOOST_TEST((Out.Refused->Ran == run_state::NotRun));
+  BOOST_TEST((Out.Refused->RetryAfter > 0s));
+}
