--- a/src/router.cpp
+++ b/src/router.cpp
@@ -282,7 +282,8 @@
                 {"state", !Info                                    ? "removed"
                           : Info->State == endpoint_state::Leaving ? "leaving"
                                                                    : "ready"},
-                {"version", Info ? Info->Version : std::string{}}});
+                {"version", Info ? Info->Version : std::string{}},
+                {"cold_ms", Info ? millisText(Info->ColdFor) : std::string{}}});
   if (Info) {
     Info->Region = regionOf(Info->DataCentre);
     Choice.warmUp().noteCold(digestHash(Id), Info->ColdFor, now());
@@ -329,9 +330,13 @@
   const auto Before = Directory.evacuated();
   if (Ordered == Before)
     return;
-  for (const std::string &Centre : Ordered)
-    if (!Before.contains(Centre))
-      logs::info("data_centre_evacuated", {{"data_centre", Centre}});
+  for (const std::string &Centre : Ordered) {
+    if (Before.contains(Centre))
+      continue;
+    logs::info("data_centre_evacuated", {{"data_centre", Centre}});
+    if (!Settings.Regions.empty() && !Settings.Regions.contains(Centre))
+      logs::warning("data_centre_unknown", {{"data_centre", Centre}});
+  }
   Directory.setEvacuated(std::move(Ordered));
   for (const std::string &Centre : Before)
     if (!Directory.evacuated().contains(Centre)) {
--- a/tests/platform_records_test.cpp
+++ b/tests/platform_records_test.cpp
@@ -199,3 +199,16 @@
   BOOST_TEST((Table->Services.at("x").ColdTime == 1h));
   BOOST_TEST(Table->Services.at("x").ColdRequestsPerSecond == 0);
 }
+
+// Guards against a cold time that turns into another one when it is converted.
+BOOST_AUTO_TEST_CASE(impossible_cold_times_of_entries_are_bounded) {
+  const auto ColdFor = [](const std::string &Millis) {
+    return decodeEndpoint("e1", replaced(Entry, "\"cold_remaining_ms\":0",
+                                         "\"cold_remaining_ms\":" + Millis))
+        ->ColdFor;
+  };
+  BOOST_TEST((ColdFor("2500") == 2500ms));
+  BOOST_TEST((ColdFor("-2500") == 0ms));
+  BOOST_TEST((ColdFor("1e300") == 1h));
+  BOOST_TEST((ColdFor("9223372036854775807") == 1h));
+}
