--- a/src/config.h
+++ b/src/config.h
@@ -238,17 +238,17 @@
 /// 0.95 from 0.97, few enough to see a change within a morning.
 constexpr double RatingMemory = 600;
 /// Rated answers that the operators' prior and all other customers' ratings
-/// count for at most, beside a customer's own. Tried on seeds 1001 to 1003: at
-/// 150 a customer with harder documents stays too long (0.987 of windows
-/// good), at 50 others pay more (1.03 of the clairvoyant cost, 75: 0.99).
+/// count for at most, beside a customer's own. With more, a customer whose
+/// documents are harder than others' keeps too cheap a version for too long;
+/// with less, a new customer pays for the dearest until its own ratings come.
 constexpr double CustomerPriorWeight = 75;
 /// Share of requests that may try a cheaper version not yet proved good
 /// enough. Two in a hundred bounds both the cost of learning and the harm.
 constexpr double ExplorationShare = 0.02;
 /// Probability that a good roll-out is stopped within 1,920 ratings. The users
-/// allow one in a hundred; half is left for what is assumed of the old version.
-/// Tried on seeds 1001 to 1400: 0.005 to 0.01, restart 10 to 25, margin 0.02
-/// and 0.03, equal and falling weights.
+/// allow one in a hundred; half is left for what is assumed of the old version,
+/// whose ratings are few at the start and whose mean may lie a little off. A
+/// lower one lets a bad version run for longer.
 constexpr double RolloutFalseStops = 0.005;
 /// How much worse than the old version a new one may be.
 constexpr double RolloutMargin = 0.02;
@@ -605,7 +605,7 @@
 /// What another data centre costs an engine's call, in work under way: a fixed
 /// part, some short calls, so that idle engines don't draw calls over, and this
 /// part of the pool's mean. With half, a data centre that has half again its
-/// share of the load starts to give some away; 0.5 to 1.2 lie within 0.005.
+/// share of the load starts to give some of it away.
 constexpr double OtherCentreWork = 10;
 constexpr double OtherCentreShare = 0.5;
 /// What another data centre costs a plain call, in requests under way.
@@ -846,7 +846,7 @@
 constexpr auto RolloutHastyPause = 400ms;
 constexpr auto RolloutReadPause = 1200ms;
 constexpr auto StatusReadPause = 1s;
-/// A call without a wait; the slowest answers seen took 300 ms.
+/// A call without a wait; several times what the store takes when it is busy.
 constexpr auto StoreCallTimeout = 1500ms;
 /// The same after a failed call: the store may be back before a silent one
 /// ends.
