Name what a request asks in the lines of its attempts

Cause of the change: an id is new at each of a caller's tries, so no line told that two ids carry the same request, and the hypotheses of the incident could not be told apart. Each attempt now bears a digest of customer, method, path and body.

--- a/src/hashing.h
+++ b/src/hashing.h
@@ -1,6 +1,9 @@
 #pragma once
 
+#include <array>
+#include <charconv>
 #include <cstdint>
+#include <string>
 #include <string_view>
 #include <xxhash.h>
 
@@ -19,4 +22,11 @@
   return Value ^ (Value >> 31U);
 }
 
+/// A hash for people and for keys of records.
+inline std::string hexText(std::uint64_t Value) {
+  std::array<char, 16> Digits{};
+  const auto End = std::to_chars(Digits.begin(), Digits.end(), Value, 16).ptr;
+  return {Digits.begin(), End};
+}
+
 } // namespace clementinelane
--- a/src/router.cpp
+++ b/src/router.cpp
@@ -4,6 +4,7 @@
 #include "hashing.h"
 #include "logs.h"
 #include "metrics.h"
+#include "request_digest.h"
 #include "rollout_codec.h"
 #include "router_session_p.h"
 
@@ -165,6 +166,8 @@
     return RefuseNow(error_kind::BadRequest);
   Call.Service = serviceFor(*Call.Route, sessionHash(Call.Facts));
   Call.Body = Exchange->body();
+  Call.Digest = requestDigest(Call.Customer.Name, Call.Head.Method,
+                              Call.Head.Target, Call.Body);
   Metrics.requestTaken(Call.Route->Name);
   const auto Session =
       std::make_shared<session>(*this, std::move(Exchange), std::move(Call));
--- a/src/router_session.cpp
+++ b/src/router_session.cpp
@@ -1,6 +1,7 @@
 #include "router_session_p.h"
 
 #include "config.h"
+#include "hashing.h"
 
 #include <algorithm>
 
@@ -98,6 +99,7 @@
 void router::session::startAttempt(const attempt_order &Order) {
   logs::decision("attempt",
                  {{"id", call().Facts.Id},
+                  {"request", hexText(call().Digest)},
                   {"endpoint", Order.Endpoint.Id},
                   {"version", Order.Endpoint.Version},
                   {"model", Order.Model},
