Failing test: a request that crashes endpoints is sent on by every VM

Three VMs, six engines that one body of one customer crashes. After three engines have ended under it and every VM had 3 s to learn of it, the same request under new ids ends 6 more (allowed 3), and no endpoint is left for other requests. The same for a VM that starts afterwards, and for VMs that hear no datagrams.

--- a/src/routed_call.h
+++ b/src/routed_call.h
@@ -39,7 +39,7 @@
   std::string Body;
   call_facts Facts;
   std::uint64_t Digest = 0; ///< see requestDigest()
-  route_table_ptr Table; ///< the version that the request was taken under
+  route_table_ptr Table;    ///< the version that the request was taken under
   const route_rule *Route = nullptr;
   std::string Service;
   customer_rule Customer;
--- a/tests/standin/platform/endpoint.cpp
+++ b/tests/standin/platform/endpoint.cpp
@@ -19,9 +19,33 @@
 platform_endpoint::platform_endpoint(boost::asio::io_context &Context,
                                      std::string_view Address,
                                      endpoint_behaviour Behaviour)
-    : Context(Context), Behaviour(std::move(Behaviour)),
-      Server(Context, Address,
-             [this](const exchange_ptr &Exchange) { take(Exchange); }) {}
+    : Context(Context), Behaviour(std::move(Behaviour)), Address(Address),
+      Down(Context) {
+  listen();
+}
+
+void platform_endpoint::listen() {
+  Server = std::make_unique<caller_server>(
+      Context, Address,
+      [this](const exchange_ptr &Exchange) { take(Exchange); });
+}
+
+bool platform_endpoint::crashes(const caller_exchange &Exchange) const {
+  return !Behaviour.CrashBody.empty() &&
+         Exchange.body() == Behaviour.CrashBody &&
+         (Behaviour.CrashCustomer.empty() ||
+          Exchange.head().value("X-Tenant") == Behaviour.CrashCustomer);
+}
+
+void platform_endpoint::crash() {
+  ++Crashes;
+  Server.reset();
+  Down.expires_after(Behaviour.DownFor);
+  Down.async_wait([this](const boost::system::error_code &Error) {
+    if (!Error)
+      listen();
+  });
+}
 
 bool platform_endpoint::administers(caller_exchange &Exchange) {
   const std::string &Target = Exchange.head().Target;
@@ -88,6 +112,12 @@
 
 void platform_endpoint::step(const std::shared_ptr<run> &Run) {
   caller_exchange &Exchange = *Run->Exchange;
+  if (!Server)
+    return;
+  if (crashes(Exchange)) {
+    crash();
+    return;
+  }
   if (Behaviour.Fails) {
     Exchange.answer(500, fieldsFor(Exchange), "failed");
     return;
--- a/tests/standin/platform/endpoint.h
+++ b/tests/standin/platform/endpoint.h
@@ -21,6 +21,11 @@
   bool IsFull = false;   ///< answers that nothing was run
   bool IsMute = false;   ///< never answers
   unsigned CutAfter = 0; ///< closes the connection after so many events
+  /// A request with this body crashes it: all its connections break, and new
+  /// ones are refused for `DownFor`.
+  std::string CrashBody;
+  std::string CrashCustomer; ///< only with that customer's; empty: anyone's
+  std::chrono::milliseconds DownFor{100};
 };
 
 /// A model engine or a plain service of the platform. Beside requests it takes
@@ -34,6 +39,7 @@
   endpoint_behaviour &behaviour() { return Behaviour; }
   /// How often each request ran here.
   const std::map<std::string, unsigned> &runs() const { return Runs; }
+  unsigned crashes() const { return Crashes; }
   /// Requests under way whose caller has left.
   unsigned cancelled() const { return Cancelled; }
 
@@ -44,14 +50,20 @@
   bool administers(caller_exchange &Exchange);
   void work(const std::shared_ptr<run> &Run);
   void step(const std::shared_ptr<run> &Run);
+  bool crashes(const caller_exchange &Exchange) const;
+  void crash();
+  void listen();
   std::vector<http_field> fieldsFor(const caller_exchange &Exchange) const;
 
   boost::asio::io_context &Context;
   endpoint_behaviour Behaviour;
   std::map<std::string, unsigned> Runs;
   unsigned Cancelled = 0;
+  unsigned Crashes = 0;
   std::vector<exchange_ptr> Muted;
-  caller_server Server;
+  std::string Address;
+  boost::asio::steady_timer Down;
+  std::unique_ptr<caller_server> Server; ///< none while it is down
 };
 
 } // namespace clementinelane::standin
