Hold requests under which endpoints ended, on all VMs

Callers saw: engines of a pool end one after the other, 46 in 16 s; requests of all kinds refused or cut.

Cause: a VM blames a broken connection on the endpoint alone. The request is handed to the next endpoint, up to the route's attempts, and comes again under a new id at any VM, which knows nothing of it.

Ruled out: more attempts than the route allows (three at most in the logs); ends by load (the histories show each engine end 40 to 200 ms after it began to run the same request).

An endpoint whose connections break is probed; refused or unanswered, it ended, and what was on it is suspect. Readers sum up what all VMs saw, tell all of what ended under three, and keep it in the store for VMs that start later or hear no datagrams. Companions are cleared of ends that a held request explains; what was served isn't suspected.

--- a/include/clementinelane/error.h
+++ b/include/clementinelane/error.h
@@ -41,6 +41,7 @@
   DeadlinePassed,
   QuotaExceeded,
   RetryBudgetSpent,
+  RequestQuarantined,
   UsageStoreFull,
   Draining,
   NotReady,
--- a/src/config.h
+++ b/src/config.h
@@ -859,6 +859,40 @@
 /// Between looks at the settings file, which may change without a signal.
 constexpr auto SettingsLookPause = 1s;
 
+// --- requests that crash endpoints -------------------------------------------
+
+/// Endpoints that end under a request before no other gets it, and before the
+/// store is told: the least that two parts of a cut fleet have to add up.
+constexpr std::size_t QuarantineCrashes = 3;
+constexpr std::size_t StoredCrashes = 2;
+/// Ends that are remembered of one request.
+constexpr std::size_t MaxNotedCrashes = 16;
+/// After the last end a request is held for this long, and a suspect is
+/// remembered; a caller that repeats it daily crashes one endpoint a day.
+constexpr auto QuarantineLife = 24h;
+constexpr auto SuspectLife = 1h;
+/// Suspects; some 100 bytes each. An engine that ends leaves up to a hundred.
+constexpr std::size_t MaxSuspects = 4096;
+/// Requests that were served last and are not suspected; 50 bytes each.
+constexpr std::size_t MaxServedRequests = 1024;
+/// Longer than a note takes to arrive, so that the ends under a request are
+/// all known before others are cleared of them.
+constexpr auto CrashBlameTime = 1s;
+/// Within this all connections to an ended endpoint have broken.
+constexpr auto CrashVerdictLife = 1s;
+/// Each note is told so often, this far apart: one in ten datagrams may be
+/// lost on a bad link.
+constexpr unsigned CrashNoteRepeats = 3;
+constexpr auto CrashNotePause = 200ms;
+/// Notes of one datagram; below 32 KiB with all their ends.
+constexpr std::size_t MaxCrashNotes = 200;
+/// Until a write to the store is tried again, and until a second router writes
+/// what the first should have.
+constexpr auto QuarantineSavePause = 2s;
+constexpr auto QuarantineOthersSaveAfter = 1s;
+/// Long poll for what the store keeps; routers hear of it by datagram first.
+constexpr auto QuarantinePollWait = 4s;
+
 // --- log lines ---------------------------------------------------------------
 
 /// Bytes that wait for a reader; some 1,500 lines.
--- a/src/connect_probes.cpp
+++ b/src/connect_probes.cpp
@@ -27,7 +27,7 @@
 } // namespace
 
 void connect_probes::start(std::string_view Address, duration Timeout,
-                           std::function<void()> OnAnswered) {
+                           std::function<void(bool)> OnDone) {
   const auto Parsed = parseAddress(Address);
   if (!Parsed)
     return;
@@ -38,12 +38,11 @@
       Probe->close();
   });
   Probe->Socket.async_connect(
-      *Parsed, [Probe, Answered = std::move(OnAnswered)](
+      *Parsed, [Probe, Weak = std::weak_ptr(Life), Done = std::move(OnDone)](
                    const boost::system::error_code &Error) {
-        if (Error != boost::asio::error::operation_aborted)
-          Probe->close();
-        if (!Error)
-          Answered();
+        Probe->close();
+        if (!Weak.expired())
+          Done(!Error);
       });
 }
 
--- a/src/connect_probes.h
+++ b/src/connect_probes.h
@@ -4,6 +4,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <functional>
+#include <memory>
 #include <string_view>
 
 namespace clementinelane {
@@ -16,13 +17,14 @@
   explicit connect_probes(boost::asio::io_context &Context)
       : Context(Context) {}
 
-  /// `OnAnswered` is called if the connection stands within `Timeout`; nothing
-  /// is called otherwise.
+  /// `OnDone` is called once: whether the connection stood within `Timeout`.
   void start(std::string_view Address, duration Timeout,
-             std::function<void()> OnAnswered);
+             std::function<void(bool IsAnswered)> OnDone);
 
 private:
   boost::asio::io_context &Context;
+  /// Probes under way call nobody once this is gone.
+  std::shared_ptr<const bool> Life = std::make_shared<const bool>(true);
 };
 
 } // namespace clementinelane
--- /dev/null
+++ b/src/crash_watch.cpp
@@ -0,0 +1,47 @@
+#include "crash_watch.h"
+
+#include "config.h"
+
+#include <utility>
+
+namespace clementinelane {
+
+crash_watch::verdict crash_watch::broke(const endpoint_info &Endpoint,
+                                        std::uint64_t Request, mono_time Now) {
+  auto [Found, IsNew] = Entries.try_emplace(Endpoint.Id);
+  entry &Entry = Found->second;
+  if (!IsNew && Entry.Incarnation != Endpoint.Incarnation) {
+    Entry = entry{};
+    IsNew = true;
+  }
+  if (!IsNew && Entry.HasEnded)
+    return verdict::Ended;
+  Entry.Requests.push_back(Request);
+  if (!IsNew)
+    return verdict::Wait;
+  Entry.Incarnation = Endpoint.Incarnation;
+  Entry.At = Now;
+  return verdict::Probe;
+}
+
+std::vector<std::uint64_t> crash_watch::probed(std::string_view EndpointId,
+                                               bool IsAnswered, mono_time Now) {
+  const auto Found = Entries.find(EndpointId);
+  if (Found == Entries.end())
+    return {};
+  if (IsAnswered) {
+    Entries.erase(Found);
+    return {};
+  }
+  Found->second.HasEnded = true;
+  Found->second.At = Now;
+  return std::exchange(Found->second.Requests, {});
+}
+
+void crash_watch::expire(mono_time Now) {
+  std::erase_if(Entries, [Now](const auto &Item) {
+    return Now - Item.second.At >= config::CrashVerdictLife;
+  });
+}
+
+} // namespace clementinelane
--- a/src/hashing.h
+++ b/src/hashing.h
@@ -3,8 +3,10 @@
 #include <array>
 #include <charconv>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
+#include <system_error>
 #include <xxhash.h>
 
 namespace clementinelane {
@@ -29,4 +31,14 @@
   return {Digits.begin(), End};
 }
 
+/// The hash behind hexText()'s text; none if it is another text.
+inline std::optional<std::uint64_t> hexValue(std::string_view Text) {
+  std::uint64_t Value = 0;
+  const auto [Rest, Error] =
+      std::from_chars(Text.data(), Text.data() + Text.size(), Value, 16);
+  if (Error != std::errc() || Rest != Text.data() + Text.size())
+    return std::nullopt;
+  return Value;
+}
+
 } // namespace clementinelane
--- a/src/peer_datagrams.h
+++ b/src/peer_datagrams.h
@@ -18,6 +18,7 @@
   Loads = 'L',
   Sessions = 'S',
   Report = 'R',
+  Crashes = 'C',
   Question = 'Q',
   Answer = 'A',
   News = 'N'
--- a/src/platform.h
+++ b/src/platform.h
@@ -37,6 +37,9 @@
   virtual void onReport(std::string_view Bytes) = 0;
   /// All reports that stood in the store when a read was sent were told.
   virtual void onReportsRead(mono_time SentAt) = 0;
+  /// What was kept of a request with keepQuarantine(); none if it was dropped.
+  virtual void onQuarantine(std::string_view Key,
+                            std::optional<std::string_view> Bytes) = 0;
   /// Addresses of the routers that named themselves.
   virtual void onPeers(const std::vector<std::string> &Addresses) = 0;
   /// A call to the store ended; for metrics.
@@ -54,6 +57,10 @@
   /// roll-out is under way.
   virtual void followRollouts(bool IsWanted, bool IsHasty) = 0;
   virtual void shareReport(std::string_view Vm, std::string_view Bytes) = 0;
+  /// Read once at the start in any case, and followed while it is wanted.
+  virtual void followQuarantine(bool IsWanted) = 0;
+  /// Keeps `Bytes` under `Key` for all routers; empty ones drop it.
+  virtual void keepQuarantine(std::string_view Key, std::string_view Bytes) = 0;
   /// Names this router to the others and asks, once, for those before it.
   virtual void joinPeers(std::string_view Vm, std::string_view Address) = 0;
   /// Writes a status unless another came in between.
--- /dev/null
+++ b/src/request_quarantine.cpp
@@ -0,0 +1,253 @@
+#include "request_quarantine.h"
+
+#include "config.h"
+#include "hashing.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+namespace clementinelane {
+
+namespace {
+
+using json = nlohmann::json;
+
+/// Fields of a note, in their order on the wire.
+constexpr std::size_t NoteFields = 3;
+
+} // namespace
+
+std::uint64_t crashId(std::string_view EndpointId, std::uint64_t Incarnation) {
+  return stableHash(EndpointId, Incarnation);
+}
+
+std::string encodeCrashNotes(std::span<const crash_note> Notes) {
+  auto Body = json::array();
+  for (const crash_note &Note : Notes)
+    Body.push_back({Note.Request, Note.LastMs, Note.Crashes});
+  std::string Bytes;
+  json::to_msgpack(Body, Bytes);
+  return Bytes;
+}
+
+std::optional<std::vector<crash_note>>
+decodeCrashNotes(std::string_view Bytes) {
+  try {
+    const json Body = json::from_msgpack(Bytes.begin(), Bytes.end());
+    if (!Body.is_array())
+      return std::nullopt;
+    std::vector<crash_note> Notes;
+    for (const json &Note : Body) {
+      if (!Note.is_array() || Note.size() < NoteFields ||
+          Note[2].size() > config::MaxNotedCrashes)
+        return std::nullopt;
+      Notes.push_back({Note[0].get<std::uint64_t>(),
+                       Note[2].get<std::vector<std::uint64_t>>(),
+                       Note[1].get<std::int64_t>()});
+    }
+    return Notes;
+  } catch (const json::exception &) {
+    return std::nullopt; // the caller tells it
+  }
+}
+
+bool request_quarantine::holds(std::uint64_t Request) const {
+  const auto Found = Entries.find(Request);
+  return Found != Entries.end() && Found->second.IsHeld &&
+         !Served.contains(Request);
+}
+
+duration request_quarantine::left(std::uint64_t Request, mono_time Now) const {
+  const auto Found = Entries.find(Request);
+  if (Found == Entries.end())
+    return duration::zero();
+  return std::max<duration>(duration::zero(), Found->second.LastAt +
+                                                  config::QuarantineLife - Now);
+}
+
+// Load: lookups that many callers send alike. Endpoints end under them by
+// chance; held, they would be refused to all of these callers.
+void request_quarantine::served(std::uint64_t Request) {
+  Entries.erase(Request);
+  if (!Served.insert(Request).second)
+    return;
+  ServedOrder.push_back(Request);
+  if (ServedOrder.size() <= config::MaxServedRequests)
+    return;
+  Served.erase(ServedOrder.front());
+  ServedOrder.pop_front();
+}
+
+request_quarantine::entry *
+request_quarantine::note(std::uint64_t Request,
+                         std::span<const std::uint64_t> Crashes,
+                         mono_time LastAt, mono_time Now) {
+  if (Served.contains(Request) || Crashes.empty())
+    return nullptr;
+  entry &Entry = Entries[Request];
+  Entry.LastAt = std::max(Entry.LastAt, LastAt);
+  for (const std::uint64_t Id : Crashes) {
+    const bool IsKnown =
+        std::any_of(Entry.Crashes.begin(), Entry.Crashes.end(),
+                    [Id](const crash &Known) { return Known.Id == Id; });
+    if (IsKnown || Entry.Crashes.size() >= config::MaxNotedCrashes)
+      continue;
+    Entry.Crashes.push_back({Id, Now});
+    Entry.ChangedAt = Now;
+    Entry.TellsLeft = config::CrashNoteRepeats;
+    Entry.TellAt = Now;
+  }
+  return &Entry;
+}
+
+void request_quarantine::hold(std::uint64_t Request, entry &Entry) {
+  if (Entry.IsHeld || Entry.Crashes.size() < config::QuarantineCrashes)
+    return;
+  Entry.IsHeld = true;
+  if (HeldHandler)
+    HeldHandler(noteOf(Request, Entry));
+}
+
+void request_quarantine::crashed(std::uint64_t Crash,
+                                 std::span<const std::uint64_t> Requests,
+                                 mono_time Now) {
+  for (const std::uint64_t Request : Requests)
+    if (entry *Entry = note(Request, {&Crash, 1}, Now, Now)) {
+      Entry->IsOwn = true;
+      hold(Request, *Entry);
+    }
+  bound();
+}
+
+void request_quarantine::told(const crash_note &Note, mono_time Now) {
+  if (Note.Crashes.empty())
+    removed(Note.Request);
+  if (entry *Entry = note(Note.Request, Note.Crashes, Now, Now))
+    hold(Note.Request, *Entry);
+  bound();
+}
+
+void request_quarantine::stored(const crash_note &Note, duration Age,
+                                mono_time Now) {
+  if (Age >= config::QuarantineLife)
+    return;
+  if (entry *Entry = note(Note.Request, Note.Crashes, Now - Age, Now)) {
+    Entry->SavedCrashes = Note.Crashes.size();
+    hold(Note.Request, *Entry);
+  }
+  bound();
+}
+
+void request_quarantine::removed(std::uint64_t Request) {
+  Entries.erase(Request);
+}
+
+crash_note request_quarantine::noteOf(std::uint64_t Request,
+                                      const entry &Entry) {
+  crash_note Note;
+  Note.Request = Request;
+  for (const crash &Each : Entry.Crashes)
+    Note.Crashes.push_back(Each.Id);
+  return Note;
+}
+
+// Datagrams may be lost, so each note is told some times.
+request_quarantine::news request_quarantine::takeNews(bool IsReader,
+                                                      mono_time Now) {
+  news News;
+  for (auto &[Request, Entry] : Entries) {
+    if (Entry.TellsLeft == 0 || Entry.TellAt > Now)
+      continue;
+    const bool IsForAll = Entry.IsHeld && IsReader;
+    if (!IsForAll && !Entry.IsOwn)
+      continue;
+    auto &Notes = IsForAll ? News.Held : News.Suspects;
+    if (Notes.size() >= config::MaxCrashNotes)
+      break; // the rest has its turn at the next call
+    Notes.push_back(noteOf(Request, Entry));
+    --Entry.TellsLeft;
+    Entry.TellAt = Now + config::CrashNotePause;
+  }
+  return News;
+}
+
+std::vector<crash_note> request_quarantine::takeUnsaved(duration Patience,
+                                                        mono_time Now) {
+  std::vector<crash_note> Unsaved;
+  for (auto &[Request, Entry] : Entries) {
+    const bool IsDue = Entry.Crashes.size() >= config::StoredCrashes &&
+                       Entry.Crashes.size() > Entry.SavedCrashes &&
+                       Now - Entry.ChangedAt >= Patience &&
+                       Now - Entry.SavingAt >= config::QuarantineSavePause;
+    if (!IsDue || Unsaved.size() >= config::MaxCrashNotes)
+      continue;
+    Entry.SavingAt = Now;
+    Unsaved.push_back(noteOf(Request, Entry));
+  }
+  return Unsaved;
+}
+
+// Load: a request that crashes endpoints takes dozens of others along, which
+// are sent elsewhere and may meet it there again. What it did isn't theirs.
+// Their notes may be heard before its own, so ends are cleared after a while.
+void request_quarantine::clearExplained(mono_time Now) {
+  std::unordered_set<std::uint64_t> Explained;
+  for (const auto &[Request, Entry] : Entries)
+    if (Entry.IsHeld)
+      for (const crash &Each : Entry.Crashes)
+        if (Now - Each.HeardAt >= config::CrashBlameTime)
+          Explained.insert(Each.Id);
+  if (Explained.empty())
+    return;
+  for (auto &[Request, Entry] : Entries)
+    if (!Entry.IsHeld)
+      std::erase_if(Entry.Crashes, [&Explained](const crash &Each) {
+        return Explained.contains(Each.Id);
+      });
+  std::erase_if(Entries,
+                [](const auto &Item) { return Item.second.Crashes.empty(); });
+}
+
+std::vector<std::uint64_t> request_quarantine::expire(mono_time Now) {
+  std::vector<std::uint64_t> Over;
+  if (Now - ClearedAt < config::CrashBlameTime)
+    return Over;
+  ClearedAt = Now;
+  clearExplained(Now);
+  std::erase_if(Entries, [&Over, Now](const auto &Item) {
+    const auto &[Request, Entry] = Item;
+    const duration Life =
+        Entry.IsHeld ? duration(config::QuarantineLife) : config::SuspectLife;
+    const bool IsOver = Now - Entry.LastAt >= Life;
+    if (IsOver && Entry.SavedCrashes > 0)
+      Over.push_back(Request);
+    return IsOver;
+  });
+  return Over;
+}
+
+// Load: endpoints of a whole data centre end at once, with thousands of
+// requests on them. Those that were heard of longest ago are forgotten; what is
+// held goes last.
+void request_quarantine::bound() {
+  if (Entries.size() <= config::MaxSuspects)
+    return;
+  std::vector<std::pair<std::pair<bool, mono_time>, std::uint64_t>> Order;
+  Order.reserve(Entries.size());
+  for (const auto &[Request, Entry] : Entries)
+    Order.push_back({{Entry.IsHeld, Entry.LastAt}, Request});
+  const std::size_t Excess = Entries.size() - config::MaxSuspects * 3 / 4;
+  std::nth_element(Order.begin(),
+                   Order.begin() + static_cast<std::ptrdiff_t>(Excess),
+                   Order.end());
+  for (std::size_t Each = 0; Each < Excess; ++Each)
+    Entries.erase(Order[Each].second);
+}
+
+std::size_t request_quarantine::held() const {
+  return static_cast<std::size_t>(
+      std::count_if(Entries.begin(), Entries.end(),
+                    [](const auto &Item) { return Item.second.IsHeld; }));
+}
+
+} // namespace clementinelane
--- a/src/routed_request.cpp
+++ b/src/routed_request.cpp
@@ -79,6 +79,10 @@
 
 void routed_request::begin(mono_time Now) {
   Context.Budget.earn(Call.Service, Now);
+  if (Context.Quarantine.holds(Call.Digest)) {
+    refuseQuarantined(run_state::NotRun, Now);
+    return;
+  }
   if (version_shift *Shift = Context.ShiftOf(Call.Service)) {
     if (waitsForLapse(*Shift, Now))
       return;
@@ -184,6 +188,10 @@
     giveUp("keys_too_old", Now);
     return;
   }
+  if (Context.Quarantine.holds(Call.Digest)) {
+    giveUp("quarantined", Now);
+    return;
+  }
   const auto Endpoint = chooseEndpoint(Now);
   if (!Endpoint) {
     if (!waitsForEndpoint(Now) && !waitsForColdEndpoint(Now))
@@ -421,9 +429,12 @@
   const endpoint_answer Answer = *Attempt->Answer;
   const bool IsCut = isStream() && Answer.isSuccess() && Splitter.pending() > 0;
   if (IsCut) {
+    Context.ConnectionBroke(Attempt->Endpoint, Call.Digest);
     failed(attempt_result::Broken, true, "ends_within_event", Now);
     return;
   }
+  if (Answer.isSuccess())
+    Context.Quarantine.served(Call.Digest);
   sample(Answer.isSuccess() ? sample_kind::Answered : sample_kind::Failed, Now);
   endAttempt(Answer.isSuccess() ? attempt_result::Served
                                 : attempt_result::Failed,
@@ -450,6 +461,8 @@
   if (IsOver || !Attempt)
     return;
   const bool WasSent = wasSent(Failure);
+  if (WasSent)
+    Context.ConnectionBroke(Attempt->Endpoint, Call.Digest);
   if (!WasSent) {
     --Sent; // nothing arrived there
     ++ConnectFailures;
@@ -540,6 +553,11 @@
     Outputs.breakOff();
     return;
   }
+  if (Why == "quarantined") {
+    refuseQuarantined(AnyMayHaveRun ? run_state::MayHaveRun : run_state::NotRun,
+                      Now);
+    return;
+  }
   Outputs.note("refused", Why, "");
   if (AnyMayHaveRun)
     refuse(error_kind::EndpointFailed, run_state::MayHaveRun, Now);
@@ -551,6 +569,15 @@
            run_state::NotRun, Now);
 }
 
+// The time is the true one, though it is longer than any caller waits: asking
+// sooner is of no use.
+void routed_request::refuseQuarantined(run_state Ran, mono_time Now) {
+  Outputs.note("refused", "quarantined", "");
+  finish(Now);
+  Outputs.refuse({error_kind::RequestQuarantined, Ran,
+                  Context.Quarantine.left(Call.Digest, Now)});
+}
+
 // Load: many are refused at once and come back at once. Harm prevented: they
 // meet the same trouble again together. Times are spread, and stay within what
 // a caller waits for: a third of its time left.
--- a/src/routed_request.h
+++ b/src/routed_request.h
@@ -8,6 +8,7 @@
 #include "http_exchange.h"
 #include "model_options.h"
 #include "repeat_budget.h"
+#include "request_quarantine.h"
 #include "routed_call.h"
 #include "version_shift.h"
 
@@ -47,12 +48,16 @@
   model_cascade &Cascade;
   engine_pace &Pace;
   answer_quality &Quality;
+  request_quarantine &Quarantine;
   /// The shift of a service, if there is one.
   std::function<version_shift *(std::string_view Service)> ShiftOf;
   /// Whether customers' keys may be trusted at this moment.
   std::function<bool(mono_time Now)> KeysHold;
   /// Tells the other VMs of a session that may meet a trial.
   std::function<void(const session_note &)> TellSession;
+  /// The connection of an attempt that may have run broke.
+  std::function<void(const endpoint_info &Endpoint, std::uint64_t Request)>
+      ConnectionBroke;
   /// From 0 to 1; spreads the times at which callers come back.
   std::function<double()> Spread;
 };
@@ -137,6 +142,7 @@
   bool waitsForEndpoint(mono_time Now);
   bool waitsForColdEndpoint(mono_time Now);
   void giveUp(std::string_view Why, mono_time Now);
+  void refuseQuarantined(run_state Ran, mono_time Now);
   void refuse(error_kind Kind, run_state Ran, mono_time Now);
   void finish(mono_time Now);
   void tellSession(const version_shift &Shift, std::uint64_t Hash);
--- a/src/router.cpp
+++ b/src/router.cpp
@@ -68,12 +68,22 @@
                Cascade,
                Pace,
                Quality,
+               Quarantine,
                [this](std::string_view Service) { return shiftOf(Service); },
                [this](mono_time Now) { return keysHold(Now); },
                [this](const session_note &Note) { tellSession(Note); },
+               [this](const endpoint_info &Endpoint, std::uint64_t Request) {
+                 connectionBroke(Endpoint, Request);
+               },
                [this] { return random(); }},
       Probes(Context), MetricsAddress(std::move(MetricsAddress)), Tick(Context),
-      RandomState(stableHash(Settings.VmName, Incarnation + 1)) {}
+      RandomState(stableHash(Settings.VmName, Incarnation + 1)) {
+  Quarantine.onHeld([](const crash_note &Note) {
+    logs::warning("request_quarantined",
+                  {{"request", hexText(Note.Request)},
+                   {"crashes", std::to_string(Note.Crashes.size())}});
+  });
+}
 
 router::~router() { Relay.disconnect(); }
 
@@ -219,6 +229,7 @@
   Gauges.ColdEndpoints = static_cast<double>(Choice.warmUp().cold(now()));
   Gauges.EvacuatedDataCentres =
       static_cast<double>(Directory.evacuated().size());
+  Gauges.QuarantinedRequests = static_cast<double>(Quarantine.held());
   Gauges.ConfigurationVersion =
       Table ? static_cast<double>(Table->Version) : 0.0;
   Gauges.KeyLeaseAgeSeconds =
@@ -452,6 +463,8 @@
     return takeNotes(Bytes);
   case peer_message::Report:
     return onReport(Bytes);
+  case peer_message::Crashes:
+    return takeCrashes(Bytes);
   case peer_message::Question:
     return Relay.takeQuestion(Sender, Bytes, now());
   case peer_message::Answer:
@@ -531,6 +544,7 @@
   tickReach(Now);
   tickWarmUp(Now);
   tickRollouts(Now);
+  tickQuarantine(Now);
   tickDigest(Now);
   logEstimates(Now);
   Relay.expire(Now);
@@ -542,7 +556,9 @@
 void router::tickReach(mono_time Now) {
   for (const endpoint_info &Endpoint : Choice.probesDue(Now))
     Probes.start(Endpoint.Address, Choice.connectTimeout(Endpoint),
-                 [this, Endpoint, Now] {
+                 [this, Endpoint, Now](bool IsAnswered) {
+                   if (!IsAnswered)
+                     return;
                    Choice.connected(Endpoint, now() - Now, now());
                    logs::info("endpoint_answers",
                               {{"endpoint", Endpoint.Id},
@@ -667,6 +683,128 @@
   Platform.followRollouts(IsAnyActive, IsAnyHasty);
 }
 
+// --- requests that crash endpoints -------------------------------------------
+
+// An endpoint that is leaving ends by plan, whatever is on it.
+void router::connectionBroke(const endpoint_info &Endpoint,
+                             std::uint64_t Request) {
+  const endpoint_info *Known = Directory.find(Endpoint.Id);
+  if (!Known || Known->State == endpoint_state::Leaving)
+    return;
+  switch (Crashes.broke(Endpoint, Request, now())) {
+  case crash_watch::verdict::Probe:
+    Probes.start(Endpoint.Address, Choice.connectTimeout(Endpoint),
+                 [this, Endpoint](bool IsAnswered) {
+                   const auto Requests =
+                       Crashes.probed(Endpoint.Id, IsAnswered, now());
+                   if (!Requests.empty())
+                     endpointEnded(Endpoint, Requests);
+                 });
+    return;
+  case crash_watch::verdict::Ended:
+    endpointEnded(Endpoint, {Request});
+    return;
+  case crash_watch::verdict::Wait:
+    return;
+  }
+}
+
+void router::endpointEnded(const endpoint_info &Endpoint,
+                           const std::vector<std::uint64_t> &Requests) {
+  Metrics.endpointCrashed();
+  logs::info("endpoint_crashed", {{"endpoint", Endpoint.Id},
+                                  {"requests", std::to_string(Requests.size())},
+                                  {"first", hexText(Requests.front())}});
+  Quarantine.crashed(crashId(Endpoint.Id, Endpoint.Incarnation), Requests,
+                     now());
+  tellCrashes(now());
+}
+
+void router::takeCrashes(std::string_view Bytes) {
+  const auto Notes = decodeCrashNotes(Bytes);
+  if (!Notes) {
+    logs::warning("crash_notes_unreadable", {});
+    return;
+  }
+  for (const crash_note &Note : *Notes)
+    Quarantine.told(Note, now());
+  tellCrashes(now());
+}
+
+void router::onQuarantine(std::string_view Key,
+                          std::optional<std::string_view> Bytes) {
+  if (!Bytes) {
+    if (const auto Request = hexValue(Key))
+      release(*Request);
+    return;
+  }
+  const auto Notes = decodeCrashNotes(*Bytes);
+  if (!Notes) {
+    logs::warning("quarantine_unreadable", {{"key", std::string(Key)}});
+    return;
+  }
+  for (const crash_note &Note : *Notes)
+    Quarantine.stored(Note, wallAge(Note.LastMs), now());
+}
+
+void router::release(std::uint64_t Request) {
+  Quarantine.removed(Request);
+  logs::info("request_released", {{"request", hexText(Request)}});
+  const crash_note Released{Request, {}};
+  if (Peers)
+    Peers->sendToAll(peer_message::Crashes, encodeCrashNotes({&Released, 1}));
+}
+
+duration router::wallAge(std::int64_t WallMs) const {
+  const auto Wall = std::chrono::duration_cast<std::chrono::milliseconds>(
+      Clock.wallNow().time_since_epoch());
+  return std::max(duration::zero(),
+                  duration(Wall - std::chrono::milliseconds(WallMs)));
+}
+
+// Those who read the store for all sum up what the VMs saw; each hears of a
+// request that is held from them, from the store if no datagram gets through.
+void router::tellCrashes(mono_time Now) {
+  if (!Peers)
+    return;
+  const bool IsReader = Relay.isReader(Now);
+  const auto [Suspects, Held] = Quarantine.takeNews(IsReader, Now);
+  if (!Held.empty())
+    Peers->sendToAll(peer_message::Crashes, encodeCrashNotes(Held));
+  if (Suspects.empty())
+    return;
+  for (const std::string &Reader : Relay.readers(Now))
+    if (Reader != Relay.own())
+      Peers->sendTo(Reader, peer_message::Crashes, encodeCrashNotes(Suspects));
+}
+
+void router::keepCrashes(mono_time Now) {
+  const bool IsFirst = Relay.readers(Now).front() == Relay.own();
+  const duration Patience =
+      IsFirst ? duration::zero() : duration(config::QuarantineOthersSaveAfter);
+  const std::int64_t WallMs =
+      std::chrono::duration_cast<std::chrono::milliseconds>(
+          Clock.wallNow().time_since_epoch())
+          .count();
+  for (crash_note &Note : Quarantine.takeUnsaved(Patience, Now)) {
+    Note.LastMs = WallMs;
+    Platform.keepQuarantine(hexText(Note.Request),
+                            encodeCrashNotes({&Note, 1}));
+  }
+}
+
+void router::tickQuarantine(mono_time Now) {
+  Crashes.expire(Now);
+  const bool IsReader = Relay.isReader(Now);
+  Platform.followQuarantine(IsReader);
+  tellCrashes(Now);
+  for (const std::uint64_t Request : Quarantine.expire(Now))
+    if (IsReader)
+      Platform.keepQuarantine(hexText(Request), {});
+  if (IsReader)
+    keepCrashes(Now);
+}
+
 // --- the stop ----------------------------------------------------------------
 
 void router::stop() {
--- a/src/router.h
+++ b/src/router.h
@@ -2,6 +2,7 @@
 
 #include "caller_server.h"
 #include "connect_probes.h"
+#include "crash_watch.h"
 #include "endpoint_choice.h"
 #include "key_lease.h"
 #include "peer_datagrams.h"
@@ -51,6 +52,8 @@
   void onRolloutStatusesRead(mono_time SentAt) override;
   void onReport(std::string_view Bytes) override;
   void onReportsRead(mono_time SentAt) override;
+  void onQuarantine(std::string_view Key,
+                    std::optional<std::string_view> Bytes) override;
   void onPeers(const std::vector<std::string> &Addresses) override;
   void onStoreCall(std::string_view Call, bool IsOk) override {
     Metrics.platformCall(Call, IsOk);
@@ -95,6 +98,15 @@
   void takeNotes(std::string_view Bytes);
   void takeNote(version_shift &Shift, const session_note &Note) const;
   void tellStranded(std::string_view Service, const version_shift &Shift);
+  void connectionBroke(const endpoint_info &Endpoint, std::uint64_t Request);
+  void endpointEnded(const endpoint_info &Endpoint,
+                     const std::vector<std::uint64_t> &Requests);
+  void takeCrashes(std::string_view Bytes);
+  void tickQuarantine(mono_time Now);
+  void tellCrashes(mono_time Now);
+  void keepCrashes(mono_time Now);
+  void release(std::uint64_t Request);
+  duration wallAge(std::int64_t WallMs) const;
   void noteReadiness();
   void stopStep();
   void tellSession(const session_note &Note);
@@ -116,6 +128,8 @@
   model_cascade Cascade;
   engine_pace Pace;
   answer_quality Quality;
+  crash_watch Crashes;
+  request_quarantine Quarantine;
   mono_time EstimatesLoggedAt{};
   std::map<std::string, std::unique_ptr<version_shift>, std::less<>> Shifts;
   std::map<std::string, status_times, std::less<>> StatusTimes;
--- a/src/router_metrics.cpp
+++ b/src/router_metrics.cpp
@@ -68,7 +68,7 @@
 };
 
 using g = router_metrics::gauges;
-constexpr std::array<gauge_row, 10> GaugeRows{{
+constexpr std::array<gauge_row, 11> GaugeRows{{
     {"clementine_open_requests", "requests under way", &g::OpenRequests},
     {"clementine_caller_connections", "callers' connections", &g::Connections},
     {"clementine_endpoints", "endpoints in the directory", &g::Endpoints},
@@ -77,6 +77,9 @@
     {"clementine_endpoints_cold", "endpoints that are cold", &g::ColdEndpoints},
     {"clementine_data_centres_evacuated", "data centres that get nothing",
      &g::EvacuatedDataCentres},
+    {"clementine_requests_quarantined",
+     "requests that no endpoint may get, since endpoints ended under them",
+     &g::QuarantinedRequests},
     {"clementine_configuration_version", "version of the configuration in use",
      &g::ConfigurationVersion},
     {"clementine_key_lease_age_seconds",
@@ -155,6 +158,11 @@
                               AttemptFailures));
   Families.push_back(familyOf("clementine_refusals_total",
                               "answers of our own, by kind", "kind", Refusals));
+  auto Crashes = makeFamily("clementine_endpoint_crashes_total",
+                            "endpoints that ended with requests of this VM",
+                            MetricType::Counter);
+  addValue(Crashes, static_cast<double>(EndpointCrashes));
+  Families.push_back(std::move(Crashes));
   Families.push_back(pairFamilyOf("clementine_platform_calls_total",
                                   "calls to the platform's store", "call",
                                   "result", PlatformCalls));
--- a/src/router_metrics.h
+++ b/src/router_metrics.h
@@ -26,6 +26,7 @@
   void attemptStarted(std::string_view Route, bool IsRepeat);
   void attemptFailed(std::string_view Why);
   void refused(std::string_view Kind);
+  void endpointCrashed() { ++EndpointCrashes; }
   void platformCall(std::string_view Call, bool IsOk);
 
   /// Values at the moment of a scrape.
@@ -36,6 +37,7 @@
     double AvoidedEndpoints = 0;
     double ColdEndpoints = 0;
     double EvacuatedDataCentres = 0;
+    double QuarantinedRequests = 0;
     double ConfigurationVersion = 0;
     double KeyLeaseAgeSeconds = 0;
     double DroppedLogLines = 0;
@@ -60,6 +62,7 @@
   counters Repeats;
   counters AttemptFailures;
   counters Refusals;
+  std::uint64_t EndpointCrashes = 0;
   pair_counters PlatformCalls; ///< by call and result
   std::map<std::string, histogram, std::less<>> Duration;
   std::map<std::string, histogram, std::less<>> FirstByte;
--- a/tests/routed_fixture.h
+++ b/tests/routed_fixture.h
@@ -54,6 +54,8 @@
   model_cascade Cascade;
   engine_pace Pace;
   answer_quality Quality;
+  request_quarantine Quarantine;
+  std::vector<std::string> Broken; ///< endpoints whose connections broke
   std::map<std::string, version_shift, std::less<>> Shifts;
   request_context Context{
       Choice,
@@ -61,12 +63,16 @@
       Cascade,
       Pace,
       Quality,
+      Quarantine,
       [this](std::string_view Service) {
         const auto Found = Shifts.find(Service);
         return Found == Shifts.end() ? nullptr : &Found->second;
       },
       [this](mono_time) { return AreKeysGood; },
       [this](const session_note &Note) { Notes.push_back(Note); },
+      [this](const endpoint_info &Endpoint, std::uint64_t) {
+        Broken.push_back(Endpoint.Id);
+      },
       [] { return 0.5; }};
   std::shared_ptr<route_table> Table = std::make_shared<route_table>();
   recorded_outputs Out;
--- a/tests/routed_request_test.cpp
+++ b/tests/routed_request_test.cpp
@@ -586,3 +586,40 @@
   BOOST_TEST((Out.Refused->Ran == run_state::NotRun));
   BOOST_TEST((Out.Refused->RetryAfter > 0s));
 }
+
+// A request under which endpoints have ended comes again: none may get it, and
+// its caller is told at once, with the true time.
+BOOST_FIXTURE_TEST_CASE(held_request_reaches_no_endpoint, routed_fixture) {
+  routed_call Call = call(0);
+  Call.Digest = 7;
+  Quarantine.stored({7, {1, 2, 3}}, std::chrono::hours(1), Now);
+  begin(std::move(Call));
+  BOOST_TEST(Out.Attempts.empty());
+  BOOST_REQUIRE(Out.Refused);
+  BOOST_TEST((Out.Refused->Kind == error_kind::RequestQuarantined));
+  BOOST_TEST((Out.Refused->Ran == run_state::NotRun));
+  BOOST_TEST((Out.Refused->RetryAfter == std::chrono::hours(23)));
+}
+
+// A request comes to be held while its first attempt runs: no second one.
+BOOST_FIXTURE_TEST_CASE(request_held_amid_its_attempt_is_not_repeated,
+                        routed_fixture) {
+  routed_call Call = call(0);
+  Call.Digest = 7;
+  const auto Request = begin(std::move(Call));
+  Request->onSent(Now);
+  Quarantine.stored({7, {1, 2, 3}}, {}, Now);
+  Request->onFailure(exchange_failure::NoAnswer, Now);
+  BOOST_TEST(Out.Attempts.size() == 1U);
+  BOOST_TEST(Broken.size() == 1U);
+  BOOST_REQUIRE(Out.Refused);
+  BOOST_TEST((Out.Refused->Ran == run_state::MayHaveRun));
+}
+
+// An endpoint that was never reached says nothing of the request.
+BOOST_FIXTURE_TEST_CASE(unreached_endpoint_does_not_speak_against_a_request,
+                        routed_fixture) {
+  const auto Request = stream();
+  Request->onFailure(exchange_failure::NotConnected, Now);
+  BOOST_TEST(Broken.empty());
+}
