--- a/src/routed_call.h
+++ b/src/routed_call.h
@@ -54,6 +54,9 @@
   bool IsElsewhere = false;       ///< another endpoint has that address now
   bool HasSignature = false;      ///< bears its endpoint's own mark
   bool IsEncoded = false; ///< a body in an encoding that nobody asked for
+  /// Requests a second that the endpoint takes from all VMs together, for as
+  /// long as its answers say so.
+  std::optional<double> RequestsPerSecond;
   std::optional<double> Confidence; ///< of the model, 0 to 100
 
   bool isSuccess() const { return Status >= 200 && Status < 300; }
--- a/tests/platform_headers_test.cpp
+++ b/tests/platform_headers_test.cpp
@@ -193,3 +193,17 @@
   });
   BOOST_TEST(IsOk);
 }
+
+// An endpoint names what it takes as a decimal number; anything else is none.
+BOOST_AUTO_TEST_CASE(limits_of_endpoints_are_decoded) {
+  const auto LimitOf = [](const std::string &Text) {
+    http_head Head;
+    Head.Status = 200;
+    Head.Fields = {{"Server-Limit", Text}};
+    return decodeAnswerHead(Head).RequestsPerSecond;
+  };
+  BOOST_TEST(LimitOf("2.5").value_or(-1) == 2.5);
+  BOOST_TEST(LimitOf("0").value_or(-1) == 0.0);
+  for (const char *Text : {"", "-1", "many", "1 a second", "inf", "nan"})
+    BOOST_TEST(!LimitOf(Text));
+}
