Failing test: an endpoint's own limit is passed over by every VM

Three VMs, two engines, steady requests; one engine names a limit of 1 request a second. From the grace after that on it gets 101 in 4 s (allowed 11).

--- a/tests/standin/platform/endpoint.cpp
+++ b/tests/standin/platform/endpoint.cpp
@@ -68,13 +68,18 @@
 
 std::vector<http_field>
 platform_endpoint::fieldsFor(const caller_exchange &Exchange) const {
-  return {{"X-Attempt-Id", std::string(Exchange.head().value("X-Attempt-Id"))},
-          {"X-Instance-Signature", "signed-by-" + Behaviour.Id}};
+  std::vector<http_field> Fields{
+      {"X-Attempt-Id", std::string(Exchange.head().value("X-Attempt-Id"))},
+      {"X-Instance-Signature", "signed-by-" + Behaviour.Id}};
+  if (!Behaviour.Limit.empty())
+    Fields.push_back({"Server-Limit", Behaviour.Limit});
+  return Fields;
 }
 
 void platform_endpoint::take(const exchange_ptr &Exchange) {
   if (administers(*Exchange))
     return;
+  Arrivals.push_back(std::chrono::steady_clock::now());
   const http_head &Head = Exchange->head();
   const std::string_view Expected = Head.value("X-Expected-Instance");
   if (!Expected.empty() && Expected != Behaviour.Id) {
--- a/tests/standin/platform/endpoint.h
+++ b/tests/standin/platform/endpoint.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace clementinelane::standin {
 
@@ -26,6 +27,8 @@
   std::string CrashBody;
   std::string CrashCustomer; ///< only with that customer's; empty: anyone's
   std::chrono::milliseconds DownFor{100};
+  /// Requests a second from all callers, named in its answers; empty: none.
+  std::string Limit;
 };
 
 /// A model engine or a plain service of the platform. Beside requests it takes
@@ -40,6 +43,10 @@
   /// How often each request ran here.
   const std::map<std::string, unsigned> &runs() const { return Runs; }
   unsigned crashes() const { return Crashes; }
+  /// When each request reached it.
+  const std::vector<std::chrono::steady_clock::time_point> &arrivals() const {
+    return Arrivals;
+  }
   /// Requests under way whose caller has left.
   unsigned cancelled() const { return Cancelled; }
 
@@ -60,6 +67,7 @@
   std::map<std::string, unsigned> Runs;
   unsigned Cancelled = 0;
   unsigned Crashes = 0;
+  std::vector<std::chrono::steady_clock::time_point> Arrivals;
   std::vector<exchange_ptr> Muted;
   std::string Address;
   boost::asio::steady_timer Down;
