--- a/src/warm_up.cpp
+++ b/src/warm_up.cpp
@@ -1,7 +1,6 @@
 #include "warm_up.h"
 
 #include "config.h"
-#include "hashing.h"
 
 #include <algorithm>
 
@@ -23,32 +22,16 @@
 
 void warm_up::setVms(std::uint64_t OwnHash,
                      std::vector<std::uint64_t> OtherHashes) {
-  if (AreVmsKnown && Own == OwnHash && Others == OtherHashes)
+  if (!Owners.setVms(OwnHash, std::move(OtherHashes)))
     return;
-  Own = OwnHash;
-  Others = std::move(OtherHashes);
-  AreVmsKnown = true;
   for (auto &[Endpoint, Entry] : Entries)
-    Entry.IsOwner = owns(Endpoint);
-}
-
-bool warm_up::owns(std::uint32_t Endpoint) const {
-  if (!AreVmsKnown)
-    return false;
-  const auto RankOf = [Endpoint](std::uint64_t Vm) {
-    return mixed(Vm ^ mixed(Endpoint));
-  };
-  const std::uint64_t OwnRank = RankOf(Own);
-  const auto Before =
-      std::count_if(Others.begin(), Others.end(),
-                    [&](std::uint64_t Vm) { return RankOf(Vm) > OwnRank; });
-  return static_cast<std::size_t>(Before) < config::WarmUpOwners;
+    Entry.IsOwner = Owners.owns(Endpoint, config::WarmUpOwners);
 }
 
 warm_up::entry &warm_up::at(std::uint32_t Endpoint) {
   const auto [Found, IsNew] = Entries.try_emplace(Endpoint);
   if (IsNew)
-    Found->second.IsOwner = owns(Endpoint);
+    Found->second.IsOwner = Owners.owns(Endpoint, config::WarmUpOwners);
   return Found->second;
 }
 
@@ -97,10 +80,9 @@
 }
 
 duration warm_up::spacing(std::string_view Service) const {
-  const double Owners =
-      static_cast<double>(std::min(config::WarmUpOwners, Others.size() + 1));
+  const auto Count = static_cast<double>(Owners.owners(config::WarmUpOwners));
   return std::chrono::duration_cast<duration>(std::chrono::duration<double>(
-      Owners / Rules.find(Service)->second.RequestsPerSecond));
+      Count / Rules.find(Service)->second.RequestsPerSecond));
 }
 
 void warm_up::taken(std::uint32_t Endpoint, std::string_view Service,
--- a/src/warm_up.h
+++ b/src/warm_up.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "clock.h"
+#include "endpoint_owners.h"
 
 #include <cstdint>
 #include <map>
@@ -29,9 +30,8 @@
 /// there, which draws the requests of every VM. Harm prevented: each endpoint
 /// gets dozens of requests within a second and crashes again.
 ///
-/// VMs don't agree on shares. All rank the known VMs by the same hash, for each
-/// endpoint another; the first config::WarmUpOwners of them own the endpoint
-/// and send it their part of its rate, evenly spaced. So at most
+/// VMs don't agree on shares. The first config::WarmUpOwners by endpoint_owners
+/// send an endpoint their part of its rate, evenly spaced. So at most
 /// owners * (1 + rate / owners) requests are sent within a second. A VM that is
 /// cut off remembers the others for config::PeerMemory and owns no more than
 /// before; one that doesn't know the others yet owns nothing.
@@ -77,13 +77,10 @@
     bool IsOwner = false;
   };
   entry &at(std::uint32_t Endpoint);
-  bool owns(std::uint32_t Endpoint) const;
   duration spacing(std::string_view Service) const;
 
   std::map<std::string, cold_rule, std::less<>> Rules;
-  std::uint64_t Own = 0;
-  std::vector<std::uint64_t> Others;
-  bool AreVmsKnown = false;
+  endpoint_owners Owners;
   std::unordered_map<std::uint32_t, entry> Entries;
 };
 
