Keep the limits that endpoints name, over all VMs

Callers saw nothing yet.

Cause: nothing read the field. Class: a bound over all VMs that no VM keeps, as cold endpoints were before.

Ruled out by the collected lines: each VM keeps it alone (one sent six in 2 s); only repeats pass it (13 of 21 attempts were first ones).

Change: a few VMs own such an endpoint, by the hash that cold endpoints are owned by, and send it their evenly spaced parts; the others send it nothing. Digests tell what own answers said, the newest counts, and only a success without the field ends it.

--- a/src/config.h
+++ b/src/config.h
@@ -624,6 +624,21 @@
 /// Cold endpoints named in one digest; a data centre's may turn cold at once.
 constexpr std::size_t MaxDigestCold = 400;
 
+/// VMs that send to an endpoint which names a limit: so many, and one more for
+/// each request a second.
+constexpr std::size_t LeastLimitOwners = 2;
+/// Requests a second: what an endpoint that takes none is asked all the same,
+/// and a limit that bounds nothing any more.
+constexpr double LeastLimit = 0.25;
+constexpr double MostLimit = 1e6;
+/// What an answer said is told to the others for so long, in each digest: a
+/// digest may take several turns to reach all.
+constexpr auto LimitNoteLife = 10s;
+/// A limit without any further answer; far above any pause between requests.
+constexpr auto LimitMemory = 10min;
+/// Limited endpoints named in one digest.
+constexpr std::size_t MaxDigestLimits = 400;
+
 // --- loads told between routers ----------------------------------------------
 
 /// Between digests: far below the seconds that a long prompt takes.
--- a/src/endpoint_choice.cpp
+++ b/src/endpoint_choice.cpp
@@ -31,6 +31,8 @@
   // for what it was before.
   if (State.IdHash != 0 && State.Incarnation == Info.Incarnation)
     return State;
+  if (State.IdHash != 0)
+    Limits.forget(State.DigestHash);
   State = state{};
   Reach.forget(Info.Id);
   State.Incarnation = Info.Incarnation;
@@ -49,7 +51,7 @@
     if (IsExcluded || (Request.IsAllowed && !Request.IsAllowed(*Info)))
       continue;
     state &State = stateOf(*Info);
-    if (!State.IsReplaced &&
+    if (!State.IsReplaced && Limits.mayTake(State.DigestHash, Now) &&
         WarmUp.mayTake(State.DigestHash, Request.Service, Now))
       Found.emplace_back(Info, &State);
   }
@@ -188,6 +190,7 @@
     return std::nullopt;
   state &State = States[Picked->Id];
   WarmUp.taken(State.DigestHash, Request.Service, Now);
+  Limits.taken(State.DigestHash, Now);
   ++State.Running;
   State.Work += Request.Work;
   return Picked;
@@ -275,6 +278,12 @@
   Reach.connected(Endpoint.Id, Endpoint.DataCentre, Took);
 }
 
+bool endpoint_choice::noteLimit(std::string_view Id,
+                                std::optional<double> RequestsPerSecond,
+                                mono_time Now) {
+  return Limits.answered(digestHash(Id), RequestsPerSecond, Now);
+}
+
 void endpoint_choice::noteColdCentre(std::string_view DataCentre,
                                      mono_time Now) {
   for (const endpoint_info *Info : Directory.in(DataCentre))
@@ -287,7 +296,11 @@
   for (const endpoint_info *Info : Directory.usable(Request.Service)) {
     if (Request.IsAllowed && !Request.IsAllowed(*Info))
       continue;
-    const mono_time At = WarmUp.nextAt(digestHash(Info->Id), Now);
+    const std::uint32_t Hash = digestHash(Info->Id);
+    const auto Limited = Limits.nextAt(Hash, Now);
+    if (!Limited)
+      continue;
+    const mono_time At = std::max(WarmUp.nextAt(Hash, Now), *Limited);
     Earliest = std::min(Earliest.value_or(At), At);
   }
   return Earliest;
--- a/src/endpoint_choice.h
+++ b/src/endpoint_choice.h
@@ -2,6 +2,7 @@
 
 #include "clock.h"
 #include "endpoint_directory.h"
+#include "endpoint_limits.h"
 #include "engine_pace.h"
 #include "peer_loads.h"
 #include "reach_watch.h"
@@ -66,7 +67,7 @@
   std::optional<chosen_endpoint> choose(const choice_request &Request,
                                         mono_time Now);
   /// When this VM may next send a request for which there is no endpoint now,
-  /// as far as it waits for cold ones.
+  /// as far as it waits for cold or limited ones.
   std::optional<mono_time> nextPlace(const choice_request &Request,
                                      mono_time Now) const;
   /// Work under way at an endpoint, from all VMs.
@@ -81,10 +82,15 @@
              std::optional<duration> FirstByte, mono_time Now);
   /// A connection to the endpoint was answered, an attempt's or a probe's.
   void connected(const endpoint_info &Endpoint, duration Took, mono_time Now);
+  /// An answer of the endpoint named a limit, or none. True if that is new.
+  bool noteLimit(std::string_view Id, std::optional<double> RequestsPerSecond,
+                 mono_time Now);
   /// The endpoints of a data centre may have lost what they had cached.
   void noteColdCentre(std::string_view DataCentre, mono_time Now);
   warm_up &warmUp() { return WarmUp; }
   const warm_up &warmUp() const { return WarmUp; }
+  endpoint_limits &limits() { return Limits; }
+  const endpoint_limits &limits() const { return Limits; }
   duration connectTimeout(const endpoint_info &Endpoint) const {
     return Reach.connectTimeout(Endpoint.DataCentre);
   }
@@ -139,6 +145,7 @@
   std::map<std::string, state, std::less<>> States;
   reach_watch Reach;
   warm_up WarmUp;
+  endpoint_limits Limits;
 };
 
 } // namespace clementinelane
--- /dev/null
+++ b/src/endpoint_limits.cpp
@@ -0,0 +1,114 @@
+#include "endpoint_limits.h"
+
+#include "config.h"
+
+#include <algorithm>
+
+namespace clementinelane {
+
+void endpoint_limits::setVms(std::uint64_t Own,
+                             std::vector<std::uint64_t> Others) {
+  if (!Owners.setVms(Own, std::move(Others)))
+    return;
+  for (auto &[Endpoint, Entry] : Entries)
+    if (Entry.Limit)
+      Entry.IsOwner = Owners.owns(Endpoint, ownersOf(*Entry.Limit));
+}
+
+std::size_t endpoint_limits::ownersOf(double Limit) {
+  return config::LeastLimitOwners +
+         static_cast<std::size_t>(std::min(Limit, config::MostLimit));
+}
+
+// One that takes nothing is asked now and then, or nobody would learn that it
+// takes requests again.
+duration endpoint_limits::spacing(double Limit) const {
+  const auto Count = static_cast<double>(Owners.owners(ownersOf(Limit)));
+  return std::chrono::duration_cast<duration>(std::chrono::duration<double>(
+      Count / std::max(Limit, config::LeastLimit)));
+}
+
+void endpoint_limits::set(std::uint32_t Endpoint, std::optional<double> Limit,
+                          mono_time At, bool IsOwn) {
+  entry &Entry = Entries[Endpoint];
+  const bool IsOther = Entry.Limit != Limit;
+  Entry.Limit = Limit;
+  Entry.AnsweredAt = At;
+  Entry.IsOwn = IsOwn;
+  if (Limit && IsOther)
+    Entry.IsOwner = Owners.owns(Endpoint, ownersOf(*Limit));
+}
+
+bool endpoint_limits::answered(std::uint32_t Endpoint,
+                               std::optional<double> RequestsPerSecond,
+                               mono_time Now) {
+  const auto Found = Entries.find(Endpoint);
+  if (Found == Entries.end() && !RequestsPerSecond)
+    return false;
+  const bool IsChange =
+      Found == Entries.end() || Found->second.Limit != RequestsPerSecond;
+  set(Endpoint, RequestsPerSecond, Now, true);
+  return IsChange;
+}
+
+void endpoint_limits::told(const limit_note &Note, mono_time Now) {
+  const mono_time At = Now - Note.Age;
+  const auto Found = Entries.find(Note.Endpoint);
+  if (Found == Entries.end() ? !Note.RequestsPerSecond
+                             : At <= Found->second.AnsweredAt)
+    return;
+  set(Note.Endpoint, Note.RequestsPerSecond, At, false);
+}
+
+bool endpoint_limits::isLimited(std::uint32_t Endpoint) const {
+  const auto Found = Entries.find(Endpoint);
+  return Found != Entries.end() && Found->second.Limit;
+}
+
+bool endpoint_limits::mayTake(std::uint32_t Endpoint, mono_time Now) const {
+  const auto At = nextAt(Endpoint, Now);
+  return At && *At <= Now;
+}
+
+std::optional<mono_time> endpoint_limits::nextAt(std::uint32_t Endpoint,
+                                                 mono_time Now) const {
+  const auto Found = Entries.find(Endpoint);
+  if (Found == Entries.end() || !Found->second.Limit)
+    return Now;
+  if (!Found->second.IsOwner)
+    return std::nullopt;
+  return std::max(Now, Found->second.NextAt);
+}
+
+void endpoint_limits::taken(std::uint32_t Endpoint, mono_time Now) {
+  if (const auto Found = Entries.find(Endpoint);
+      Found != Entries.end() && Found->second.Limit)
+    Found->second.NextAt = Now + spacing(*Found->second.Limit);
+}
+
+std::vector<limit_note> endpoint_limits::notes(mono_time Now) const {
+  std::vector<limit_note> Notes;
+  for (const auto &[Endpoint, Entry] : Entries)
+    if (Entry.IsOwn && Now - Entry.AnsweredAt < config::LimitNoteLife &&
+        Notes.size() < config::MaxDigestLimits)
+      Notes.push_back({Endpoint, Entry.Limit,
+                       std::chrono::ceil<std::chrono::milliseconds>(
+                           Now - Entry.AnsweredAt)});
+  return Notes;
+}
+
+void endpoint_limits::expire(mono_time Now) {
+  std::erase_if(Entries, [Now](const auto &Item) {
+    const duration Age = Now - Item.second.AnsweredAt;
+    return Age >= (Item.second.Limit ? duration(config::LimitMemory)
+                                     : config::LimitNoteLife);
+  });
+}
+
+std::size_t endpoint_limits::limited() const {
+  return static_cast<std::size_t>(
+      std::count_if(Entries.begin(), Entries.end(),
+                    [](const auto &Item) { return !!Item.second.Limit; }));
+}
+
+} // namespace clementinelane
--- a/src/peer_loads.cpp
+++ b/src/peer_loads.cpp
@@ -21,6 +21,31 @@
 constexpr std::size_t SessionFields = 3;
 constexpr std::size_t DigestFields = 4;
 constexpr std::size_t ColdFields = 2;
+constexpr std::size_t LimitFields = 3;
+
+json encodeLimits(const std::vector<limit_note> &Limits) {
+  auto Body = json::array();
+  for (const limit_note &Note : Limits)
+    Body.push_back({Note.Endpoint, Note.Age.count(),
+                    Note.RequestsPerSecond ? json(*Note.RequestsPerSecond)
+                                           : json(nullptr)});
+  return Body;
+}
+
+/// False if it is no list of limits; may throw json::exception.
+bool decodeLimits(const json &Body, std::vector<limit_note> &Out) {
+  for (const json &Each : Body) {
+    if (!Each.is_array() || Each.size() < LimitFields)
+      return false;
+    limit_note Note;
+    Note.Endpoint = Each[0].get<std::uint32_t>();
+    Note.Age = std::chrono::milliseconds(Each[1].get<std::uint32_t>());
+    if (!Each[2].is_null())
+      Note.RequestsPerSecond = std::max(0.0, Each[2].get<double>());
+    Out.push_back(Note);
+  }
+  return true;
+}
 
 } // namespace
 
@@ -76,7 +101,8 @@
                      Digest.Sequence,
                      std::move(Loads),
                      static_cast<std::uint64_t>(Digest.Cores * CoresUnit),
-                     std::move(Cold)};
+                     std::move(Cold),
+                     encodeLimits(Digest.Limits)};
   std::string Bytes;
   json::to_msgpack(Body, Bytes);
   return Bytes;
@@ -108,6 +134,9 @@
             {Note[0].get<std::uint32_t>(),
              std::chrono::milliseconds(Note[1].get<std::uint32_t>())});
       }
+    if (Body.size() > DigestFields + 2 &&
+        !decodeLimits(Body[DigestFields + 2], Digest.Limits))
+      return std::nullopt;
     return Digest;
   } catch (const json::exception &) {
     return std::nullopt; // the caller counts it
--- a/src/peer_loads.h
+++ b/src/peer_loads.h
@@ -2,6 +2,7 @@
 
 #include "clock.h"
 #include "config.h"
+#include "endpoint_limits.h"
 #include "warm_up.h"
 
 #include <cstdint>
@@ -39,6 +40,7 @@
   std::vector<endpoint_load> Loads;
   double Cores = 0; ///< of the VM; 0: not known
   std::vector<cold_note> Cold = {};
+  std::vector<limit_note> Limits = {};
 };
 
 /// The hash by which digests name an endpoint or a service.
--- a/src/routed_request.cpp
+++ b/src/routed_request.cpp
@@ -194,7 +194,7 @@
   }
   const auto Endpoint = chooseEndpoint(Now);
   if (!Endpoint) {
-    if (!waitsForEndpoint(Now) && !waitsForColdEndpoint(Now))
+    if (!waitsForEndpoint(Now) && !waitsForTurn(Now))
       giveUp("no_endpoint", Now);
     return;
   }
@@ -257,6 +257,7 @@
   Attempt->HeardAt = Now;
   Attempt->Answer = std::move(Answer);
   const endpoint_answer &Head = *Attempt->Answer;
+  noteLimit(Head, Now);
   if (Head.SaysNotRun) {
     failed(Head.IsElsewhere ? attempt_result::Replaced : attempt_result::Full,
            false, Head.IsElsewhere ? "elsewhere" : "endpoint_full", Now);
@@ -283,6 +284,18 @@
     failed(attempt_result::Failed, true, "endpoint_failed", Now);
 }
 
+// A refusal or failure that names no limit may come from a part of the endpoint
+// that doesn't know of it, so only a success ends one.
+void routed_request::noteLimit(const endpoint_answer &Head, mono_time Now) {
+  const auto Limit = Head.RequestsPerSecond;
+  const bool SaysOfIt = Limit || (Head.isSuccess() && Head.HasSignature);
+  if (Head.IsElsewhere || !SaysOfIt ||
+      !Context.Choice.noteLimit(Attempt->Endpoint.Id, Limit, Now))
+    return;
+  Outputs.note("endpoint_limited", Limit ? std::to_string(*Limit) : "no_longer",
+               Attempt->Endpoint.Id);
+}
+
 void routed_request::takeSuccessHead(mono_time Now) {
   if (!isStream())
     return;
@@ -531,11 +544,11 @@
   return true;
 }
 
-// Load: most endpoints have just started, and each VM may send them a request
-// now and then. Harm prevented: a request is refused though its turn comes
-// within a time that its caller doesn't notice. Any longer wait is for the
-// caller to decide.
-bool routed_request::waitsForColdEndpoint(mono_time Now) {
+// Load: most endpoints have just started, or name limits, and each VM may send
+// them a request now and then. Harm prevented: a request is refused though its
+// turn comes within a time that its caller doesn't notice. Any longer wait is
+// for the caller to decide.
+bool routed_request::waitsForTurn(mono_time Now) {
   const auto At = Context.Choice.nextPlace(choiceFor(Model, Now), Now);
   const mono_time Latest =
       Call.ArrivedAt + Call.Route->TargetLatency / UnnoticedPartOfTarget;
--- a/src/routed_request.h
+++ b/src/routed_request.h
@@ -130,6 +130,7 @@
                            mono_time Now) const;
   void chooseFirstModel(mono_time Now);
   void learnQuality(double Confidence);
+  void noteLimit(const endpoint_answer &Head, mono_time Now);
   void takeSuccessHead(mono_time Now);
   bool dropsForOtherModel(mono_time Now);
   void forwardEvents(mono_time Now);
@@ -140,7 +141,7 @@
   bool isPatient() const;
   void retryOrGiveUp(std::string_view Why, mono_time Now);
   bool waitsForEndpoint(mono_time Now);
-  bool waitsForColdEndpoint(mono_time Now);
+  bool waitsForTurn(mono_time Now);
   void giveUp(std::string_view Why, mono_time Now);
   void refuseQuarantined(run_state Ran, mono_time Now);
   void refuse(error_kind Kind, run_state Ran, mono_time Now);
--- a/src/router.cpp
+++ b/src/router.cpp
@@ -227,6 +227,7 @@
   Gauges.Endpoints = static_cast<double>(Directory.size());
   Gauges.AvoidedEndpoints = static_cast<double>(Choice.avoided(now()));
   Gauges.ColdEndpoints = static_cast<double>(Choice.warmUp().cold(now()));
+  Gauges.LimitedEndpoints = static_cast<double>(Choice.limits().limited());
   Gauges.EvacuatedDataCentres =
       static_cast<double>(Directory.evacuated().size());
   Gauges.QuarantinedRequests = static_cast<double>(Quarantine.held());
@@ -485,6 +486,8 @@
   Loads.take(*Digest, now());
   for (const cold_note &Note : Digest->Cold)
     Choice.warmUp().noteTold(Note, now());
+  for (const limit_note &Note : Digest->Limits)
+    Choice.limits().told(Note, now());
 }
 
 void router::takeNotes(std::string_view Bytes) {
@@ -514,10 +517,11 @@
   if (!Peers || Now - DigestAt < config::DigestPeriod)
     return;
   DigestAt = Now;
-  Peers->send(peer_message::Loads,
-              encodeDigest({Settings.VmName, Incarnation, ++DigestSequence,
-                            Choice.loads(), Settings.Cores,
-                            Choice.warmUp().notes(Now)}));
+  Peers->send(
+      peer_message::Loads,
+      encodeDigest({Settings.VmName, Incarnation, ++DigestSequence,
+                    Choice.loads(), Settings.Cores, Choice.warmUp().notes(Now),
+                    Choice.limits().notes(Now)}));
   // All others need them: a session's next request may come in anywhere.
   if (!SessionNotes.empty())
     Peers->sendToAll(peer_message::Sessions,
@@ -542,7 +546,7 @@
   Choice.forgetGone();
   Budget.setLimits(limitsOf(Settings, knownVms()));
   tickReach(Now);
-  tickWarmUp(Now);
+  tickOwners(Now);
   tickRollouts(Now);
   tickQuarantine(Now);
   tickDigest(Now);
@@ -571,15 +575,17 @@
     Session->look();
 }
 
-void router::tickWarmUp(mono_time Now) {
+void router::tickOwners(mono_time Now) {
   Choice.warmUp().expire(Now);
+  Choice.limits().expire(Now);
   const std::uint64_t Generation = Peers ? Peers->generation() : 0;
   if ((Peers && !ArePeersKnown) || VmsGeneration == Generation)
     return;
   VmsGeneration = Generation;
-  Choice.warmUp().setVms(stableHash(Settings.PeerAddress),
-                         Peers ? Peers->hashes()
-                               : std::vector<std::uint64_t>{});
+  const std::uint64_t Own = stableHash(Settings.PeerAddress);
+  const auto Others = Peers ? Peers->hashes() : std::vector<std::uint64_t>{};
+  Choice.warmUp().setVms(Own, Others);
+  Choice.limits().setVms(Own, Others);
 }
 
 void router::logEstimates(mono_time Now) {
--- a/src/router.h
+++ b/src/router.h
@@ -84,7 +84,7 @@
   void armTick();
   void tick();
   void tickReach(mono_time Now);
-  void tickWarmUp(mono_time Now);
+  void tickOwners(mono_time Now);
   void noteColdRules();
   std::string regionOf(std::string_view DataCentre) const;
   void logEstimates(mono_time Now);
--- a/src/router_metrics.cpp
+++ b/src/router_metrics.cpp
@@ -68,13 +68,15 @@
 };
 
 using g = router_metrics::gauges;
-constexpr std::array<gauge_row, 11> GaugeRows{{
+constexpr std::array<gauge_row, 12> GaugeRows{{
     {"clementine_open_requests", "requests under way", &g::OpenRequests},
     {"clementine_caller_connections", "callers' connections", &g::Connections},
     {"clementine_endpoints", "endpoints in the directory", &g::Endpoints},
     {"clementine_endpoints_avoided", "endpoints avoided after failures",
      &g::AvoidedEndpoints},
     {"clementine_endpoints_cold", "endpoints that are cold", &g::ColdEndpoints},
+    {"clementine_endpoints_limited", "endpoints that name a limit",
+     &g::LimitedEndpoints},
     {"clementine_data_centres_evacuated", "data centres that get nothing",
      &g::EvacuatedDataCentres},
     {"clementine_requests_quarantined",
--- a/src/router_metrics.h
+++ b/src/router_metrics.h
@@ -36,6 +36,7 @@
     double Endpoints = 0;
     double AvoidedEndpoints = 0;
     double ColdEndpoints = 0;
+    double LimitedEndpoints = 0;
     double EvacuatedDataCentres = 0;
     double QuarantinedRequests = 0;
     double ConfigurationVersion = 0;
--- a/src/router_session.cpp
+++ b/src/router_session.cpp
@@ -77,10 +77,7 @@
     With([&Head](session &Self, mono_time Now) {
       Self.Router.Metrics.firstByte(Self.call().Route->Name,
                                     Now - Self.AttemptAt);
-      const endpoint_answer Answer = Self.Router.Platform.decodeAnswer(Head);
-      if (Answer.RequestsPerSecond)
-        Self.note("limit_named", std::to_string(*Answer.RequestsPerSecond), "");
-      Self.Request.onHead(Answer, Now);
+      Self.Request.onHead(Self.Router.Platform.decodeAnswer(Head), Now);
     });
   };
   Events.OnBody = [With](std::string Bytes) {
