Tell of sessions at the end of each request, also before an order

Cause: a stream's end was noted and told only while a roll-out is under way. One that ended just before the order was counted from its start and forgotten, here and at the other VMs.

Change: noted and told at each request's end; a session whose version has gone meanwhile stays without one from that end on.

The new test of routed_request_test failed before.

--- a/src/routed_request.cpp
+++ b/src/routed_request.cpp
@@ -610,11 +610,14 @@
 void routed_request::finish(mono_time Now) {
   IsOver = true;
   version_shift *Shift = Context.ShiftOf(Call.Service);
-  if (!Shift || !Shift->isActive() || Sent == 0 || Call.Facts.Session.empty())
+  if (!Shift || Sent == 0 || Call.Facts.Session.empty())
     return;
   const std::uint64_t Hash = sessionHash(Call.Facts);
-  Shift->takeSession(Hash, Side, Now);
-  tellSession(*Shift, Hash);
+  if (Shift->endSession(Hash, Side, Now))
+    Context.TellSession(
+        {digestHash(Call.Service), Hash, false, std::chrono::milliseconds(0)});
+  else
+    tellSession(*Shift, Hash);
 }
 
 void routed_request::tellSession(const version_shift &Shift,
--- a/src/version_shift.cpp
+++ b/src/version_shift.cpp
@@ -281,6 +281,17 @@
   Session.IsStranded = false;
 }
 
+bool version_shift::endSession(std::uint64_t Hash, version_side Side,
+                               mono_time Now) {
+  const auto Known = Sessions.find(Hash);
+  if (Known == Sessions.end() || !Known->second.IsStranded) {
+    takeSession(Hash, Side, Now);
+    return false;
+  }
+  Known->second.LastAt = Now;
+  return true;
+}
+
 void version_shift::forgetSessions(mono_time Now) {
   if (Now - SweptAt < SessionTtl)
     return;
--- a/src/version_shift.h
+++ b/src/version_shift.h
@@ -78,6 +78,9 @@
   /// Whether a session with this hash may meet a trial; the other VMs are told
   /// of those, since a session's requests come in at several.
   bool mayMeetTrial(std::uint64_t Hash) const;
+  /// A request of the session ended at this VM. True if the version that it ran
+  /// on has gone meanwhile.
+  bool endSession(std::uint64_t Hash, version_side Side, mono_time Now);
   /// Another VM saw a session.
   void takeSession(std::uint64_t Hash, version_side Side, mono_time Now);
   /// Whether a request of `Side` may run on `Version`.
--- a/tests/routed_request_test.cpp
+++ b/tests/routed_request_test.cpp
@@ -419,6 +419,43 @@
   BOOST_TEST((Shift.sideFor(Name, Hash, Now) == version_side::Old));
 }
 
+// A long stream ends before a roll-out is ordered, and its session's next
+// request comes after that, here or at another VM. Counted from the stream's
+// start the session is forgotten by then, and meets the trial.
+BOOST_FIXTURE_TEST_CASE(session_of_a_stream_before_the_order_stays,
+                        routed_fixture) {
+  version_shift &Shift =
+      Shifts.try_emplace("engine", "vm1", 1, Now - 1h).first->second;
+  version_shift Elsewhere{"vm2", 2, Now - 1h};
+  for (version_shift *Each : {&Shift, &Elsewhere}) {
+    Each->setSessionTtl(5s);
+    Each->setExposureBound(1, 0);
+  }
+  std::string Name = "review-1";
+  while (!Shift.mayMeetTrial(stableHash(Name)))
+    Name += "1";
+  routed_call First = call(0);
+  First.Facts.Session = Name;
+  const std::uint64_t Hash = sessionHash(First.Facts);
+  const auto Stream = begin(std::move(First));
+  Stream->onSent(Now);
+  Stream->onHead(answer(200), Now);
+  Now += 8s;
+  Stream->onBody("id: 1\ndata: x\n\n", Now);
+  Stream->onEnd(Now);
+  for (const session_note &Note : Notes)
+    Elsewhere.takeSession(Note.Session, version_side::Old, Now);
+  BOOST_TEST(Notes.size() == 2U); // at its start and at its end
+  Now += 1s;
+  for (version_shift *Each : {&Shift, &Elsewhere}) {
+    Each->takeOrder({"engine", "v2", 60s, 1}, Now);
+    Each->takeReportsRead(Now);
+  }
+  Now += 2s;
+  BOOST_TEST((Shift.sideFor(Name, Hash, Now) == version_side::Old));
+  BOOST_TEST((Elsewhere.sideFor(Name, Hash, Now) == version_side::Old));
+}
+
 // A data centre is cut off: two endpoints there don't answer. Callers' requests
 // went on trying the others there, and were refused after some tries while the
 // own data centre idled. Now all that follow go to endpoints that answer.
--- a/tests/version_shift_test.cpp
+++ b/tests/version_shift_test.cpp
@@ -303,6 +303,24 @@
   BOOST_TEST(!Shift.verdict().empty());
 }
 
+// A stream ends after its version has gone: its session is without a version
+// from that end on, not on the new one.
+BOOST_AUTO_TEST_CASE(
+    stream_that_outlives_its_version_leaves_its_session_without) {
+  mono_time Now{1h};
+  version_shift Shift("vm1", 1, Now - 1h);
+  Shift.setSessionTtl(5s);
+  const std::uint64_t Hash = stableHash("s");
+  Shift.takeOrder({"engine", "v1", 20s, 1}, Now);
+  Shift.takeSession(Hash, version_side::Old, Now);
+  Shift.takeStatus("v1", rollout_state::Completed, Now);
+  Now += 3s;
+  BOOST_TEST(Shift.endSession(Hash, version_side::Old, Now));
+  Now += 4s;
+  Shift.takeOrder({"engine", "v2", 20s, 2}, Now);
+  BOOST_TEST((Shift.untilLapse("s", Hash, Now) == std::optional<duration>(1s)));
+}
+
 // Good versions of many kinds, on services that fail by themselves at times:
 // none is stopped.
 BOOST_AUTO_TEST_CASE(good_versions_pass) {
