Tell again what is held, and let new owners wait for their turn

A VM that stood still or was cut off while a request came to be held heard no note of it and doesn't follow the store: it would send the request on once more, and a zone of them past the bound of three. Readers now tell once a second what is held; a VM that no reader answers follows the store itself. VMs that come to own a limited endpoint as others are replaced each sent at once; they wait for their first turn.

--- a/src/config.h
+++ b/src/config.h
@@ -899,6 +899,9 @@
 /// lost on a bad link.
 constexpr unsigned CrashNoteRepeats = 3;
 constexpr auto CrashNotePause = 200ms;
+/// Readers tell all VMs again what is held: one that stood still or was cut off
+/// missed it before.
+constexpr auto QuarantineRetellPause = 1s;
 /// Notes of one datagram; below 32 KiB with all their ends.
 constexpr std::size_t MaxCrashNotes = 200;
 /// Until a write to the store is tried again, and until a second router writes
--- a/src/endpoint_limits.cpp
+++ b/src/endpoint_limits.cpp
@@ -6,13 +6,21 @@
 
 namespace clementinelane {
 
+// Load: VMs are replaced one after the other, and each time others own an
+// endpoint. Those that begin to wait for their first turn, or each would send
+// one more at once.
 void endpoint_limits::setVms(std::uint64_t Own,
-                             std::vector<std::uint64_t> Others) {
+                             std::vector<std::uint64_t> Others, mono_time Now) {
   if (!Owners.setVms(Own, std::move(Others)))
     return;
-  for (auto &[Endpoint, Entry] : Entries)
-    if (Entry.Limit)
-      Entry.IsOwner = Owners.owns(Endpoint, ownersOf(*Entry.Limit));
+  for (auto &[Endpoint, Entry] : Entries) {
+    if (!Entry.Limit)
+      continue;
+    const bool WasOwner = Entry.IsOwner;
+    Entry.IsOwner = Owners.owns(Endpoint, ownersOf(*Entry.Limit));
+    if (Entry.IsOwner && !WasOwner)
+      Entry.NextAt = std::max(Entry.NextAt, Now + spacing(*Entry.Limit));
+  }
 }
 
 std::size_t endpoint_limits::ownersOf(double Limit) {
--- a/src/endpoint_limits.h
+++ b/src/endpoint_limits.h
@@ -34,7 +34,8 @@
 class endpoint_limits {
 public:
   /// Hashes of this VM and of all others that are known.
-  void setVms(std::uint64_t Own, std::vector<std::uint64_t> Others);
+  void setVms(std::uint64_t Own, std::vector<std::uint64_t> Others,
+              mono_time Now);
 
   /// An answer of the endpoint came to this VM. True if that changes its limit.
   bool answered(std::uint32_t Endpoint, std::optional<double> RequestsPerSecond,
--- a/src/read_relay.cpp
+++ b/src/read_relay.cpp
@@ -238,6 +238,10 @@
   return std::find(Readers.begin(), Readers.end(), Own) != Readers.end();
 }
 
+bool read_relay::isServed(mono_time Now) const {
+  return ServedAt && Now - *ServedAt <= config::MaxRelayedAge;
+}
+
 std::optional<std::string> read_relay::readerToAsk(bool HasStoreFailed,
                                                    mono_time Now) const {
   std::vector<std::string> Readers = readers(Now);
@@ -359,6 +363,7 @@
     end(Answer->Number, std::nullopt);
     return;
   }
+  ServedAt = ProvenAt;
   end(Answer->Number,
       news{std::move(Answer->Records), Answer->End, ProvenAt, false});
 }
--- a/src/read_relay.h
+++ b/src/read_relay.h
@@ -137,6 +137,8 @@
   std::vector<std::string> readers(mono_time Now) const;
   bool isReader(mono_time Now) const;
   const std::string &own() const { return Own; }
+  /// Whether another router read the store for this one lately.
+  bool isServed(mono_time Now) const;
 
   /// Asks another router. False if this one is to read the store itself; one
   /// that the store just turned away asks another reader first.
@@ -204,6 +206,7 @@
   std::array<packed, RelayedTopics> Packed;
   std::map<std::uint64_t, question> Asked;
   std::uint64_t LastNumber = 0;
+  std::optional<mono_time> ServedAt; ///< the newest proof that another told
   /// Readers that gave no use in a row; another one is asked next.
   std::size_t Turn = 0;
 };
--- a/src/request_quarantine.cpp
+++ b/src/request_quarantine.cpp
@@ -151,22 +151,23 @@
   return Note;
 }
 
-// Datagrams may be lost, so each note is told some times.
+// Datagrams may be lost, so each note is told some times. What is held is told
+// on and on: a VM that stood still or was cut off has missed it.
 request_quarantine::news request_quarantine::takeNews(bool IsReader,
                                                       mono_time Now) {
   news News;
   for (auto &[Request, Entry] : Entries) {
-    if (Entry.TellsLeft == 0 || Entry.TellAt > Now)
-      continue;
     const bool IsForAll = Entry.IsHeld && IsReader;
-    if (!IsForAll && !Entry.IsOwn)
+    const bool IsForReaders = Entry.IsOwn && Entry.TellsLeft > 0;
+    if (Entry.TellAt > Now || !(IsForAll || IsForReaders))
       continue;
     auto &Notes = IsForAll ? News.Held : News.Suspects;
     if (Notes.size() >= config::MaxCrashNotes)
       break; // the rest has its turn at the next call
     Notes.push_back(noteOf(Request, Entry));
-    --Entry.TellsLeft;
-    Entry.TellAt = Now + config::CrashNotePause;
+    Entry.TellsLeft -= Entry.TellsLeft > 0 ? 1 : 0;
+    Entry.TellAt = Now + (Entry.TellsLeft > 0 ? duration(config::CrashNotePause)
+                                              : config::QuarantineRetellPause);
   }
   return News;
 }
--- a/src/router.cpp
+++ b/src/router.cpp
@@ -585,7 +585,7 @@
   const std::uint64_t Own = stableHash(Settings.PeerAddress);
   const auto Others = Peers ? Peers->hashes() : std::vector<std::uint64_t>{};
   Choice.warmUp().setVms(Own, Others);
-  Choice.limits().setVms(Own, Others);
+  Choice.limits().setVms(Own, Others, Now);
 }
 
 void router::logEstimates(mono_time Now) {
@@ -802,7 +802,8 @@
 void router::tickQuarantine(mono_time Now) {
   Crashes.expire(Now);
   const bool IsReader = Relay.isReader(Now);
-  Platform.followQuarantine(IsReader);
+  // A VM that hears readers, but gets no answers, is on its own.
+  Platform.followQuarantine(IsReader || !Relay.isServed(Now));
   tellCrashes(Now);
   for (const std::uint64_t Request : Quarantine.expire(Now))
     if (IsReader)
