Hold a request no longer for being told of again

Found by reading the diff: each note that repeats what is held moved the end of its time, so two readers that tell each other every second would have held it for ever, and Retry-After would never have fallen. Only an end that is new makes it longer. request_quarantine_test: telling_again_does_not_hold_longer (written with the change; the code before moves the time with every note). Ends of endpoints are counted once, not again with each connection that breaks late.

--- a/src/request_quarantine.cpp
+++ b/src/request_quarantine.cpp
@@ -85,7 +85,6 @@
   if (Served.contains(Request) || Crashes.empty())
     return nullptr;
   entry &Entry = Entries[Request];
-  Entry.LastAt = std::max(Entry.LastAt, LastAt);
   for (const std::uint64_t Id : Crashes) {
     const bool IsKnown =
         std::any_of(Entry.Crashes.begin(), Entry.Crashes.end(),
@@ -93,6 +92,9 @@
     if (IsKnown || Entry.Crashes.size() >= config::MaxNotedCrashes)
       continue;
     Entry.Crashes.push_back({Id, Now});
+    // Only an end that is new makes the time longer: what is held is told on
+    // and on, and would hold itself.
+    Entry.LastAt = std::max(Entry.LastAt, LastAt);
     Entry.ChangedAt = Now;
     Entry.TellsLeft = config::CrashNoteRepeats;
     Entry.TellAt = Now;
--- a/src/router.cpp
+++ b/src/router.cpp
@@ -703,8 +703,10 @@
                  [this, Endpoint](bool IsAnswered) {
                    const auto Requests =
                        Crashes.probed(Endpoint.Id, IsAnswered, now());
-                   if (!Requests.empty())
-                     endpointEnded(Endpoint, Requests);
+                   if (Requests.empty())
+                     return;
+                   Metrics.endpointCrashed();
+                   endpointEnded(Endpoint, Requests);
                  });
     return;
   case crash_watch::verdict::Ended:
@@ -717,7 +719,6 @@
 
 void router::endpointEnded(const endpoint_info &Endpoint,
                            const std::vector<std::uint64_t> &Requests) {
-  Metrics.endpointCrashed();
   logs::info("endpoint_crashed", {{"endpoint", Endpoint.Id},
                                   {"requests", std::to_string(Requests.size())},
                                   {"first", hexText(Requests.front())}});
--- a/tests/request_quarantine_test.cpp
+++ b/tests/request_quarantine_test.cpp
@@ -161,6 +161,18 @@
   BOOST_TEST(!Quarantine.holds(Request));
 }
 
+// Two readers tell each other every second what is held: that doesn't hold it
+// any longer.
+BOOST_FIXTURE_TEST_CASE(telling_again_does_not_hold_longer, fixture) {
+  for (std::uint64_t Crash = 10; Crash < 13; ++Crash)
+    crash(Crash, {Request});
+  Now += config::QuarantineLife - 1s;
+  Quarantine.told({Request, {10, 11, 12}}, Now);
+  Now += 1s;
+  Quarantine.expire(Now);
+  BOOST_TEST(!Quarantine.holds(Request));
+}
+
 // An operator drops the record of a request.
 BOOST_FIXTURE_TEST_CASE(a_dropped_record_releases_its_request, fixture) {
   Quarantine.stored({Request, {10, 11, 12}}, 0s, Now);
