Log the session of each attempt, and what was known of it amid a roll-out

The lines couldn't tell whether a session had been forgotten, never heard of, or told as moved while it ran on the old version: attempts named no session, and nothing told of the fall-back to the old version.

attempt names the session's hash; placed gives, amid an order, the side, what the VM knew of the session, from whom and how old; old_version_instead tells of the fall-back. No decision changes.

--- a/src/routed_request.cpp
+++ b/src/routed_request.cpp
@@ -117,7 +117,10 @@
 
 void routed_request::beginOn(version_shift &Shift, mono_time Now) {
   const std::uint64_t Hash = sessionHash(Call.Facts);
+  const session_knowledge Known = Shift.knowledgeOf(Hash, Now);
   Side = Shift.sideFor(Call.Facts.Session, Hash, Now);
+  if (Shift.isActive() && !Call.Facts.Session.empty())
+    Outputs.placed({Hash, Side, Known});
   tellSession(Shift, Hash);
 }
 
@@ -163,6 +166,7 @@
     return chooseWithoutPin(Now);
   if (Side == version_side::Old)
     return std::nullopt;
+  Outputs.note("old_version_instead", "no_endpoint_of_target", "");
   Side = version_side::Old;
   return Context.Choice.choose(Request, Now);
 }
--- a/src/routed_request.h
+++ b/src/routed_request.h
@@ -36,6 +36,8 @@
   virtual void answerWhole(const endpoint_answer &Answer,
                            std::string_view Body) = 0;
   virtual void refuse(const refusal &Refusal) = 0;
+  /// A session was placed on a side of a roll-out, for the log.
+  virtual void placed(const session_placing &Placing) = 0;
   /// A decision, for the log: what, why, and where.
   virtual void note(std::string_view What, std::string_view Why,
                     std::string_view Where) = 0;
--- a/src/router_session.cpp
+++ b/src/router_session.cpp
@@ -4,9 +4,21 @@
 #include "hashing.h"
 
 #include <algorithm>
+#include <array>
 
 namespace clementinelane {
 
+namespace {
+
+constexpr std::array<std::string_view, 2> SideNames{"old", "new"};
+constexpr std::array<std::string_view, 3> SourceNames{"nobody", "own", "told"};
+
+std::string sessionText(const call_facts &Facts) {
+  return Facts.Session.empty() ? std::string{} : hexText(sessionHash(Facts));
+}
+
+} // namespace
+
 router::session::session(router &Router,
                          std::shared_ptr<caller_exchange> Exchange,
                          routed_call Call)
@@ -100,6 +112,7 @@
   logs::decision("attempt",
                  {{"id", call().Facts.Id},
                   {"request", hexText(call().Digest)},
+                  {"session", sessionText(call().Facts)},
                   {"endpoint", Order.Endpoint.Id},
                   {"version", Order.Endpoint.Version},
                   {"model", Order.Model},
@@ -149,6 +162,25 @@
   Router.refuse(*Exchange, Refusal, call().Facts.Id);
 }
 
+void router::session::placed(const session_placing &Placing) {
+  const auto &[Source, Side, Age] = Placing.Known;
+  const auto NameOf = [](version_side Value) {
+    return std::string(SideNames[static_cast<std::size_t>(Value)]);
+  };
+  logs::decision(
+      "placed",
+      {{"id", call().Facts.Id},
+       {"session", hexText(Placing.Session)},
+       {"side", NameOf(Placing.Side)},
+       {"known_from",
+        std::string(SourceNames[static_cast<std::size_t>(Source)])},
+       {"known_side", Source == session_source::None ? "" : NameOf(Side)},
+       {"known_ms",
+        std::to_string(
+            std::chrono::duration_cast<std::chrono::milliseconds>(Age)
+                .count())}});
+}
+
 void router::session::note(std::string_view What, std::string_view Why,
                            std::string_view Where) {
   if (What == "attempt_failed")
--- a/src/version_shift.cpp
+++ b/src/version_shift.cpp
@@ -217,11 +217,22 @@
       Side = freshSide(Hash, Now);
   }
   if (!Session.empty() && Sessions.size() < config::MaxShiftSessions)
-    Sessions[Hash] = {
-        .Side = Side, .LastAt = Now, .IsStranded = false, .IsOwn = true};
+    Sessions[Hash] = {.Side = Side,
+                      .LastAt = Now,
+                      .IsStranded = false,
+                      .IsOwn = true,
+                      .Source = session_source::Own};
   return Side;
 }
 
+session_knowledge version_shift::knowledgeOf(std::uint64_t Hash,
+                                             mono_time Now) const {
+  const auto Known = Sessions.find(Hash);
+  if (Known == Sessions.end() || Now - Known->second.LastAt >= SessionTtl)
+    return {};
+  return {Known->second.Source, Known->second.Side, Now - Known->second.LastAt};
+}
+
 // Failure: an order follows the end of another one within the sessions' time to
 // live. A session that last ran before that end has no version left: the
 // trial's is for new sessions, and the one in use isn't its own. In the second
@@ -258,6 +269,7 @@
   Session.Side = version_side::Old;
   Session.LastAt = LastAt;
   Session.IsStranded = true;
+  Session.Source = session_source::Told;
 }
 
 bool version_shift::mayMeetTrial(std::uint64_t Hash) const {
@@ -279,6 +291,7 @@
   Session.Side = IsMoved ? version_side::New : Side;
   Session.LastAt = Now;
   Session.IsStranded = false;
+  Session.Source = session_source::Told;
 }
 
 bool version_shift::endSession(std::uint64_t Hash, version_side Side,
@@ -286,6 +299,8 @@
   const auto Known = Sessions.find(Hash);
   if (Known == Sessions.end() || !Known->second.IsStranded) {
     takeSession(Hash, Side, Now);
+    if (const auto Noted = Sessions.find(Hash); Noted != Sessions.end())
+      Noted->second.Source = session_source::Own;
     return false;
   }
   Known->second.LastAt = Now;
--- a/src/version_shift.h
+++ b/src/version_shift.h
@@ -3,6 +3,7 @@
 #include "clock.h"
 #include "endpoint_directory.h"
 #include "rollout_reports.h"
+#include "session_placing.h"
 
 #include <cstdint>
 #include <map>
@@ -26,8 +27,6 @@
 
 enum class rollout_state : std::uint8_t { InProgress, Completed, RolledBack };
 
-enum class version_side : std::uint8_t { Old, New };
-
 /// Moves one service's sessions to an ordered version, or back, without I/O.
 ///
 /// Load: a version that fails or is slow from the start, later, under load or
@@ -66,6 +65,8 @@
   /// The side for a request of `Session` (may be empty), whose hash is `Hash`.
   version_side sideFor(std::string_view Session, std::uint64_t Hash,
                        mono_time Now);
+  /// What is known of a session that may still be alive.
+  session_knowledge knowledgeOf(std::uint64_t Hash, mono_time Now) const;
   /// How long the session must stay away until a version may take it, if none
   /// may now: its own is gone and a trial is under way.
   std::optional<duration> untilLapse(std::string_view Session,
@@ -121,6 +122,7 @@
     mono_time LastAt{};
     bool IsStranded = false; ///< the version that it ran on is gone
     bool IsOwn = false;      ///< a request of it came in at this VM
+    session_source Source = session_source::Own; ///< of what was learned last
   };
   /// A status whose order wasn't read yet.
   struct early_status {
--- a/tests/routed_fixture.h
+++ b/tests/routed_fixture.h
@@ -20,6 +20,7 @@
   std::optional<endpoint_answer> Whole;
   std::string WholeBody;
   std::optional<refusal> Refused;
+  std::vector<session_placing> Placings;
   std::vector<std::string> Notes;
 
   void startAttempt(const attempt_order &Order) override {
@@ -36,6 +37,9 @@
     WholeBody = Body;
   }
   void refuse(const refusal &Refusal) override { Refused = Refusal; }
+  void placed(const session_placing &Placing) override {
+    Placings.push_back(Placing);
+  }
   void note(std::string_view What, std::string_view Why,
             std::string_view) override {
     Notes.push_back(std::string(What) + ":" + std::string(Why));
