--- /dev/null
+++ b/tests/session_steadiness_test.cpp
@@ -0,0 +1,308 @@
+#define BOOST_TEST_MODULE session_steadiness
+#include "config.h"
+#include "hashing.h"
+#include "version_shift.h"
+
+#include <algorithm>
+#include <array>
+#include <boost/test/unit_test.hpp>
+#include <cmath>
+#include <deque>
+#include <functional>
+#include <map>
+#include <random>
+
+using namespace clementinelane;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr auto SessionTtl = 5s;
+/// Requests of a day that may run on another version than the one before.
+constexpr unsigned AllowedMoves = 3;
+constexpr auto ReportPeriod = 1s;
+constexpr auto NotePeriod = 200ms;
+/// A VM that has just started isn't held to the rule for so long.
+constexpr auto StartGrace = 4s;
+
+duration seconds(double Value) {
+  return std::chrono::duration_cast<duration>(
+      std::chrono::duration<double>(Value));
+}
+
+/// What a seed draws.
+struct scenario {
+  std::size_t Vms = 9;
+  double SessionsPerSecond = 100;
+  duration Length = 16s;
+  duration MostOrderSkew = 0s; ///< until the last VM has read the order
+  duration MostListSkew = 0s;  ///< from then until it knows the target's
+  duration MostNoteDelay = 0s;
+  double LostNotes = 0;
+  double Beside = 0;   ///< requests that come while the one before runs
+  double BusyPart = 0; ///< of time, that a VM finds no endpoint of the target
+  double LongestStream = 20;
+  bool HasSecondOrder = false;
+};
+
+scenario draw(unsigned Seed) {
+  std::mt19937 Random(Seed);
+  const auto Between = [&Random](double Low, double High) {
+    return std::uniform_real_distribution<double>(Low, High)(Random);
+  };
+  constexpr std::array<std::size_t, 4> Sizes{9, 9, 71, 300};
+  scenario Drawn;
+  Drawn.Vms = Seed % 40 == 0 ? 1100 : Sizes[Seed % Sizes.size()];
+  Drawn.SessionsPerSecond = Between(10, 150);
+  Drawn.Length = seconds(Between(12, 24));
+  Drawn.MostOrderSkew = seconds(Between(0.05, 2));
+  Drawn.MostListSkew = seconds(Between(0.2, 1.2));
+  Drawn.MostNoteDelay = seconds(Between(0.01, 1));
+  Drawn.LostNotes = Between(0, 0.3);
+  Drawn.Beside = Between(0, 0.3);
+  Drawn.BusyPart = Between(0, 0.2);
+  Drawn.LongestStream = Between(0.1, 20);
+  return Drawn;
+}
+
+/// A fleet under a good version's order, in virtual time. Sessions of several
+/// requests come in at any VM; what runs where is checked as their callers see
+/// it.
+class fleet {
+public:
+  fleet(const scenario &Scenario, unsigned Seed)
+      : Scenario(Scenario), Random(Seed) {
+    for (std::size_t Each = 0; Each < Scenario.Vms; ++Each)
+      Vms.emplace_back("vm" + std::to_string(Each));
+    for (vm &Vm : Vms)
+      list(Vm, {"v1"});
+    order("v2", 5, Start);
+    if (Scenario.HasSecondOrder)
+      order("v3", 6, Start + Scenario.Length + seconds(between(0.2, 3)));
+    const mono_time End = Orders.back().At + Scenario.Length - 1s;
+    for (mono_time At = Start - SessionTtl; At < End;
+         At += seconds(exponential(1 / Scenario.SessionsPerSecond)))
+      at(At, [this, Id = ++LastSession] { request(Id); });
+    for (std::size_t Each = 0; Each < Vms.size(); ++Each)
+      at(Start + seconds(between(0, 1)), [this, Each] { hearReports(Each); });
+  }
+
+  void play() {
+    while (!Later.empty()) {
+      Now = Later.begin()->first;
+      Later.extract(Later.begin()).mapped()();
+    }
+  }
+
+  unsigned Requests = 0;
+  unsigned Early = 0; ///< moved to a target in its order's first half
+  unsigned Back = 0;  ///< from the target to the version before
+
+private:
+  struct vm {
+    explicit vm(const std::string &Name) : Shift(Name, 1, {}) {
+      Shift.setSessionTtl(SessionTtl + config::SessionTtlMargin);
+      Shift.setExposureBound(0.1, 30);
+    }
+    version_shift Shift;
+    std::array<mono_time, 2> TargetFrom{mono_time::max(), mono_time::max()};
+    mono_time BusyUntil{};
+  };
+  struct ordered {
+    std::string Target;
+    std::uint64_t Offset = 0;
+    mono_time At{};
+  };
+  struct run {
+    std::string Version;
+    std::optional<mono_time> EndedAt;
+  };
+
+  double between(double Low, double High) {
+    return std::uniform_real_distribution<double>(Low, High)(Random);
+  }
+  double exponential(double Mean) {
+    return std::exponential_distribution<double>(1 / Mean)(Random);
+  }
+  bool chance(double Probability) {
+    return std::bernoulli_distribution(Probability)(Random);
+  }
+  void at(mono_time Time, std::function<void()> Do) {
+    Later.emplace(Time, std::move(Do));
+  }
+
+  static void list(vm &Vm, const std::vector<std::string> &Versions) {
+    std::deque<endpoint_info> Infos;
+    std::vector<const endpoint_info *> Views;
+    for (const std::string &Version : Versions) {
+      endpoint_info &Info = Infos.emplace_back();
+      Info.Id = Version + "a";
+      Info.Version = Version;
+      Views.push_back(&Info);
+    }
+    Vm.Shift.takeEndpoints(Views);
+  }
+
+  /// Orders a version; each VM reads that, its endpoints and its end late.
+  void order(const std::string &Target, std::uint64_t Offset, mono_time At) {
+    const std::string Before = Orders.empty() ? "v1" : Orders.back().Target;
+    const std::size_t Place = Orders.size();
+    Orders.push_back({Target, Offset, At});
+    const auto Skew = [this] {
+      return seconds(between(
+          0, std::chrono::duration<double>(Scenario.MostOrderSkew).count()));
+    };
+    for (vm &Vm : Vms) {
+      const mono_time ReadAt = At + Skew();
+      at(ReadAt, [this, &Vm, Target, Offset] {
+        Vm.Shift.takeOrder({"engine", Target, Scenario.Length, Offset}, Now);
+        Vm.Shift.takeStatusesRead(Now);
+        Vm.Shift.takeReportsRead(Now);
+      });
+      const mono_time ListedAt =
+          ReadAt + seconds(between(0.2, std::chrono::duration<double>(
+                                            Scenario.MostListSkew + 200ms)
+                                            .count()));
+      at(ListedAt, [&Vm, Before, Target] { list(Vm, {Before, Target}); });
+      Vm.TargetFrom[Place] = ListedAt;
+      at(At + Scenario.Length - config::RolloutDeadlineMargin + Skew() / 4,
+         [this, &Vm, Target] {
+           Vm.Shift.takeStatus(Target, rollout_state::Completed, Now);
+           list(Vm, {Target});
+         });
+    }
+  }
+
+  /// The others' reports, by way of the store.
+  void hearReports(std::size_t Which) {
+    vm &Vm = Vms[Which];
+    Vm.Shift.takeReportsRead(Now);
+    if (Vm.Shift.isActive()) {
+      const vm &Other = Vms[std::uniform_int_distribution<std::size_t>(
+          0, Vms.size() - 1)(Random)];
+      if (Other.Shift.isActive() &&
+          Other.Shift.order()->Offset == Vm.Shift.order()->Offset)
+        at(Now + seconds(between(0.005, 0.2)),
+           [&Vm, Report = Other.Shift.report(Now), this] {
+             Vm.Shift.takeReport(Report, Now);
+           });
+    }
+    if (Now < Orders.back().At + Scenario.Length)
+      at(Now + ReportPeriod, [this, Which] { hearReports(Which); });
+  }
+
+  void tell(std::size_t From, std::uint64_t Hash, version_side Side) {
+    for (std::size_t To = 0; To < Vms.size(); ++To)
+      if (To != From && !chance(Scenario.LostNotes))
+        at(Now + NotePeriod / 2 +
+               seconds(between(
+                   0, std::chrono::duration<double>(Scenario.MostNoteDelay)
+                          .count())),
+           [this, To, Hash, Side] {
+             Vms[To].Shift.takeSession(Hash, Side, Now);
+           });
+  }
+
+  bool hasTarget(vm &Vm) {
+    const std::size_t Place =
+        Vm.Shift.order()->Offset == Orders.front().Offset ? 0 : 1;
+    if (Now >= Vm.BusyUntil + 2s && chance(Scenario.BusyPart / 4))
+      Vm.BusyUntil = Now + seconds(between(0.1, 1));
+    return Now >= Vm.TargetFrom[Place] && Now >= Vm.BusyUntil;
+  }
+
+  std::string inUse(const vm &Vm) const {
+    for (const auto *Version : {"v1", "v2", "v3"})
+      if (Vm.Shift.allows(Version, version_side::Old))
+        return Version;
+    return {};
+  }
+
+  void request(std::uint64_t Id) {
+    const std::size_t Which =
+        std::uniform_int_distribution<std::size_t>(0, Vms.size() - 1)(Random);
+    vm &Vm = Vms[Which];
+    const std::string Session = std::to_string(Id);
+    const std::uint64_t Hash = stableHash(Session);
+    version_side Side = Vm.Shift.sideFor(Session, Hash, Now);
+    if (Vm.Shift.mayMeetTrial(Hash))
+      tell(Which, Hash, Side);
+    if (Side == version_side::New && !hasTarget(Vm))
+      Side = version_side::Old;
+    const std::string Version =
+        Side == version_side::New ? Vm.Shift.order()->Target : inUse(Vm);
+    check(Id, Version);
+    ++Requests;
+    const std::size_t Run = Runs[Id].size();
+    Runs[Id].push_back({Version, std::nullopt});
+    const duration Took =
+        seconds(0.05 * std::pow(Scenario.LongestStream / 0.05, between(0, 1)));
+    at(Now + Took, [this, Which, Id, Hash, Side, Run] {
+      Runs[Id][Run].EndedAt = Now;
+      if (!Vms[Which].Shift.endSession(Hash, Side, Now) &&
+          Vms[Which].Shift.mayMeetTrial(Hash))
+        tell(Which, Hash, Side);
+    });
+    if (Run < 6 && chance(0.7))
+      at(Now + (chance(Scenario.Beside) ? Took / 4 : Took) +
+             seconds(exponential(1)),
+         [this, Id] { request(Id); });
+  }
+
+  /// Against the run before in the session: the last one to begin.
+  void check(std::uint64_t Id, const std::string &Version) {
+    const auto &Its = Runs[Id];
+    if (Its.empty() || Its.back().Version == Version ||
+        (Its.back().EndedAt && Now - *Its.back().EndedAt >= SessionTtl))
+      return;
+    for (auto Order = Orders.rbegin(); Order != Orders.rend(); ++Order) {
+      if (Now < Order->At)
+        continue;
+      const bool IsFirstHalf = Now < Order->At + Scenario.Length / 2;
+      Early += Version == Order->Target && IsFirstHalf ? 1 : 0;
+      Back += Its.back().Version == Order->Target ? 1 : 0;
+      return;
+    }
+  }
+
+  const mono_time Start{1h};
+  scenario Scenario;
+  std::mt19937 Random;
+  mono_time Now{};
+  std::deque<vm> Vms;
+  std::vector<ordered> Orders;
+  std::multimap<mono_time, std::function<void()>> Later;
+  std::map<std::uint64_t, std::vector<run>> Runs; ///< by session
+  std::uint64_t LastSession = 0;
+};
+
+} // namespace
+
+// Sessions on 9 to 1,100 VMs change their version within an order: VMs read it
+// apart, notes are lost or late, streams outlive the sessions' time to live,
+// and VMs find no endpoint of the target at times.
+BOOST_AUTO_TEST_CASE(sessions_keep_their_version_under_an_order) {
+  for (unsigned Seed = 1; Seed <= 80; ++Seed) {
+    fleet Fleet(draw(Seed), Seed);
+    Fleet.play();
+    BOOST_TEST_INFO("seed " << Seed << ", VMs " << draw(Seed).Vms << ", early "
+                            << Fleet.Early << ", back " << Fleet.Back << " of "
+                            << Fleet.Requests);
+    BOOST_TEST(Fleet.Early + Fleet.Back <= AllowedMoves);
+  }
+}
+
+// A second order follows the first within the sessions' time to live. What is
+// told of the first one's target must not count as the second one's.
+BOOST_AUTO_TEST_CASE(moves_of_one_order_are_not_those_of_the_next) {
+  for (unsigned Seed = 1; Seed <= 40; ++Seed) {
+    scenario Scenario = draw(Seed);
+    Scenario.Vms = std::min<std::size_t>(Scenario.Vms, 71);
+    Scenario.HasSecondOrder = true;
+    fleet Fleet(Scenario, Seed);
+    Fleet.play();
+    BOOST_TEST_INFO("seed " << Seed << ", early " << Fleet.Early << ", back "
+                            << Fleet.Back << " of " << Fleet.Requests);
+    BOOST_TEST(Fleet.Early <= AllowedMoves);
+  }
+}
