Move no session in the first half of an order

Cause: a VM took a session that it knew nothing of for a new one and moved it. Knowing nothing proves nothing: notes are lost, late or not sent, streams still run, VMs have just started or not read the order.

Ruled out: making the news complete. It would take acknowledged notes from every VM on every session, on fleets of 1,100, and still fail for requests beside each other.

Change: in the first half only requests without a session meet the target, at a tenth of the bound; from the half on two thirds of it, by hash, which needs no news. A bad version meets no session for half of the order. StartedAt of a shift is of no use any more.

--- a/src/config.h
+++ b/src/config.h
@@ -776,13 +776,11 @@
 
 // --- roll-outs on the platform -----------------------------------------------
 
-/// Sessions that meet the target, of the exposure bound: the first for this
-/// part of the order's time, so that its answers can be judged, also slow ones;
-/// the second after that, for sessions that it has already. Together they use
-/// about four tenths of the bound; the rest is for the last step.
+/// Parts of the exposure bound. In the first half of an order the target meets
+/// requests without a session only; from then on a share of all, which leaves
+/// more than half of the bound to the last step.
+constexpr double RolloutFirstShare = 0.1;
 constexpr double RolloutTrialShare = 2.0 / 3;
-constexpr double RolloutTrialPart = 0.45;
-constexpr double RolloutHoldShare = 0.1;
 /// Requests that are left of the tolerance, for the skew between VMs, and of
 /// what the bound leaves for the last step.
 constexpr double RolloutTolerancePart = 0.7;
--- a/src/router.cpp
+++ b/src/router.cpp
@@ -370,8 +370,7 @@
 version_shift &router::ensureShift(std::string_view Service) {
   auto &Shift = Shifts[std::string(Service)];
   if (!Shift) {
-    Shift = std::make_unique<version_shift>(Settings.VmName, Incarnation,
-                                            StartedAt);
+    Shift = std::make_unique<version_shift>(Settings.VmName, Incarnation);
     setUp(*Shift);
   }
   return *Shift;
--- a/src/version_shift.cpp
+++ b/src/version_shift.cpp
@@ -155,14 +155,13 @@
          std::chrono::duration<double>(Order->Length).count() / Seen;
 }
 
-// With share a until u and share b until the step at t (of the order's time),
-// and everything after it, the target meets a * u + b * (t - u) + (1 - t).
-// Taking b for the whole rest errs towards a later step.
+// With share a in the first half, share b until the step at t (of the order's
+// time), and everything after it, the target meets a / 2 + b * (t - 1 / 2) +
+// (1 - t). Taking b for the whole second half errs towards a later step.
 duration version_shift::lastStep() const {
   const double Before =
-      ExposureBound *
-      (config::RolloutTrialShare * config::RolloutTrialPart +
-       config::RolloutHoldShare * (1 - config::RolloutTrialPart));
+      ExposureBound * (config::RolloutFirstShare + config::RolloutTrialShare) /
+      2;
   const double Requests = expectedRequests();
   const double Tolerance =
       Requests > 0 ? config::RolloutTolerancePart * ExposureTolerance / Requests
@@ -182,9 +181,8 @@
   const bool IsTold = Now - ReportsReadAt <= config::RolloutReportLife;
   if (elapsed(Now) >= lastStep() && IsTold)
     return 1;
-  const bool IsTrial = elapsed(Now) < Order->Length * config::RolloutTrialPart;
-  return ExposureBound *
-         (IsTrial ? config::RolloutTrialShare : config::RolloutHoldShare);
+  return ExposureBound * (isFirstHalf(Now) ? config::RolloutFirstShare
+                                           : config::RolloutTrialShare);
 }
 
 version_side version_shift::freshSide(std::uint64_t Hash, mono_time Now) const {
@@ -193,11 +191,13 @@
   return Point < shareAt(Now) ? version_side::New : version_side::Old;
 }
 
-// Load: sessions whose requests follow each other within the time to live, and
-// VMs that restart meanwhile. Harm prevented: a session that began on the old
-// version is moved in the first half, or one that moved goes back. Without the
-// memory of the last seconds a VM can't tell an old session from a new one, so
-// it begins none on the target until it has run for that long.
+// Load: sessions whose requests follow each other within the time to live at
+// any VM. Harm prevented: a session that began on the old version is moved in
+// the first half, or one that moved goes back. That nothing is known of a
+// session proves nothing: notes are lost or late, streams are still under way,
+// VMs have just started. So in the first half only requests without a session
+// meet the target. In the second half the hash alone decides, which all VMs
+// have in common.
 version_side version_shift::sideFor(std::string_view Session,
                                     std::uint64_t Hash, mono_time Now) {
   forgetSessions(Now);
@@ -209,7 +209,7 @@
         Known != Sessions.end() && Now - Known->second.LastAt < SessionTtl;
     if (IsKnown && Known->second.Side == version_side::New)
       Side = Verdict.empty() ? version_side::New : version_side::Old;
-    else if (isFirstHalf(Now) && (IsKnown || Now - StartedAt < SessionTtl))
+    else if (isFirstHalf(Now) && !Session.empty())
       Side = version_side::Old;
     else if (IsKnown && Known->second.IsStranded && Verdict.empty())
       Side = version_side::New;
--- a/src/version_shift.h
+++ b/src/version_shift.h
@@ -33,15 +33,16 @@
 /// for one kind of request only, or never shows it before it has all traffic.
 /// Harm prevented: more than the bound of all requests between the order and
 /// its deadline meets it; sessions change their version while a review is under
-/// way; two VMs decide differently. A share of new sessions, by hash, goes to
-/// the target on few endpoints, so that those are as loaded as they would be
-/// later; then hardly any, while the answers are judged. All others follow in
-/// one step so late that, even if nothing was seen, what met the target before
-/// and after it stays within the bound.
+/// way; two VMs decide differently. No session moves in the first half. From
+/// then on a share of the sessions, by hash, goes to the target on few
+/// endpoints, so that those are as loaded as they would be later, and the
+/// answers are judged. All others follow in one step so late that, even if
+/// nothing was seen, what met the target before and after it stays within the
+/// bound.
 class version_shift {
 public:
-  version_shift(std::string Vm, std::uint64_t Incarnation, mono_time StartedAt)
-      : Vm(std::move(Vm)), Incarnation(Incarnation), StartedAt(StartedAt) {}
+  version_shift(std::string Vm, std::uint64_t Incarnation)
+      : Vm(std::move(Vm)), Incarnation(Incarnation) {}
 
   void setSessionTtl(duration Value) { SessionTtl = Value; }
   duration sessionTtl() const { return SessionTtl; }
@@ -144,7 +145,6 @@
 
   std::string Vm;
   std::uint64_t Incarnation;
-  mono_time StartedAt;
   duration SessionTtl = std::chrono::seconds(5);
   double ExposureBound = 0.15;
   double ExposureTolerance = 0;
