Remember the version that sessions ran on, not the side they were placed on

Cause: what was remembered and told of a session was a side of the order under way, noted when a request was placed. A request that found no endpoint of the target ran on the old version and was told as moved; a side told of one order counted for the next one's target; a late reader of an order took all sides for old; a session counted as gone a time to live after its start, though its stream ran.

Change: session_versions keeps the version (its hash) of the run that began last, from the first sign of the run to a time to live after its end; VMs tell each other versions and ages, and only where another VM could place the session wrongly: on the target of an order, on a version that is gone, or on another one than before. Without an order nothing is told. The notes have a new kind, so that VMs of both programs pass over each other's.

The test of a stream before an order expected two notes told at once; now none is told, and both VMs place the session right without.

--- a/src/peer_datagrams.h
+++ b/src/peer_datagrams.h
@@ -16,7 +16,7 @@
 /// What a datagram holds; its first byte.
 enum class peer_message : char {
   Loads = 'L',
-  Sessions = 'S',
+  SessionRuns = 'V',
   Report = 'R',
   Crashes = 'C',
   Question = 'Q',
--- a/src/peer_loads.cpp
+++ b/src/peer_loads.cpp
@@ -18,7 +18,7 @@
 constexpr double CoresUnit = 100;
 /// Fields of one load or session and of a digest, in their order on the wire.
 constexpr std::size_t LoadFields = 3;
-constexpr std::size_t SessionFields = 3;
+constexpr std::size_t SessionFields = 4;
 constexpr std::size_t DigestFields = 4;
 constexpr std::size_t ColdFields = 2;
 constexpr std::size_t LimitFields = 3;
@@ -55,11 +55,9 @@
 
 std::string encodeNotes(const std::vector<session_note> &Notes) {
   auto Body = json::array();
-  for (const session_note &Note : Notes) {
-    Body.push_back({Note.Service, Note.Session, Note.IsNew ? 1 : 0});
-    if (Note.StrandedFor)
-      Body.back().push_back(Note.StrandedFor->count());
-  }
+  for (const session_note &Note : Notes)
+    Body.push_back(
+        {Note.Service, Note.Session, Note.Version, Note.Age.count()});
   std::string Bytes;
   json::to_msgpack(Body, Bytes);
   return Bytes;
@@ -74,12 +72,10 @@
     for (const json &Note : Body) {
       if (!Note.is_array() || Note.size() < SessionFields)
         return std::nullopt;
-      Notes.push_back({Note[0].get<std::uint32_t>(),
-                       Note[1].get<std::uint64_t>(),
-                       Note[2].get<unsigned>() != 0});
-      if (Note.size() > SessionFields)
-        Notes.back().StrandedFor =
-            std::chrono::milliseconds(Note[SessionFields].get<std::uint32_t>());
+      Notes.push_back(
+          {Note[0].get<std::uint32_t>(), Note[1].get<std::uint64_t>(),
+           Note[2].get<std::uint32_t>(),
+           std::chrono::milliseconds(Note[3].get<std::uint32_t>())});
     }
     return Notes;
   } catch (const json::exception &) {
--- a/src/peer_loads.h
+++ b/src/peer_loads.h
@@ -25,11 +25,10 @@
 /// A session that may meet a trial of a new version, and where it is; or one
 /// whose version is gone.
 struct session_note {
-  std::uint32_t Service = 0; ///< hash of its name
-  std::uint64_t Session = 0; ///< hash of its id
-  bool IsNew = false;        ///< on the new version
-  /// Since it last ran on the version that is gone.
-  std::optional<std::chrono::milliseconds> StrandedFor = std::nullopt;
+  std::uint32_t Service = 0;       ///< hash of its name
+  std::uint64_t Session = 0;       ///< hash of its id
+  std::uint32_t Version = 0;       ///< hash; of the version that it last ran on
+  std::chrono::milliseconds Age{}; ///< since then
 };
 
 /// What one VM has under way, told to the others.
--- a/src/routed_request.cpp
+++ b/src/routed_request.cpp
@@ -24,6 +24,12 @@
                           : attempt_result::Unreachable;
 }
 
+/// Whether an attempt that reached its endpoint may have run there.
+bool mayHaveRun(attempt_result Result) {
+  return Result != attempt_result::Full && Result != attempt_result::Replaced &&
+         Result != attempt_result::Unreachable;
+}
+
 /// Whether a request that may run in these regions alone may run there.
 bool isHome(const std::vector<std::string> &Regions,
             const endpoint_info &Endpoint) {
@@ -105,7 +111,7 @@
       Shift.untilLapse(Call.Facts.Session, sessionHash(Call.Facts), Now);
   if (!Lapse || Shift.sessionTtl() > mostRetryAfter(Now))
     return false;
-  finish(Now);
+  finish();
   Outputs.refuse({error_kind::NoVersionActive, run_state::NotRun, *Lapse});
   return true;
 }
@@ -121,7 +127,6 @@
   Side = Shift.sideFor(Call.Facts.Session, Hash, Now);
   if (Shift.isActive() && !Call.Facts.Session.empty())
     Outputs.placed({Hash, Side, Known});
-  tellSession(Shift, Hash);
 }
 
 choice_request routed_request::choiceFor(std::size_t OnModel,
@@ -232,6 +237,9 @@
     FirstByte = Now - Attempt->SentAt; // it was at least that slow
   if (FirstByte && !Attempt->HeadAt && Attempt->IsSent)
     sample(sample_kind::FirstByte, Now, *FirstByte);
+  if (Attempt->IsSent && mayHaveRun(Result))
+    beginRun(Now);
+  endRun(Now);
   Context.Choice.ended(Attempt->Endpoint.Id, Attempt->WorkLeft, Result,
                        FirstByte, Now);
 }
@@ -268,6 +276,7 @@
     return;
   }
   AnyMayHaveRun = true;
+  beginRun(Now);
   sample(sample_kind::FirstByte, Now, Now - Attempt->SentAt);
   Context.Choice.progressed(Attempt->Endpoint.Id,
                             Attempt->WorkLeft - Attempt->Work.Answer);
@@ -458,7 +467,7 @@
              Now);
   const std::string Body = std::move(Attempt->Body);
   Attempt.reset();
-  finish(Now);
+  finish();
   if (!isStream() || !Answer.isSuccess()) {
     Outputs.note("answered", Answer.isSuccess() ? "served" : "endpoint_failed",
                  "");
@@ -566,7 +575,7 @@
 void routed_request::giveUp(std::string_view Why, mono_time Now) {
   if (HasBegunAnswer) {
     Outputs.note("broken_off", Why, "");
-    finish(Now);
+    finish();
     Outputs.breakOff();
     return;
   }
@@ -590,7 +599,7 @@
 // sooner is of no use.
 void routed_request::refuseQuarantined(run_state Ran, mono_time Now) {
   Outputs.note("refused", "quarantined", "");
-  finish(Now);
+  finish();
   Outputs.refuse({error_kind::RequestQuarantined, Ran,
                   Context.Quarantine.left(Call.Digest, Now)});
 }
@@ -599,7 +608,7 @@
 // meet the same trouble again together. Times are spread, and stay within what
 // a caller waits for: a third of its time left.
 void routed_request::refuse(error_kind Kind, run_state Ran, mono_time Now) {
-  finish(Now);
+  finish();
   const duration Base = answerOf(Kind).RetryAfter;
   const auto Wait = std::chrono::duration_cast<duration>(
       Base *
@@ -608,27 +617,36 @@
       {Kind, Ran, std::clamp(Wait, duration::zero(), mostRetryAfter(Now))});
 }
 
+void routed_request::finish() { IsOver = true; }
+
+// What an attempt was planned to do says nothing of its session: an endpoint
+// may refuse it, and the next attempt may run on another version.
+void routed_request::beginRun(mono_time Now) {
+  version_shift *Shift = Context.ShiftOf(Call.Service);
+  if (!Shift || Call.Facts.Session.empty() || Attempt->IsNoted)
+    return;
+  Attempt->IsNoted = true;
+  tellRun(*Shift, Now);
+  Shift->beginRun(sessionHash(Call.Facts), Attempt->Endpoint.Version, Now);
+}
+
 // Failure: a long stream, and the session's next request some seconds after its
 // end. Counted from its start, the session is forgotten by then and may change
 // its version, which shows as an answer of another version amid a review.
-void routed_request::finish(mono_time Now) {
-  IsOver = true;
+void routed_request::endRun(mono_time Now) {
   version_shift *Shift = Context.ShiftOf(Call.Service);
-  if (!Shift || Sent == 0 || Call.Facts.Session.empty())
+  if (!Shift || !Attempt || !Attempt->IsNoted)
     return;
-  const std::uint64_t Hash = sessionHash(Call.Facts);
-  if (Shift->endSession(Hash, Side, Now))
-    Context.TellSession(
-        {digestHash(Call.Service), Hash, false, std::chrono::milliseconds(0)});
-  else
-    tellSession(*Shift, Hash);
+  Attempt->IsNoted = false;
+  Shift->endRun(sessionHash(Call.Facts), Now);
+  tellRun(*Shift, Now);
 }
 
-void routed_request::tellSession(const version_shift &Shift,
-                                 std::uint64_t Hash) {
-  if (!Call.Facts.Session.empty() && Shift.mayMeetTrial(Hash))
-    Context.TellSession(
-        {digestHash(Call.Service), Hash, Side == version_side::New});
+void routed_request::tellRun(const version_shift &Shift, mono_time Now) {
+  const std::uint64_t Hash = sessionHash(Call.Facts);
+  const std::string &Version = Attempt->Endpoint.Version;
+  if (Shift.isNews(Hash, Version, Now))
+    Context.TellRun(Call.Service, {Hash, versionHash(Version), Now});
 }
 
 // Failure: a data centre is cut off amid a stream. Its connection shows nothing
@@ -649,7 +667,7 @@
   if (IsOver)
     return;
   Outputs.note("caller_gone", "", Attempt ? Attempt->Endpoint.Id : "");
-  finish(Now);
+  finish();
   endAttempt(attempt_result::Dropped, Now);
   Outputs.cancelAttempt();
   Attempt.reset();
--- a/src/routed_request.h
+++ b/src/routed_request.h
@@ -55,8 +55,8 @@
   std::function<version_shift *(std::string_view Service)> ShiftOf;
   /// Whether customers' keys may be trusted at this moment.
   std::function<bool(mono_time Now)> KeysHold;
-  /// Tells the other VMs of a session that may meet a trial.
-  std::function<void(const session_note &)> TellSession;
+  /// Tells the other VMs what a session runs on.
+  std::function<void(std::string_view Service, const session_run &)> TellRun;
   /// The connection of an attempt that may have run broke.
   std::function<void(const endpoint_info &Endpoint, std::uint64_t Request)>
       ConnectionBroke;
@@ -107,6 +107,7 @@
     std::optional<mono_time> FirstEventAt;
     unsigned Events = 0;
     bool IsSent = false;         ///< something of it may have arrived
+    bool IsNoted = false;        ///< its session is known to run there
     bool IsPatienceOver = false; ///< no other endpoint could be tried
     std::optional<endpoint_answer> Answer;
     std::string Body; ///< of a whole answer, or of a failure
@@ -147,8 +148,10 @@
   void giveUp(std::string_view Why, mono_time Now);
   void refuseQuarantined(run_state Ran, mono_time Now);
   void refuse(error_kind Kind, run_state Ran, mono_time Now);
-  void finish(mono_time Now);
-  void tellSession(const version_shift &Shift, std::uint64_t Hash);
+  void finish();
+  void beginRun(mono_time Now);
+  void endRun(mono_time Now);
+  void tellRun(const version_shift &Shift, mono_time Now);
   duration patience() const;
 
   routed_call Call;
--- a/src/router.cpp
+++ b/src/router.cpp
@@ -71,7 +71,9 @@
                Quarantine,
                [this](std::string_view Service) { return shiftOf(Service); },
                [this](mono_time Now) { return keysHold(Now); },
-               [this](const session_note &Note) { tellSession(Note); },
+               [this](std::string_view Service, const session_run &Run) {
+                 tellRun(Service, Run);
+               },
                [this](const endpoint_info &Endpoint, std::uint64_t Request) {
                  connectionBroke(Endpoint, Request);
                },
@@ -87,9 +89,24 @@
 
 router::~router() { Relay.disconnect(); }
 
-void router::tellSession(const session_note &Note) {
-  if (SessionNotes.size() < config::MaxDigestSessions)
-    SessionNotes.push_back(Note);
+void router::tellRun(std::string_view Service, const session_run &Run) {
+  UntoldRuns.emplace_back(digestHash(Service), Run);
+  if (UntoldRuns.size() == config::MaxDigestSessions)
+    tellRuns();
+}
+
+// All others need them: a session's next request may come in anywhere.
+void router::tellRuns() {
+  if (UntoldRuns.empty())
+    return;
+  const mono_time Now = now();
+  std::vector<session_note> Notes;
+  for (const auto &[Service, Run] : std::exchange(UntoldRuns, {}))
+    Notes.push_back(
+        {Service, Run.Session, Run.Version,
+         std::chrono::ceil<std::chrono::milliseconds>(Now - Run.LastAt)});
+  if (Peers)
+    Peers->sendToAll(peer_message::SessionRuns, encodeNotes(Notes));
 }
 
 double router::random() {
@@ -401,28 +418,8 @@
   Shift.takeStatus(Target, State, now());
   noteEndpoints(Service);
   if (WasActive && !Shift.isActive())
-    tellStranded(Service, Shift);
-}
-
-// A session's next request may come in at any VM.
-void router::tellStranded(std::string_view Service,
-                          const version_shift &Shift) {
-  if (!Peers)
-    return;
-  std::vector<session_note> Notes;
-  const auto Send = [this, &Notes] {
-    Peers->sendToAll(peer_message::Sessions,
-                     encodeNotes(std::exchange(Notes, {})));
-  };
-  for (const auto &[Hash, LastAt] : Shift.stranded()) {
-    Notes.push_back(
-        {digestHash(Service), Hash, false,
-         std::chrono::ceil<std::chrono::milliseconds>(now() - LastAt)});
-    if (Notes.size() == config::MaxDigestSessions)
-      Send();
-  }
-  if (!Notes.empty())
-    Send();
+    for (const session_run &Run : Shift.stranded(now()))
+      tellRun(Service, Run);
 }
 
 void router::onRolloutStatusesRead(mono_time SentAt) {
@@ -459,7 +456,7 @@
   switch (Kind) {
   case peer_message::Loads:
     return takeDigest(Sender, Bytes);
-  case peer_message::Sessions:
+  case peer_message::SessionRuns:
     return takeNotes(Bytes);
   case peer_message::Report:
     return onReport(Bytes);
@@ -498,16 +495,7 @@
   for (const session_note &Note : *Notes)
     for (auto &[Service, Shift] : Shifts)
       if (digestHash(Service) == Note.Service)
-        takeNote(*Shift, Note);
-}
-
-void router::takeNote(version_shift &Shift, const session_note &Note) const {
-  if (Note.StrandedFor)
-    Shift.takeStranded(Note.Session, now() - *Note.StrandedFor);
-  else
-    Shift.takeSession(Note.Session,
-                      Note.IsNew ? version_side::New : version_side::Old,
-                      now());
+        Shift->takeRun({Note.Session, Note.Version, now() - Note.Age}, now());
 }
 
 void router::tickDigest(mono_time Now) {
@@ -521,10 +509,7 @@
       encodeDigest({Settings.VmName, Incarnation, ++DigestSequence,
                     Choice.loads(), Settings.Cores, Choice.warmUp().notes(Now),
                     Choice.limits().notes(Now)}));
-  // All others need them: a session's next request may come in anywhere.
-  if (!SessionNotes.empty())
-    Peers->sendToAll(peer_message::Sessions,
-                     encodeNotes(std::exchange(SessionNotes, {})));
+  tellRuns();
 }
 
 // --- time --------------------------------------------------------------------
--- a/src/router.h
+++ b/src/router.h
@@ -96,8 +96,6 @@
                    std::string_view Bytes);
   void takeDigest(const std::string &Sender, std::string_view Bytes);
   void takeNotes(std::string_view Bytes);
-  void takeNote(version_shift &Shift, const session_note &Note) const;
-  void tellStranded(std::string_view Service, const version_shift &Shift);
   void connectionBroke(const endpoint_info &Endpoint, std::uint64_t Request);
   void endpointEnded(const endpoint_info &Endpoint,
                      const std::vector<std::uint64_t> &Requests);
@@ -109,7 +107,8 @@
   duration wallAge(std::int64_t WallMs) const;
   void noteReadiness();
   void stopStep();
-  void tellSession(const session_note &Note);
+  void tellRun(std::string_view Service, const session_run &Run);
+  void tellRuns();
   double random();
 
   boost::asio::io_context &Context;
@@ -143,7 +142,8 @@
   std::unique_ptr<peer_datagrams> Peers;
   std::optional<std::uint64_t> VmsGeneration; ///< that shares go by
   std::uint64_t DigestSequence = 0;
-  std::vector<session_note> SessionNotes; ///< not sent yet
+  /// Not sent yet, with the hash of the service.
+  std::vector<std::pair<std::uint32_t, session_run>> UntoldRuns;
   mono_time DigestAt{};
   std::string MetricsAddress;
   boost::asio::steady_timer Tick;
--- a/src/version_shift.cpp
+++ b/src/version_shift.cpp
@@ -36,10 +36,6 @@
   Rejected.erase(Value.Target);
   // The target's endpoints may be in the list before the order is.
   Accepted.erase(Value.Target);
-  // Others may have read the order before and told of sessions that they moved.
-  for (auto &[Id, Session] : Sessions)
-    if (Session.LastAt < OrderedAt)
-      Session.Side = version_side::Old;
   if (const auto Status = std::exchange(Early, std::nullopt);
       Status && Status->Target == Order->Target &&
       ReadAt - Status->ReadAt <= config::RolloutEarlyStatusLife)
@@ -64,8 +60,6 @@
   Final = State;
   if (State == rollout_state::Completed) {
     Accepted = {Order->Target};
-    for (auto &[Hash, Session] : Sessions)
-      Session.IsStranded = Session.Side == version_side::Old;
   } else {
     Rejected.insert(Order->Target);
     Accepted.erase(Order->Target);
@@ -142,6 +136,18 @@
   return Order && Order->Target == Version;
 }
 
+bool version_shift::isTargetHash(std::uint32_t Version) const {
+  return Order && versionHash(Order->Target) == Version;
+}
+
+bool version_shift::isGone(std::uint32_t Version) const {
+  const auto Is = [Version](const std::string &Each) {
+    return versionHash(Each) == Version;
+  };
+  return !(isActive() && isTargetHash(Version)) && !Accepted.empty() &&
+         std::none_of(Accepted.begin(), Accepted.end(), Is);
+}
+
 bool version_shift::isFirstHalf(mono_time Now) const {
   return elapsed(Now) < Order->Length / 2;
 }
@@ -199,38 +205,29 @@
 // meet the target. In the second half the hash alone decides, which all VMs
 // have in common.
 version_side version_shift::sideFor(std::string_view Session,
-                                    std::uint64_t Hash, mono_time Now) {
-  forgetSessions(Now);
-  const bool IsShifting = isActive();
-  version_side Side = version_side::Old;
-  if (IsShifting) {
-    const auto Known = Session.empty() ? Sessions.end() : Sessions.find(Hash);
-    const bool IsKnown =
-        Known != Sessions.end() && Now - Known->second.LastAt < SessionTtl;
-    if (IsKnown && Known->second.Side == version_side::New)
-      Side = Verdict.empty() ? version_side::New : version_side::Old;
-    else if (isFirstHalf(Now) && !Session.empty())
-      Side = version_side::Old;
-    else if (IsKnown && Known->second.IsStranded && Verdict.empty())
-      Side = version_side::New;
-    else
-      Side = freshSide(Hash, Now);
-  }
-  if (!Session.empty() && Sessions.size() < config::MaxShiftSessions)
-    Sessions[Hash] = {.Side = Side,
-                      .LastAt = Now,
-                      .IsStranded = false,
-                      .IsOwn = true,
-                      .Source = session_source::Own};
-  return Side;
+                                    std::uint64_t Hash, mono_time Now) const {
+  if (!isActive() || !Verdict.empty())
+    return version_side::Old;
+  if (Session.empty())
+    return freshSide(Hash, Now);
+  const auto *Known = Sessions.find(Hash, Now);
+  if (Known && isTargetHash(Known->Version))
+    return version_side::New;
+  if (isFirstHalf(Now))
+    return version_side::Old;
+  if (Known && isGone(Known->Version))
+    return version_side::New;
+  return freshSide(Hash, Now);
 }
 
 session_knowledge version_shift::knowledgeOf(std::uint64_t Hash,
                                              mono_time Now) const {
-  const auto Known = Sessions.find(Hash);
-  if (Known == Sessions.end() || Now - Known->second.LastAt >= SessionTtl)
+  const auto *Known = Sessions.find(Hash, Now);
+  if (!Known)
     return {};
-  return {Known->second.Source, Known->second.Side, Now - Known->second.LastAt};
+  return {Known->Source,
+          isTargetHash(Known->Version) ? version_side::New : version_side::Old,
+          Now - Known->LastAt};
 }
 
 // Failure: an order follows the end of another one within the sessions' time to
@@ -242,78 +239,48 @@
                                                   mono_time Now) const {
   if (Session.empty() || !isActive() || !isFirstHalf(Now))
     return std::nullopt;
-  const auto Known = Sessions.find(Hash);
-  if (Known == Sessions.end() || !Known->second.IsStranded)
+  const auto *Known = Sessions.find(Hash, Now);
+  if (!Known || !isGone(Known->Version))
     return std::nullopt;
-  const duration Left =
-      std::min<duration>(Known->second.LastAt + SessionTtl - Now,
-                         OrderedAt + Order->Length / 2 - Now);
-  return Left > duration::zero() ? std::optional(Left) : std::nullopt;
-}
-
-std::vector<std::pair<std::uint64_t, mono_time>>
-version_shift::stranded() const {
-  std::vector<std::pair<std::uint64_t, mono_time>> Found;
-  for (const auto &[Hash, Session] : Sessions)
-    if (Session.IsStranded && Session.IsOwn)
-      Found.emplace_back(Hash, Session.LastAt);
-  return Found;
+  return std::min<duration>(Sessions.left(*Known, Now),
+                            OrderedAt + Order->Length / 2 - Now);
 }
 
-void version_shift::takeStranded(std::uint64_t Hash, mono_time LastAt) {
-  if (Sessions.size() >= config::MaxShiftSessions)
-    return;
-  session &Session = Sessions[Hash];
-  if (Session.LastAt >= LastAt)
-    return; // it has run since
-  Session.Side = version_side::Old;
-  Session.LastAt = LastAt;
-  Session.IsStranded = true;
-  Session.Source = session_source::Told;
+void version_shift::beginRun(std::uint64_t Hash, std::string_view Version,
+                             mono_time Now) {
+  Sessions.began(Hash, versionHash(Version), Now);
 }
 
-bool version_shift::mayMeetTrial(std::uint64_t Hash) const {
-  return static_cast<double>(Hash % ShareSteps) <
-         ExposureBound * config::RolloutTrialShare * double{ShareSteps};
+void version_shift::endRun(std::uint64_t Hash, mono_time Now) {
+  Sessions.ended(Hash, Now);
 }
 
-// Failure: a session's requests come in at two VMs. One saw it before the order
-// and keeps it on the old version, the other takes it for a new one and moves
-// it. Where two VMs differ all the same, a session that was moved stays moved:
-// otherwise each would take over the other's side, again and again.
-void version_shift::takeSession(std::uint64_t Hash, version_side Side,
-                                mono_time Now) {
-  if (Sessions.size() >= config::MaxShiftSessions)
-    return;
-  session &Session = Sessions[Hash];
-  const bool IsMoved =
-      Session.Side == version_side::New && Now - Session.LastAt < SessionTtl;
-  Session.Side = IsMoved ? version_side::New : Side;
-  Session.LastAt = Now;
-  Session.IsStranded = false;
-  Session.Source = session_source::Told;
+// Failure: a session's requests run beside each other, or VMs read an order
+// apart, and each tells of another version. It stays where it was moved to:
+// otherwise each VM would take over the other's version, again and again.
+void version_shift::takeRun(const session_run &Run, mono_time Now) {
+  const auto *Known = Sessions.find(Run.Session, Now);
+  const bool IsMoved = Known && isActive() && isTargetHash(Known->Version);
+  Sessions.told(Run.Session, IsMoved ? Known->Version : Run.Version, Run.LastAt,
+                Now);
 }
 
-bool version_shift::endSession(std::uint64_t Hash, version_side Side,
-                               mono_time Now) {
-  const auto Known = Sessions.find(Hash);
-  if (Known == Sessions.end() || !Known->second.IsStranded) {
-    takeSession(Hash, Side, Now);
-    if (const auto Noted = Sessions.find(Hash); Noted != Sessions.end())
-      Noted->second.Source = session_source::Own;
-    return false;
-  }
-  Known->second.LastAt = Now;
-  return true;
+bool version_shift::isNews(std::uint64_t Hash, std::string_view Version,
+                           mono_time Now) const {
+  const std::uint32_t Its = versionHash(Version);
+  const auto *Known = Sessions.find(Hash, Now);
+  return (isActive() && isTarget(Version)) || isGone(Its) ||
+         (Known && Known->Version != Its);
 }
 
-void version_shift::forgetSessions(mono_time Now) {
-  if (Now - SweptAt < SessionTtl)
-    return;
-  SweptAt = Now;
-  std::erase_if(Sessions, [this, Now](const auto &Entry) {
-    return Now - Entry.second.LastAt > SessionTtl;
-  });
+std::vector<session_run> version_shift::stranded(mono_time Now) const {
+  std::vector<session_run> Found;
+  for (const auto &[Hash, Session] : Sessions.all())
+    if (Session.IsOwn && Sessions.isAlive(Session, Now) &&
+        isGone(Session.Version))
+      Found.push_back(
+          {Hash, Session.Version, Session.Running > 0 ? Now : Session.LastAt});
+  return Found;
 }
 
 bool version_shift::allows(std::string_view Version, version_side Side) const {
--- a/src/version_shift.h
+++ b/src/version_shift.h
@@ -3,7 +3,7 @@
 #include "clock.h"
 #include "endpoint_directory.h"
 #include "rollout_reports.h"
-#include "session_placing.h"
+#include "session_versions.h"
 
 #include <cstdint>
 #include <map>
@@ -12,7 +12,6 @@
 #include <span>
 #include <string>
 #include <string_view>
-#include <unordered_map>
 #include <vector>
 
 namespace clementinelane {
@@ -25,6 +24,13 @@
   std::uint64_t Offset = 0; ///< place in the log; a higher one is newer
 };
 
+/// A session and the version that it last ran on.
+struct session_run {
+  std::uint64_t Session = 0; ///< its hash
+  std::uint32_t Version = 0; ///< its hash
+  mono_time LastAt{};
+};
+
 enum class rollout_state : std::uint8_t { InProgress, Completed, RolledBack };
 
 /// Moves one service's sessions to an ordered version, or back, without I/O.
@@ -44,8 +50,8 @@
   version_shift(std::string Vm, std::uint64_t Incarnation)
       : Vm(std::move(Vm)), Incarnation(Incarnation) {}
 
-  void setSessionTtl(duration Value) { SessionTtl = Value; }
-  duration sessionTtl() const { return SessionTtl; }
+  void setSessionTtl(duration Value) { Sessions.setTtl(Value); }
+  duration sessionTtl() const { return Sessions.ttl(); }
   /// Part of all requests that a bad target may meet, and requests beside.
   void setExposureBound(double Share, double Requests) {
     ExposureBound = Share;
@@ -65,26 +71,25 @@
 
   /// The side for a request of `Session` (may be empty), whose hash is `Hash`.
   version_side sideFor(std::string_view Session, std::uint64_t Hash,
-                       mono_time Now);
+                       mono_time Now) const;
   /// What is known of a session that may still be alive.
   session_knowledge knowledgeOf(std::uint64_t Hash, mono_time Now) const;
   /// How long the session must stay away until a version may take it, if none
   /// may now: its own is gone and a trial is under way.
   std::optional<duration> untilLapse(std::string_view Session,
                                      std::uint64_t Hash, mono_time Now) const;
-  /// Sessions of this VM whose version has just gone, by hash, with the time of
-  /// their last request; the other VMs are told of them.
-  std::vector<std::pair<std::uint64_t, mono_time>> stranded() const;
-  /// Another VM told of one.
-  void takeStranded(std::uint64_t Hash, mono_time LastAt);
-  /// Whether a session with this hash may meet a trial; the other VMs are told
-  /// of those, since a session's requests come in at several.
-  bool mayMeetTrial(std::uint64_t Hash) const;
-  /// A request of the session ended at this VM. True if the version that it ran
-  /// on has gone meanwhile.
-  bool endSession(std::uint64_t Hash, version_side Side, mono_time Now);
-  /// Another VM saw a session.
-  void takeSession(std::uint64_t Hash, version_side Side, mono_time Now);
+  /// A request of the session began to run on a version, from this VM.
+  void beginRun(std::uint64_t Hash, std::string_view Version, mono_time Now);
+  /// It no longer runs.
+  void endRun(std::uint64_t Hash, mono_time Now);
+  /// Another VM saw the session run on a version, last at `LastAt`.
+  void takeRun(const session_run &Run, mono_time Now);
+  /// Whether the other VMs might place the session wrongly unless they are told
+  /// that it runs on `Version`.
+  bool isNews(std::uint64_t Hash, std::string_view Version,
+              mono_time Now) const;
+  /// Sessions of this VM whose version has gone; the other VMs are told.
+  std::vector<session_run> stranded(mono_time Now) const;
   /// Whether a request of `Side` may run on `Version`.
   bool allows(std::string_view Version, version_side Side) const;
   /// Whether a request of the new side may go to the endpoint; a share of the
@@ -118,13 +123,6 @@
   duration elapsed(mono_time Now) const { return Now - OrderedAt; }
 
 private:
-  struct session {
-    version_side Side = version_side::Old;
-    mono_time LastAt{};
-    bool IsStranded = false; ///< the version that it ran on is gone
-    bool IsOwn = false;      ///< a request of it came in at this VM
-    session_source Source = session_source::Own; ///< of what was learned last
-  };
   /// A status whose order wasn't read yet.
   struct early_status {
     std::string Target;
@@ -134,18 +132,19 @@
   double shareAt(mono_time Now) const;
   bool isFirstHalf(mono_time Now) const;
   void acceptVersions(std::span<const endpoint_info *const> Endpoints);
+  bool isTargetHash(std::uint32_t Version) const;
+  /// Whether no request may run on the version any more.
+  bool isGone(std::uint32_t Version) const;
   version_side freshSide(std::uint64_t Hash, mono_time Now) const;
   /// From the order to the step that moves all sessions.
   duration lastStep() const;
   /// Requests of the service that the whole order is likely to see.
   double expectedRequests() const;
   void judge(mono_time Now);
-  void forgetSessions(mono_time Now);
   void applyStatus(rollout_state State);
 
   std::string Vm;
   std::uint64_t Incarnation;
-  duration SessionTtl = std::chrono::seconds(5);
   double ExposureBound = 0.15;
   double ExposureTolerance = 0;
   std::optional<rollout_order> Order;
@@ -168,8 +167,7 @@
   bool HasUntoldFailure = false;
   mono_time JudgedAt{};
   std::uint64_t Answers = 0; ///< of all VMs, as last judged
-  std::unordered_map<std::uint64_t, session> Sessions; ///< by hash
-  mono_time SweptAt{};
+  session_versions Sessions;
 };
 
 } // namespace clementinelane
--- a/tests/peer_loads_test.cpp
+++ b/tests/peer_loads_test.cpp
@@ -64,14 +64,13 @@
   BOOST_TEST(Digest->Vm == "a");
   BOOST_TEST(Digest->Sequence == 7U);
   BOOST_TEST(Digest->Loads[0].Work == 12.5);
-  const auto Notes =
-      decodeNotes(encodeNotes({{digestHash("engine"), 77, true},
-                               {digestHash("engine"), 78, false, 1200ms}}));
+  const auto Notes = decodeNotes(
+      encodeNotes({{digestHash("engine"), 77, 4000000000U, 1200ms}}));
   BOOST_REQUIRE(Notes.has_value());
-  BOOST_TEST(!Notes->at(0).StrandedFor.has_value());
-  BOOST_TEST((Notes->at(1).StrandedFor == std::optional(1200ms)));
+  BOOST_TEST(Notes->at(0).Service == digestHash("engine"));
   BOOST_TEST(Notes->at(0).Session == 77U);
-  BOOST_TEST(Notes->at(0).IsNew);
+  BOOST_TEST(Notes->at(0).Version == 4000000000U);
+  BOOST_TEST((Notes->at(0).Age == 1200ms));
 }
 
 BOOST_AUTO_TEST_CASE(any_datagram_is_a_digest_or_none) {
--- a/tests/routed_fixture.h
+++ b/tests/routed_fixture.h
@@ -50,7 +50,7 @@
 struct routed_fixture {
   mono_time Now{std::chrono::hours(1)};
   bool AreKeysGood = true;
-  std::vector<session_note> Notes;
+  std::vector<session_run> Runs; ///< that the other VMs were told
   endpoint_directory Directory{std::chrono::seconds(2)};
   peer_loads Peers;
   endpoint_choice Choice{Directory, Peers, "hall-a", 1};
@@ -73,7 +73,7 @@
         return Found == Shifts.end() ? nullptr : &Found->second;
       },
       [this](mono_time) { return AreKeysGood; },
-      [this](const session_note &Note) { Notes.push_back(Note); },
+      [this](std::string_view, const session_run &Run) { Runs.push_back(Run); },
       [this](const endpoint_info &Endpoint, std::uint64_t) {
         Broken.push_back(Endpoint.Id);
       },
--- a/tests/routed_request_test.cpp
+++ b/tests/routed_request_test.cpp
@@ -33,7 +33,7 @@
   Shift.takeStatus("v1", rollout_state::InProgress, Now);
   routed_call Call = call(0);
   Call.Facts.Session = "s";
-  Shift.takeSession(sessionHash(Call.Facts), version_side::Old, Now);
+  Shift.takeRun({sessionHash(Call.Facts), versionHash("v0"), Now}, Now);
   Shift.takeStatus("v1", rollout_state::Completed, Now);
   Now += 1s;
   Call.ArrivedAt = Now;
@@ -395,12 +395,12 @@
   Shift.takeReportsRead(Now);
   // One of the sessions that would be moved if it were new.
   std::string Name = "review-1";
-  while (!Shift.mayMeetTrial(stableHash(Name)))
+  while (Shift.sideFor(Name, stableHash(Name), Now + 31s) == version_side::Old)
     Name += "1";
   routed_call First = call(0);
   First.Facts.Session = Name;
   const std::uint64_t Hash = sessionHash(First.Facts);
-  Shift.takeSession(Hash, version_side::Old, Now);
+  Shift.takeRun({Hash, versionHash("v1"), Now}, Now);
   const auto Stream = begin(std::move(First));
   BOOST_TEST(Out.Attempts.at(0).Endpoint.Version == "v1");
   Stream->onSent(Now);
@@ -408,7 +408,6 @@
   Now += 8s;
   Stream->onBody("id: 1\ndata: x\n\n", Now);
   Stream->onEnd(Now);
-  Notes.clear();
   Now += 1s;
   routed_call Second = call(0);
   Second.Facts.Session = Name;
@@ -429,8 +428,11 @@
     Each->setExposureBound(1, 0);
   }
   std::string Name = "review-1";
-  while (!Shift.mayMeetTrial(stableHash(Name)))
-    Name += "1";
+  for (version_shift Ordered = Shift;; Name += "1") {
+    Ordered.takeOrder({"engine", "v2", 60s, 1}, Now);
+    if (Ordered.sideFor(Name, stableHash(Name), Now + 31s) == version_side::New)
+      break;
+  }
   routed_call First = call(0);
   First.Facts.Session = Name;
   const std::uint64_t Hash = sessionHash(First.Facts);
@@ -440,9 +442,7 @@
   Now += 8s;
   Stream->onBody("id: 1\ndata: x\n\n", Now);
   Stream->onEnd(Now);
-  for (const session_note &Note : Notes)
-    Elsewhere.takeSession(Note.Session, version_side::Old, Now);
-  BOOST_TEST(Notes.size() == 2U); // at its start and at its end
+  BOOST_TEST(Runs.empty()); // no VM could place it wrongly
   Now += 1s;
   for (version_shift *Each : {&Shift, &Elsewhere}) {
     Each->takeOrder({"engine", "v2", 60s, 1}, Now);
--- a/tests/session_steadiness_test.cpp
+++ b/tests/session_steadiness_test.cpp
@@ -191,16 +191,18 @@
       at(Now + ReportPeriod, [this, Which] { hearReports(Which); });
   }
 
-  void tell(std::size_t From, std::uint64_t Hash, version_side Side) {
+  /// What `From` knows of a run, if the others need it.
+  void tell(std::size_t From, std::uint64_t Hash, const std::string &Version) {
+    if (!Vms[From].Shift.isNews(Hash, Version, Now))
+      return;
+    const session_run Run{Hash, versionHash(Version), Now};
     for (std::size_t To = 0; To < Vms.size(); ++To)
       if (To != From && !chance(Scenario.LostNotes))
         at(Now + NotePeriod / 2 +
                seconds(between(
                    0, std::chrono::duration<double>(Scenario.MostNoteDelay)
                           .count())),
-           [this, To, Hash, Side] {
-             Vms[To].Shift.takeSession(Hash, Side, Now);
-           });
+           [this, To, Run] { Vms[To].Shift.takeRun(Run, Now); });
   }
 
   bool hasTarget(vm &Vm) {
@@ -225,23 +227,22 @@
     const std::string Session = std::to_string(Id);
     const std::uint64_t Hash = stableHash(Session);
     version_side Side = Vm.Shift.sideFor(Session, Hash, Now);
-    if (Vm.Shift.mayMeetTrial(Hash))
-      tell(Which, Hash, Side);
     if (Side == version_side::New && !hasTarget(Vm))
       Side = version_side::Old;
     const std::string Version =
         Side == version_side::New ? Vm.Shift.order()->Target : inUse(Vm);
+    tell(Which, Hash, Version);
+    Vm.Shift.beginRun(Hash, Version, Now);
     check(Id, Version);
     ++Requests;
     const std::size_t Run = Runs[Id].size();
     Runs[Id].push_back({Version, std::nullopt});
     const duration Took =
         seconds(0.05 * std::pow(Scenario.LongestStream / 0.05, between(0, 1)));
-    at(Now + Took, [this, Which, Id, Hash, Side, Run] {
+    at(Now + Took, [this, Which, Id, Hash, Version, Run] {
       Runs[Id][Run].EndedAt = Now;
-      if (!Vms[Which].Shift.endSession(Hash, Side, Now) &&
-          Vms[Which].Shift.mayMeetTrial(Hash))
-        tell(Which, Hash, Side);
+      Vms[Which].Shift.endRun(Hash, Now);
+      tell(Which, Hash, Version);
     });
     if (Run < 6 && chance(0.7))
       at(Now + (chance(Scenario.Beside) ? Took / 4 : Took) +
--- a/tests/version_shift_test.cpp
+++ b/tests/version_shift_test.cpp
@@ -53,6 +53,15 @@
   version_side side(const std::string &Session) {
     return Shift.sideFor(Session, stableHash(Session), Now);
   }
+  /// A request of the session runs on a version for a moment, at this VM.
+  void run(const std::string &Session, std::string_view Version) {
+    Shift.beginRun(stableHash(Session), Version, Now);
+    Shift.endRun(stableHash(Session), Now);
+  }
+  /// The same at another VM.
+  void runElsewhere(const std::string &Session, std::string_view Version) {
+    Shift.takeRun({stableHash(Session), versionHash(Version), Now}, Now);
+  }
   /// Sessions that are new on the new side, of 1,000.
   int newSessions(const std::string &Prefix) {
     int Count = 0;
@@ -187,7 +196,7 @@
 // the old version through the first half, whatever their hash.
 BOOST_FIXTURE_TEST_CASE(sessions_before_the_order_stay, fixture) {
   for (int Each = 0; Each < 1000; ++Each)
-    side("s" + std::to_string(Each));
+    run("s" + std::to_string(Each), "v1");
   Now += 1s;
   order();
   BOOST_TEST(newSessions("s") == 0);
@@ -213,12 +222,11 @@
 // the other, which hears of it, keeps it on the old version too.
 BOOST_FIXTURE_TEST_CASE(sessions_of_other_vms_stay, fixture) {
   for (int Each = 0; Each < 1000; ++Each)
-    Shift.takeSession(stableHash("s" + std::to_string(Each)), version_side::Old,
-                      Now);
+    runElsewhere("s" + std::to_string(Each), "v1");
   Now += 1s;
   order();
   BOOST_TEST(newSessions("s") == 0);
-  Shift.takeSession(stableHash("moved"), version_side::New, Now);
+  runElsewhere("moved", "v2");
   BOOST_TEST((side("moved") == version_side::New));
 }
 
@@ -226,9 +234,74 @@
 // where it was moved to; before, the two swapped sides with each digest.
 BOOST_FIXTURE_TEST_CASE(differing_vms_settle_on_the_moved_side, fixture) {
   order();
-  Shift.takeSession(stableHash("s"), version_side::New, Now);
-  Shift.takeSession(stableHash("s"), version_side::Old, Now);
+  runElsewhere("s", "v2");
+  runElsewhere("s", "v1");
+  BOOST_TEST((side("s") == version_side::New));
+}
+
+// A request is placed on the target but runs on the old version, since no
+// endpoint of the target takes it. Its session hasn't moved.
+BOOST_FIXTURE_TEST_CASE(session_stays_where_it_ran_not_where_it_was_placed,
+                        fixture) {
+  order();
+  pass(Length / 2);
+  std::string Placed;
+  for (int Each = 0; Placed.empty(); ++Each)
+    if (side("s" + std::to_string(Each)) == version_side::New)
+      Placed = "s" + std::to_string(Each);
+  run(Placed, "v1");
+  const session_knowledge Known = Shift.knowledgeOf(stableHash(Placed), Now);
+  BOOST_TEST((Known.Side == version_side::Old));
+  BOOST_TEST((Known.Source == session_source::Own));
+}
+
+// A stream runs for longer than its session's time to live. The session is not
+// forgotten meanwhile, nor within its time after the end.
+BOOST_FIXTURE_TEST_CASE(session_lives_while_its_stream_runs, fixture) {
+  Shift.setSessionTtl(5s);
+  order();
+  Shift.beginRun(stableHash("s"), "v2", Now);
+  Now += 8s;
+  BOOST_TEST((side("s") == version_side::New));
+  Shift.endRun(stableHash("s"), Now);
+  Now += 4s;
   BOOST_TEST((side("s") == version_side::New));
+  Now += 1s;
+  BOOST_TEST((side("s") == version_side::Old));
+}
+
+// The end of a request that ran on the target of an order is told after the
+// next order: the session has run on the version in use, not on the new target.
+BOOST_FIXTURE_TEST_CASE(run_on_the_target_before_is_none_on_the_next, fixture) {
+  order();
+  Shift.takeStatus("v2", rollout_state::Completed, Now);
+  order("v3", 6);
+  run("here", "v2");
+  runElsewhere("elsewhere", "v2");
+  BOOST_TEST((side("here") == version_side::Old));
+  BOOST_TEST((side("elsewhere") == version_side::Old));
+}
+
+// A VM that hasn't read the order runs a session that another one has moved.
+// When it reads the order it knows what ran, also if that is long ago.
+BOOST_FIXTURE_TEST_CASE(order_read_late_keeps_what_was_told_before, fixture) {
+  runElsewhere("moved", "v2");
+  Now += 4s;
+  order();
+  BOOST_TEST((side("moved") == version_side::New));
+}
+
+// Notes arrive late and out of order: an older run than is known changes
+// nothing.
+BOOST_FIXTURE_TEST_CASE(late_note_of_an_older_run_changes_nothing, fixture) {
+  order();
+  run("s", "v2");
+  Shift.takeStatus("v2", rollout_state::RolledBack, Now);
+  Now += 1s;
+  run("s", "v1");
+  Shift.takeRun({stableHash("s"), versionHash("v2"), Now - 500ms}, Now);
+  BOOST_TEST(!Shift.isNews(stableHash("s"), "v1", Now));
+  BOOST_TEST(Shift.isNews(stableHash("s"), "v3", Now));
 }
 
 // A small service: the tolerance in requests is a good part of all, so the last
@@ -353,10 +426,11 @@
   Shift.setSessionTtl(5s);
   const std::uint64_t Hash = stableHash("s");
   Shift.takeOrder({"engine", "v1", 20s, 1}, Now);
-  Shift.takeSession(Hash, version_side::Old, Now);
+  Shift.beginRun(Hash, "v0", Now);
   Shift.takeStatus("v1", rollout_state::Completed, Now);
   Now += 3s;
-  BOOST_TEST(Shift.endSession(Hash, version_side::Old, Now));
+  Shift.endRun(Hash, Now);
+  BOOST_TEST(Shift.isNews(Hash, "v0", Now));
   Now += 4s;
   Shift.takeOrder({"engine", "v2", 20s, 2}, Now);
   BOOST_TEST((Shift.untilLapse("s", Hash, Now) == std::optional<duration>(1s)));
@@ -431,22 +505,25 @@
   order();
   Shift.takeStatus("v2", rollout_state::InProgress, Now);
   pass(Length / 2);
-  side("stranded");
-  side("moved on");
+  run("stranded", "v1");
+  run("moved on", "v1");
   Shift.takeStatus("v2", rollout_state::Completed, Now);
   pass(1s);
-  side("moved on");
+  run("moved on", "v2");
   BOOST_TEST(!Waits("stranded").has_value()); // no order is under way
   order("v3", 6);
   BOOST_TEST((Waits("stranded") == std::optional<duration>(4s)));
-  for (const auto &[Hash, LastAt] : Shift.stranded()) {
+  BOOST_TEST(Shift.stranded(Now).size() == 1U);
+  for (const session_run &Run : Shift.stranded(Now)) {
     version_shift Other("vm2", 1);
     Other.setSessionTtl(5s);
-    Other.takeStranded(Hash, LastAt);
+    Other.takeOrder({"engine", "v2", Length, 5}, Now);
+    Other.takeStatus("v2", rollout_state::Completed, Now);
+    Other.takeRun(Run, Now);
     Other.takeOrder({"engine", "v3", Length, 6}, Now);
-    BOOST_TEST(
-        (Other.untilLapse("any", Hash, Now) == std::optional<duration>(4s)));
-    BOOST_TEST(Other.stranded().empty()); // each VM tells of its own
+    BOOST_TEST((Other.untilLapse("any", Run.Session, Now) ==
+                std::optional<duration>(4s)));
+    BOOST_TEST(Other.stranded(Now).empty()); // each VM tells of its own
   }
   BOOST_TEST(!Waits("moved on").has_value());
   BOOST_TEST(!Waits("fresh").has_value());
@@ -570,9 +647,9 @@
 // it learns when that was read first.
 BOOST_FIXTURE_TEST_CASE(late_reader_keeps_what_others_moved, fixture) {
   const mono_time OrderedAt = Now;
-  side("before");
+  run("before", "v1");
   pass(200ms);
-  Shift.takeSession(stableHash("moved"), version_side::New, Now);
+  runElsewhere("moved", "v2");
   pass(300ms);
   Shift.takeOrder({"engine", "v2", Length, 5}, OrderedAt);
   BOOST_TEST((Shift.elapsed(Now) == 500ms));
