Keep sessions on the target while it has endpoints

Cause: whenever none of the trial's few endpoints could take a request, it fell back to the old version, whatever its session had run on.

Change: a session known to run on the target uses the target's other endpoints; if none takes it, it waits for its turn or is told when to come back. All others fall back as before, and so does everybody once the target has no endpoint.

Tests: moved_session_does_not_go_back_for_a_full_endpoint and moved_session_is_refused_rather_than_taken_back fail with the guard taken out. One older test took the endpoints before the order, so that its target had none; it takes them again.

--- a/src/routed_request.cpp
+++ b/src/routed_request.cpp
@@ -153,7 +153,8 @@
     if (!Shift)
       return true;
     return Shift->allows(Info.Version, Side) &&
-           (Side == version_side::Old || Shift->allowsEndpoint(Info.Id, Now));
+           (Side == version_side::Old || IsBeyondTrial ||
+            Shift->allowsEndpoint(Info.Id, Now));
   };
   return Request;
 }
@@ -171,9 +172,22 @@
     return chooseWithoutPin(Now);
   if (Side == version_side::Old)
     return std::nullopt;
-  Outputs.note("old_version_instead", "no_endpoint_of_target", "");
-  Side = version_side::Old;
-  return Context.Choice.choose(Request, Now);
+  return chooseBeyondTrial(Now);
+}
+
+// A session that has moved may use the endpoints of the target that the trial
+// leaves out. Any other request runs on the old version rather than not at all.
+std::optional<chosen_endpoint>
+routed_request::chooseBeyondTrial(mono_time Now) {
+  const version_shift *Shift = Context.ShiftOf(Call.Service);
+  if (!Shift ||
+      Shift->mayFallBack(Call.Facts.Session, sessionHash(Call.Facts), Now)) {
+    Outputs.note("old_version_instead", "no_endpoint_of_target", "");
+    Side = version_side::Old;
+  } else {
+    IsBeyondTrial = true;
+  }
+  return Context.Choice.choose(choiceFor(Model, Now), Now);
 }
 
 // Failure: a roll-out is completed and the old endpoints stop with streams on
--- a/src/routed_request.h
+++ b/src/routed_request.h
@@ -125,6 +125,7 @@
   void send(mono_time Now);
   choice_request choiceFor(std::size_t OnModel, mono_time Now) const;
   std::optional<chosen_endpoint> chooseEndpoint(mono_time Now);
+  std::optional<chosen_endpoint> chooseBeyondTrial(mono_time Now);
   std::optional<chosen_endpoint> chooseWithoutPin(mono_time Now);
   double paceOf(std::size_t OnModel) const;
   double priorQuality(std::size_t OnModel) const;
@@ -165,7 +166,8 @@
   std::size_t Model = 0;
   std::optional<first_answer> Dropped; ///< the last that wasn't kept
   version_side Side = version_side::Old;
-  unsigned Sent = 0; ///< attempts that reached an endpoint
+  bool IsBeyondTrial = false; ///< may use all endpoints of the target
+  unsigned Sent = 0;          ///< attempts that reached an endpoint
   unsigned ConnectFailures = 0;
   bool HasPaidRepeat = false;       ///< for a repeat that hasn't arrived yet
   mono_time ToldAt{};               ///< last event that went to the caller
--- a/tests/routed_request_test.cpp
+++ b/tests/routed_request_test.cpp
@@ -392,6 +392,7 @@
   const auto Listed = Directory.usable("engine");
   Shift.takeEndpoints(Listed);
   Shift.takeOrder({"engine", "v2", 60s, 1}, Now);
+  Shift.takeEndpoints(Listed);
   Shift.takeReportsRead(Now);
   // One of the sessions that would be moved if it were new.
   std::string Name = "review-1";
@@ -453,6 +454,66 @@
   BOOST_TEST((Elsewhere.sideFor(Name, Hash, Now) == version_side::Old));
 }
 
+// The few endpoints of a trial refuse a request whose session has moved. It
+// runs on another endpoint of the target, not on the old version.
+BOOST_FIXTURE_TEST_CASE(moved_session_does_not_go_back_for_a_full_endpoint,
+                        routed_fixture) {
+  version_shift &Shift = Shifts.try_emplace("engine", "vm1", 1).first->second;
+  for (int Each = 1; Each <= 4; ++Each)
+    add("n" + std::to_string(Each), "engine", "v2");
+  const auto Listed = Directory.usable("engine");
+  Shift.takeEndpoints(Listed);
+  Shift.takeOrder({"engine", "v2", 60s, 1}, Now);
+  Shift.takeEndpoints(Listed);
+  Shift.takeReportsRead(Now);
+  Now += 31s;
+  routed_call Call = call(0);
+  Call.ArrivedAt = Now;
+  Call.Facts.Session = "s";
+  Shift.takeRun({sessionHash(Call.Facts), versionHash("v2"), Now}, Now);
+  std::vector<std::string> InTrial;
+  for (const endpoint_info *Info : Listed)
+    if (Info->Version == "v2" && Shift.allowsEndpoint(Info->Id, Now))
+      InTrial.push_back(Info->Id);
+  BOOST_REQUIRE(InTrial.size() == config::RolloutLeastEndpoints);
+  for (const std::string &Id : InTrial)
+    Directory.apply(Id, std::nullopt, Now);
+  const auto Request = begin(Call);
+  BOOST_REQUIRE(Out.Attempts.size() == 1U);
+  BOOST_TEST(Out.Attempts[0].Endpoint.Version == "v2");
+}
+
+// The same with no endpoint of the target that can be reached by the request:
+// its session isn't taken back, the caller is told when to come again.
+BOOST_FIXTURE_TEST_CASE(moved_session_is_refused_rather_than_taken_back,
+                        routed_fixture) {
+  version_shift &Shift = Shifts.try_emplace("engine", "vm1", 1).first->second;
+  add("n1", "engine", "v2");
+  const auto Listed = Directory.usable("engine");
+  Shift.takeOrder({"engine", "v2", 60s, 1}, Now);
+  Shift.takeEndpoints(Listed);
+  Shift.takeReportsRead(Now);
+  Now += 31s;
+  Directory.apply("n1", std::nullopt, Now); // the shift hasn't been told yet
+  for (const std::string Session : {"moved", "other"}) {
+    routed_call Call = call(0);
+    Call.ArrivedAt = Now;
+    Call.Facts.Session = Session;
+    if (Session == "moved")
+      Shift.takeRun({sessionHash(Call.Facts), versionHash("v2"), Now}, Now);
+    begin(Call);
+    if (Session == "moved") {
+      BOOST_TEST(Out.Attempts.empty());
+      BOOST_REQUIRE(Out.Refused.has_value());
+      BOOST_TEST((Out.Refused->Ran == run_state::NotRun));
+      BOOST_TEST((Out.Refused->RetryAfter > 0s));
+    } else {
+      BOOST_REQUIRE(Out.Attempts.size() == 1U);
+      BOOST_TEST(Out.Attempts[0].Endpoint.Version == "v1");
+    }
+  }
+}
+
 // A data centre is cut off: two endpoints there don't answer. Callers' requests
 // went on trying the others there, and were refused after some tries while the
 // own data centre idled. Now all that follow go to endpoints that answer.
