Send no session back for want of a free endpoint, known to have moved or not

Cause: a VM let a request fall back if it didn't know that its session had moved.

Change: while the target has endpoints, no request of a session falls back. It uses any endpoint of the target, waits for its turn if that comes soon, or is told when to come back. Requests without a session fall back as before.

--- a/src/routed_request.cpp
+++ b/src/routed_request.cpp
@@ -175,13 +175,12 @@
   return chooseBeyondTrial(Now);
 }
 
-// A session that has moved may use the endpoints of the target that the trial
-// leaves out. Any other request runs on the old version rather than not at all.
+// A session may use the endpoints of the target that the trial leaves out. A
+// request without one runs on the old version rather than not at all.
 std::optional<chosen_endpoint>
 routed_request::chooseBeyondTrial(mono_time Now) {
   const version_shift *Shift = Context.ShiftOf(Call.Service);
-  if (!Shift ||
-      Shift->mayFallBack(Call.Facts.Session, sessionHash(Call.Facts), Now)) {
+  if (!Shift || Shift->mayFallBack(Call.Facts.Session)) {
     Outputs.note("old_version_instead", "no_endpoint_of_target", "");
     Side = version_side::Old;
   } else {
--- a/src/version_shift.cpp
+++ b/src/version_shift.cpp
@@ -283,16 +283,13 @@
   return Found;
 }
 
-// Load: the few endpoints of a trial are full, cold or avoided for moments.
-// Harm prevented: sessions that have moved go back and forth. Once the target
+// Load: the endpoints of the target are full, cold or avoided for moments. Harm
+// prevented: sessions that have moved go back and forth. A session that isn't
+// known to have moved may have done so elsewhere, a moment ago. Once the target
 // has no endpoints at all there is nothing to stay on.
-bool version_shift::mayFallBack(std::string_view Session, std::uint64_t Hash,
-                                mono_time Now) const {
-  if (!isActive() || !Verdict.empty() || TargetEndpoints.empty() ||
-      Session.empty())
-    return true;
-  const auto *Known = Sessions.find(Hash, Now);
-  return !Known || !isTargetHash(Known->Version);
+bool version_shift::mayFallBack(std::string_view Session) const {
+  return Session.empty() || !isActive() || !Verdict.empty() ||
+         TargetEndpoints.empty();
 }
 
 bool version_shift::allows(std::string_view Version, version_side Side) const {
--- a/src/version_shift.h
+++ b/src/version_shift.h
@@ -92,8 +92,7 @@
   std::vector<session_run> stranded(mono_time Now) const;
   /// Whether a request on the new side may run on the old version where the
   /// target has no endpoint for it.
-  bool mayFallBack(std::string_view Session, std::uint64_t Hash,
-                   mono_time Now) const;
+  bool mayFallBack(std::string_view Session) const;
   /// Whether a request of `Side` may run on `Version`.
   bool allows(std::string_view Version, version_side Side) const;
   /// Whether a request of the new side may go to the endpoint; a share of the
--- a/tests/session_steadiness_test.cpp
+++ b/tests/session_steadiness_test.cpp
@@ -228,7 +228,7 @@
     const std::uint64_t Hash = stableHash(Session);
     version_side Side = Vm.Shift.sideFor(Session, Hash, Now);
     if (Side == version_side::New && !hasTarget(Vm)) {
-      if (!Vm.Shift.mayFallBack(Session, Hash, Now)) {
+      if (!Vm.Shift.mayFallBack(Session)) {
         ++Refused;
         at(Now + RetryPause, [this, Id] { request(Id); });
         return;
