Let sessions without a version wait whenever their callers do

Cause: such a session is told when it has lapsed and may come back; but only if its caller had time for a session's whole life, though a part of it is over by then.

Change: the time that is left of the session decides. Callers keep to a third of the time they have; one that wouldn't is answered at once, as before.

--- a/src/routed_request.cpp
+++ b/src/routed_request.cpp
@@ -103,13 +103,12 @@
   send(Now);
 }
 
-// The caller is told when its session may go on. That is worth the wait only to
-// one with time for a session's whole life; any other gets its answer now, on
-// another version.
+// The caller is told when its session may go on. One that wouldn't wait for so
+// long gets its answer now, on another version.
 bool routed_request::waitsForLapse(const version_shift &Shift, mono_time Now) {
   const auto Lapse =
       Shift.untilLapse(Call.Facts.Session, sessionHash(Call.Facts), Now);
-  if (!Lapse || Shift.sessionTtl() > mostRetryAfter(Now))
+  if (!Lapse || *Lapse > mostRetryAfter(Now))
     return false;
   finish();
   Outputs.refuse({error_kind::NoVersionActive, run_state::NotRun, *Lapse});
--- a/src/session_versions.h
+++ b/src/session_versions.h
@@ -31,7 +31,6 @@
   };
 
   void setTtl(duration Value) { Ttl = Value; }
-  duration ttl() const { return Ttl; }
 
   /// A request of this VM began to run.
   void began(std::uint64_t Session, std::uint32_t Version, mono_time Now);
--- a/src/version_shift.h
+++ b/src/version_shift.h
@@ -51,7 +51,6 @@
       : Vm(std::move(Vm)), Incarnation(Incarnation) {}
 
   void setSessionTtl(duration Value) { Sessions.setTtl(Value); }
-  duration sessionTtl() const { return Sessions.ttl(); }
   /// Part of all requests that a bad target may meet, and requests beside.
   void setExposureBound(double Share, double Requests) {
     ExposureBound = Share;
