Tell again which sessions an order's end left without a version

Cause: all VMs read the end of an order within some 30 ms and tell each other of hundreds of sessions at once; a part of the notes doesn't arrive.

Change: each VM tells them once more, one to two seconds later, at a time of its own.

Not explained: what still isn't known after two notes.

--- a/src/config.h
+++ b/src/config.h
@@ -839,6 +839,9 @@
 constexpr double RolloutLeastVariance = 0.5;
 /// Old answers of a kind before the new ones' times are judged.
 constexpr unsigned RolloutLeastBaseline = 15;
+/// From the end of an order until VMs tell again which sessions it left without
+/// a version, and the spread of that over the VMs.
+constexpr auto StrandedRetellTime = 1s;
 /// Added to the sessions' time to live, for the way between VM and caller.
 constexpr auto SessionTtlMargin = 1s;
 /// Sessions whose side is remembered; 100 B each.
--- a/src/router.cpp
+++ b/src/router.cpp
@@ -418,8 +418,30 @@
   Shift.takeStatus(Target, State, now());
   noteEndpoints(Service);
   if (WasActive && !Shift.isActive())
-    for (const session_run &Run : Shift.stranded(now()))
-      tellRun(Service, Run);
+    tellStranded(Service, Shift);
+}
+
+// Load: all VMs read the end of an order at once and tell each other of many
+// sessions. Harm prevented: a part of that is lost. It is told again some
+// moments later, by each VM at a time of its own.
+void router::tellStranded(std::string_view Service,
+                          const version_shift &Shift) {
+  const auto Spread = std::chrono::duration_cast<duration>(
+      config::StrandedRetellTime * random());
+  StatusTimes[std::string(Service)].RetellAt =
+      now() + config::StrandedRetellTime + Spread;
+  for (const session_run &Run : Shift.stranded(now()))
+    tellRun(Service, Run);
+}
+
+void router::retellStranded(std::string_view Service,
+                            const version_shift &Shift, mono_time Now) {
+  auto &RetellAt = StatusTimes[std::string(Service)].RetellAt;
+  if (!RetellAt || Now < *RetellAt)
+    return;
+  RetellAt.reset();
+  for (const session_run &Run : Shift.stranded(Now))
+    tellRun(Service, Run);
 }
 
 void router::onRolloutStatusesRead(mono_time SentAt) {
@@ -637,6 +659,7 @@
       Now - ReportedAt >=
       (IsAnyHasty ? config::RolloutHastyPeriod : config::RolloutReportPeriod);
   for (auto &[Service, Shift] : Shifts) {
+    retellStranded(Service, *Shift, Now);
     if (!Shift->isActive())
       continue;
     IsAnyActive = true;
--- a/src/router.h
+++ b/src/router.h
@@ -65,6 +65,7 @@
   struct status_times {
     std::optional<mono_time> DueSince;
     mono_time WrittenAt{};
+    std::optional<mono_time> RetellAt; ///< of the sessions that it stranded
   };
 
   mono_time now() const { return Clock.bootNow(); }
@@ -109,6 +110,9 @@
   void stopStep();
   void tellRun(std::string_view Service, const session_run &Run);
   void tellRuns();
+  void tellStranded(std::string_view Service, const version_shift &Shift);
+  void retellStranded(std::string_view Service, const version_shift &Shift,
+                      mono_time Now);
   double random();
 
   boost::asio::io_context &Context;
