--- a/tests/session_steadiness_test.cpp
+++ b/tests/session_steadiness_test.cpp
@@ -23,6 +23,8 @@
 constexpr auto ReportPeriod = 1s;
 constexpr auto NotePeriod = 200ms;
 constexpr auto RetryPause = 300ms;
+/// What a VM does isn't held to the rule for so long after its start.
+constexpr auto StartGrace = 4s;
 
 duration seconds(double Value) {
   return std::chrono::duration_cast<duration>(
@@ -42,6 +44,7 @@
   double BusyPart = 0; ///< of time, that a VM finds no endpoint of the target
   double LongestStream = 20;
   bool HasSecondOrder = false;
+  unsigned Restarts = 0; ///< of VMs, which lose what they knew
 };
 
 scenario draw(unsigned Seed) {
@@ -61,6 +64,7 @@
   Drawn.Beside = Between(0, 0.3);
   Drawn.BusyPart = Between(0, 0.2);
   Drawn.LongestStream = Between(0.1, 20);
+  Drawn.Restarts = std::min<unsigned>(Seed % 5, Drawn.Vms / 3);
   return Drawn;
 }
 
@@ -84,6 +88,10 @@
       at(At, [this, Id = ++LastSession] { request(Id); });
     for (std::size_t Each = 0; Each < Vms.size(); ++Each)
       at(Start + seconds(between(0, 1)), [this, Each] { hearReports(Each); });
+    for (unsigned Left = Scenario.Restarts; Left > 0; --Left)
+      at(Start + std::chrono::duration_cast<duration>(Scenario.Length *
+                                                      between(0.2, 0.95)),
+         [this] { restart(); });
   }
 
   void play() {
@@ -105,6 +113,7 @@
       Shift.setExposureBound(0.1, 30);
     }
     version_shift Shift;
+    mono_time StartedAt{};
     std::array<mono_time, 2> TargetFrom{mono_time::max(), mono_time::max()};
     mono_time BusyUntil{};
   };
@@ -173,6 +182,23 @@
     }
   }
 
+  /// A VM starts anew amid an order, whose age it doesn't know.
+  void restart() {
+    vm &Vm = Vms[std::uniform_int_distribution<std::size_t>(0, Vms.size() -
+                                                                   1)(Random)];
+    const auto Order = Vm.Shift.order();
+    if (!Vm.Shift.isActive())
+      return;
+    Vm.Shift = vm("restarted").Shift;
+    Vm.StartedAt = Now;
+    list(Vm, {Order->Offset == Orders.front().Offset ? "v1" : "v2"});
+    Vm.Shift.takeOrder(*Order, Now);
+    Vm.Shift.takeStatusesRead(Now);
+    Vm.Shift.takeReportsRead(Now);
+    list(Vm,
+         {Order->Offset == Orders.front().Offset ? "v1" : "v2", Order->Target});
+  }
+
   /// The others' reports, by way of the store.
   void hearReports(std::size_t Which) {
     vm &Vm = Vms[Which];
@@ -239,7 +265,8 @@
         Side == version_side::New ? Vm.Shift.order()->Target : inUse(Vm);
     tell(Which, Hash, Version);
     Vm.Shift.beginRun(Hash, Version, Now);
-    check(Id, Version);
+    if (Vm.StartedAt == mono_time{} || Now - Vm.StartedAt >= StartGrace)
+      check(Id, Version);
     ++Requests;
     const std::size_t Run = Runs[Id].size();
     Runs[Id].push_back({Version, std::nullopt});
