Place a request anew for each of its attempts

Change: each attempt is placed by what is known then; a stream that has begun keeps its version. The log names a placing only if it is the first or another one.

Test: next_attempt_follows_a_session_that_moved, seen to fail before (second attempt on v1).

--- a/src/routed_request.cpp
+++ b/src/routed_request.cpp
@@ -4,6 +4,7 @@
 #include "hashing.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace clementinelane {
 
@@ -92,7 +93,7 @@
   if (version_shift *Shift = Context.ShiftOf(Call.Service)) {
     if (waitsForLapse(*Shift, Now))
       return;
-    beginOn(*Shift, Now);
+    place(*Shift, Now);
   }
   if (choosesModel())
     chooseFirstModel(Now);
@@ -120,12 +121,15 @@
                   (callerDeadline() - Now) / config::RetryAfterPartOfTimeLeft);
 }
 
-void routed_request::beginOn(version_shift &Shift, mono_time Now) {
+// Placed again for each attempt: the session may have moved while this request
+// waited or ran elsewhere. A stream that has begun keeps its version.
+void routed_request::place(const version_shift &Shift, mono_time Now) {
   const std::uint64_t Hash = sessionHash(Call.Facts);
-  const session_knowledge Known = Shift.knowledgeOf(Hash, Now);
-  Side = Shift.sideFor(Call.Facts.Session, Hash, Now);
-  if (Shift.isActive() && !Call.Facts.Session.empty())
-    Outputs.placed({Hash, Side, Known});
+  const version_side Before =
+      std::exchange(Side, Shift.sideFor(Call.Facts.Session, Hash, Now));
+  const bool IsNews = !std::exchange(IsPlaced, true) || Side != Before;
+  if (IsNews && Shift.isActive() && !Call.Facts.Session.empty())
+    Outputs.placed({Hash, Side, Shift.knowledgeOf(Hash, Now)});
 }
 
 choice_request routed_request::choiceFor(std::size_t OnModel,
@@ -213,6 +217,9 @@
     giveUp("quarantined", Now);
     return;
   }
+  const version_shift *Shift = Context.ShiftOf(Call.Service);
+  if (Shift && PinnedVersion.empty())
+    place(*Shift, Now);
   const auto Endpoint = chooseEndpoint(Now);
   if (!Endpoint) {
     if (!waitsForEndpoint(Now) && !waitsForTurn(Now))
--- a/src/routed_request.h
+++ b/src/routed_request.h
@@ -121,7 +121,7 @@
   bool waitsForLapse(const version_shift &Shift, mono_time Now);
   /// The longest Retry-After that the caller will keep to.
   duration mostRetryAfter(mono_time Now) const;
-  void beginOn(version_shift &Shift, mono_time Now);
+  void place(const version_shift &Shift, mono_time Now);
   void send(mono_time Now);
   choice_request choiceFor(std::size_t OnModel, mono_time Now) const;
   std::optional<chosen_endpoint> chooseEndpoint(mono_time Now);
@@ -166,6 +166,7 @@
   std::size_t Model = 0;
   std::optional<first_answer> Dropped; ///< the last that wasn't kept
   version_side Side = version_side::Old;
+  bool IsPlaced = false;
   bool IsBeyondTrial = false; ///< may use all endpoints of the target
   unsigned Sent = 0;          ///< attempts that reached an endpoint
   unsigned ConnectFailures = 0;
--- a/tests/routed_request_test.cpp
+++ b/tests/routed_request_test.cpp
@@ -515,6 +515,31 @@
   }
 }
 
+// An endpoint refuses a request, and meanwhile its session has moved at another
+// VM. The next attempt follows it.
+BOOST_FIXTURE_TEST_CASE(next_attempt_follows_a_session_that_moved,
+                        routed_fixture) {
+  version_shift &Shift = Shifts.try_emplace("engine", "vm1", 1).first->second;
+  add("n1", "engine", "v2");
+  const auto Listed = Directory.usable("engine");
+  Shift.takeOrder({"engine", "v2", 60s, 1}, Now);
+  Shift.takeEndpoints(Listed);
+  Now += 20s;
+  routed_call Call = call(0);
+  Call.ArrivedAt = Now;
+  Call.Facts.Session = "s";
+  const auto Request = begin(Call);
+  BOOST_REQUIRE(Out.Attempts.size() == 1U);
+  BOOST_TEST(Out.Attempts[0].Endpoint.Version == "v1");
+  Request->onSent(Now);
+  Shift.takeRun({sessionHash(Call.Facts), versionHash("v2"), Now}, Now);
+  endpoint_answer Full = answer(503);
+  Full.SaysNotRun = true;
+  Request->onHead(Full, Now);
+  BOOST_REQUIRE(Out.Attempts.size() == 2U);
+  BOOST_TEST(Out.Attempts[1].Endpoint.Version == "v2");
+}
+
 // A data centre is cut off: two endpoints there don't answer. Callers' requests
 // went on trying the others there, and were refused after some tries while the
 // own data centre idled. Now all that follow go to endpoints that answer.
