Release a harmless request that was held with several deadly ones

Change: ends that another request explains are kept apart rather than forgotten; a held request of which each end is also one of another held request that has others without it is released, in the store and on all VMs.

--- a/src/request_quarantine.cpp
+++ b/src/request_quarantine.cpp
@@ -78,6 +78,13 @@
   ServedOrder.pop_front();
 }
 
+bool request_quarantine::wasAboard(const entry &Entry, std::uint64_t Crash) {
+  return std::any_of(Entry.Crashes.begin(), Entry.Crashes.end(),
+                     [Crash](const auto &Each) { return Each.Id == Crash; }) ||
+         std::find(Entry.Cleared.begin(), Entry.Cleared.end(), Crash) !=
+             Entry.Cleared.end();
+}
+
 request_quarantine::entry *
 request_quarantine::note(std::uint64_t Request,
                          std::span<const std::uint64_t> Crashes,
@@ -86,10 +93,7 @@
     return nullptr;
   entry &Entry = Entries[Request];
   for (const std::uint64_t Id : Crashes) {
-    const bool IsKnown =
-        std::any_of(Entry.Crashes.begin(), Entry.Crashes.end(),
-                    [Id](const crash &Known) { return Known.Id == Id; });
-    if (IsKnown || Entry.Crashes.size() >= config::MaxNotedCrashes)
+    if (wasAboard(Entry, Id) || Entry.Crashes.size() >= config::MaxNotedCrashes)
       continue;
     Entry.Crashes.push_back({Id, Now});
     // Only an end that is new makes the time longer: what is held is told on
@@ -161,7 +165,8 @@
   for (auto &[Request, Entry] : Entries) {
     const bool IsForAll = Entry.IsHeld && IsReader;
     const bool IsForReaders = Entry.IsOwn && Entry.TellsLeft > 0;
-    if (Entry.TellAt > Now || !(IsForAll || IsForReaders))
+    if (Entry.TellAt > Now || Entry.Crashes.empty() ||
+        !(IsForAll || IsForReaders))
       continue;
     auto &Notes = IsForAll ? News.Held : News.Suspects;
     if (Notes.size() >= config::MaxCrashNotes)
@@ -202,20 +207,63 @@
           Explained.insert(Each.Id);
   if (Explained.empty())
     return;
-  for (auto &[Request, Entry] : Entries)
-    if (!Entry.IsHeld)
-      std::erase_if(Entry.Crashes, [&Explained](const crash &Each) {
-        return Explained.contains(Each.Id);
-      });
-  std::erase_if(Entries,
-                [](const auto &Item) { return Item.second.Crashes.empty(); });
+  for (auto &[Request, Entry] : Entries) {
+    if (Entry.IsHeld)
+      continue;
+    const auto Kept = std::partition(Entry.Crashes.begin(), Entry.Crashes.end(),
+                                     [&Explained](const crash &Each) {
+                                       return !Explained.contains(Each.Id);
+                                     });
+    std::for_each(Kept, Entry.Crashes.end(), [&Entry](const crash &Each) {
+      Entry.Cleared.push_back(Each.Id);
+    });
+    Entry.Crashes.erase(Kept, Entry.Crashes.end());
+    if (Entry.Cleared.size() > config::MaxNotedCrashes)
+      Entry.Cleared.erase(Entry.Cleared.begin(),
+                          Entry.Cleared.end() - config::MaxNotedCrashes);
+  }
+}
+
+// Load: several requests crash endpoints at once, and one that does no harm is
+// aboard three of these. Harm prevented: it is held as long as they are. Each
+// of its ends is one of a held request that has other ends without it.
+bool request_quarantine::isCompanion(const entry &Entry,
+                                     std::span<const entry *const> Held) {
+  const auto EndsWithout = [&](const entry &Other) {
+    return !std::all_of(
+        Other.Crashes.begin(), Other.Crashes.end(),
+        [&](const crash &Each) { return wasAboard(Entry, Each.Id); });
+  };
+  const auto IsExplained = [&](const crash &Each) {
+    return std::any_of(Held.begin(), Held.end(), [&](const entry *Other) {
+      return Other != &Entry && wasAboard(*Other, Each.Id) &&
+             EndsWithout(*Other);
+    });
+  };
+  return std::all_of(Entry.Crashes.begin(), Entry.Crashes.end(), IsExplained);
+}
+
+std::vector<std::uint64_t>
+request_quarantine::releaseCompanions(mono_time Now) {
+  std::vector<const entry *> Held;
+  for (const auto &[Request, Entry] : Entries)
+    if (Entry.IsHeld)
+      Held.push_back(&Entry);
+  std::vector<std::uint64_t> Released;
+  for (const auto &[Request, Entry] : Entries)
+    if (Entry.IsHeld && Now - Entry.ChangedAt >= config::CrashBlameTime &&
+        isCompanion(Entry, Held))
+      Released.push_back(Request);
+  for (const std::uint64_t Request : Released)
+    Entries.erase(Request);
+  return Released;
 }
 
 std::vector<std::uint64_t> request_quarantine::expire(mono_time Now) {
-  std::vector<std::uint64_t> Over;
   if (Now - ClearedAt < config::CrashBlameTime)
-    return Over;
+    return {};
   ClearedAt = Now;
+  std::vector<std::uint64_t> Over = releaseCompanions(Now);
   clearExplained(Now);
   std::erase_if(Entries, [&Over, Now](const auto &Item) {
     const auto &[Request, Entry] = Item;
--- a/src/request_quarantine.h
+++ b/src/request_quarantine.h
@@ -86,6 +86,7 @@
   };
   struct entry {
     std::vector<crash> Crashes;
+    std::vector<std::uint64_t> Cleared; ///< ends that another request explains
     mono_time LastAt{};
     mono_time ChangedAt{};
     mono_time SavingAt{};
@@ -99,7 +100,12 @@
   entry *note(std::uint64_t Request, std::span<const std::uint64_t> Crashes,
               mono_time LastAt, mono_time Now);
   void hold(std::uint64_t Request, entry &Entry);
+  /// Whether the request was on the endpoint that ended so.
+  static bool wasAboard(const entry &Entry, std::uint64_t Crash);
   void clearExplained(mono_time Now);
+  static bool isCompanion(const entry &Entry,
+                          std::span<const entry *const> Held);
+  std::vector<std::uint64_t> releaseCompanions(mono_time Now);
   void bound();
   static crash_note noteOf(std::uint64_t Request, const entry &Entry);
 
--- a/tests/request_quarantine_test.cpp
+++ b/tests/request_quarantine_test.cpp
@@ -3,7 +3,10 @@
 #include "crash_watch.h"
 #include "request_quarantine.h"
 
+#include <algorithm>
 #include <boost/test/unit_test.hpp>
+#include <map>
+#include <random>
 #include <rapidcheck.h>
 
 using namespace clementinelane;
@@ -91,6 +94,51 @@
   BOOST_TEST(!Quarantine.holds(Other));
 }
 
+// For some time a part of all requests crashes whatever runs it, several of
+// them at once and on busy endpoints. Each is held, and nothing else stays
+// held.
+BOOST_AUTO_TEST_CASE(several_deadly_requests_are_held_and_no_others) {
+  constexpr std::uint64_t Requests = 200;
+  constexpr std::uint64_t DeadlyEvery = 33;
+  constexpr std::size_t OnOneEndpoint = 6;
+  constexpr unsigned EndsAllowed = 6; // three, and three after these
+  const auto IsDeadly = [](std::uint64_t Each) {
+    return Each % DeadlyEvery == 0;
+  };
+  for (unsigned Seed = 1; Seed <= 50; ++Seed) {
+    std::mt19937 Random(Seed);
+    request_quarantine Quarantine;
+    mono_time Now{1h};
+    std::map<std::uint64_t, unsigned> Ended; ///< by deadly request
+    for (std::uint64_t Endpoint = 1; Endpoint <= 1000; ++Endpoint) {
+      std::vector<std::uint64_t> Aboard;
+      while (Aboard.size() < OnOneEndpoint) {
+        const std::uint64_t Each =
+            std::uniform_int_distribution<std::uint64_t>(1, Requests)(Random);
+        if (!Quarantine.holds(Each))
+          Aboard.push_back(Each);
+      }
+      if (std::none_of(Aboard.begin(), Aboard.end(), IsDeadly)) {
+        for (const std::uint64_t Each : Aboard)
+          Quarantine.served(Each);
+      } else {
+        Quarantine.crashed(Endpoint, Aboard, Now);
+        for (const std::uint64_t Each : Aboard)
+          Ended[Each] += IsDeadly(Each) ? 1 : 0;
+      }
+      Now += 20ms;
+      Quarantine.expire(Now);
+    }
+    BOOST_TEST_INFO("seed " << Seed);
+    BOOST_TEST(Quarantine.held() == Requests / DeadlyEvery);
+    for (std::uint64_t Each = 1; Each <= Requests; ++Each) {
+      BOOST_TEST_INFO("seed " << Seed << ", request " << Each);
+      BOOST_TEST(Quarantine.holds(Each) == IsDeadly(Each));
+      BOOST_TEST(Ended[Each] <= EndsAllowed);
+    }
+  }
+}
+
 // Two parts of a fleet hear nothing of each other but what the store keeps.
 BOOST_FIXTURE_TEST_CASE(parts_of_a_cut_fleet_add_up, fixture) {
   request_quarantine There;
