--- a/src/request_quarantine.cpp
+++ b/src/request_quarantine.cpp
@@ -207,7 +207,8 @@
           Explained.insert(Each.Id);
   if (Explained.empty())
     return;
-  for (auto &[Request, Entry] : Entries) {
+  for (auto &Item : Entries) {
+    entry &Entry = Item.second;
     if (Entry.IsHeld)
       continue;
     const auto Kept = std::partition(Entry.Crashes.begin(), Entry.Crashes.end(),
