Don't take the last step back where the others' reports are missing

Change: the step stays made until the order ends or something speaks against the target; what has missing reports still isn't completed.

Tests: last_step_is_not_taken_back_without_reports, seen to fail before (94 of 1,000 new sessions on the target); rollout_model_test, 1,000 bad versions, stays green.

--- a/src/version_shift.cpp
+++ b/src/version_shift.cpp
@@ -32,6 +32,7 @@
   Own = {};
   AtLastStep = {};
   IsDoubtful = false;
+  HasStepped = false;
   Reports.clear();
   Rejected.erase(Value.Target);
   // The target's endpoints may be in the list before the order is.
@@ -96,6 +97,12 @@
   if (SentAt - ReportsReadAt > config::RolloutReportLife)
     ToldSince = SentAt;
   ReportsReadAt = SentAt;
+  if (isActive())
+    noteStep(SentAt);
+}
+
+void version_shift::noteStep(mono_time Now) {
+  HasStepped = HasStepped || shareAt(Now) == 1;
 }
 
 void version_shift::takeEndpoints(
@@ -177,15 +184,19 @@
   return std::chrono::duration_cast<duration>(Order->Length * (1 - Rest));
 }
 
+bool version_shift::isTold(mono_time Now) const {
+  return Now - ReportsReadAt <= config::RolloutReportLife;
+}
+
 // Load: a version that fails only under full load, with the store away at the
 // last step. Harm prevented: every VM raises its share and none learns what the
-// others saw. A VM that can't read the others' reports stays at the first
-// share.
+// others saw. A VM that can't read the others' reports stays at the share it
+// has: it doesn't take the step, nor take it back from sessions that may have
+// moved elsewhere.
 double version_shift::shareAt(mono_time Now) const {
   if (!Verdict.empty())
     return 0;
-  const bool IsTold = Now - ReportsReadAt <= config::RolloutReportLife;
-  if (elapsed(Now) >= lastStep() && IsTold)
+  if (HasStepped || (elapsed(Now) >= lastStep() && isTold(Now)))
     return 1;
   return ExposureBound * (isFirstHalf(Now) ? config::RolloutFirstShare
                                            : config::RolloutTrialShare);
@@ -333,6 +344,7 @@
   Answers = Whole.answers();
   JudgedAt = Now;
   Verdict = verdictOn(Whole);
+  noteStep(Now);
   if (elapsed(Now) < lastStep()) {
     AtLastStep = Whole;
     return;
@@ -385,7 +397,7 @@
                                         config::RolloutLateProofTime);
   // Nothing is completed that only a first share has met, nor what looks bad
   // and isn't judged yet: it can't be taken back.
-  if (shareAt(Now) < 1 ||
+  if (shareAt(Now) < 1 || !isTold(Now) ||
       (IsDoubtful && Elapsed < Last + config::RolloutDoubtTime))
     return std::nullopt;
   return Elapsed >= Last ? std::optional(rollout_state::Completed)
--- a/src/version_shift.h
+++ b/src/version_shift.h
@@ -132,6 +132,9 @@
     mono_time ReadAt;
   };
   double shareAt(mono_time Now) const;
+  /// Whether the others' reports are known as of some moments ago.
+  bool isTold(mono_time Now) const;
+  void noteStep(mono_time Now);
   bool isFirstHalf(mono_time Now) const;
   void acceptVersions(std::span<const endpoint_info *const> Endpoints);
   bool isTargetHash(std::uint32_t Version) const;
@@ -165,6 +168,7 @@
   rollout_reports Reports;
   std::string Verdict;
   version_tally AtLastStep; ///< of all VMs, as last judged before it
+  bool HasStepped = false;  ///< all sessions may have moved
   bool IsDoubtful = false;  ///< what answered so far raises doubt
   bool HasUntoldFailure = false;
   mono_time JudgedAt{};
--- a/tests/version_shift_test.cpp
+++ b/tests/version_shift_test.cpp
@@ -164,6 +164,21 @@
   BOOST_TEST((*Shift.due(Now) == rollout_state::Completed));
 }
 
+// The store goes away after the last step, when sessions have moved that this VM
+// hasn't heard of. The step isn't taken back, and nothing is completed unseen.
+BOOST_FIXTURE_TEST_CASE(last_step_is_not_taken_back_without_reports, fixture) {
+  order();
+  Shift.takeStatus("v2", rollout_state::InProgress, Now);
+  pass(Length - 500ms);
+  BOOST_TEST(newSessions("a") == 1000);
+  Now += config::RolloutReportLife + 1ms;
+  BOOST_TEST(newSessions("b") == 1000);
+  BOOST_TEST(!Shift.due(Now).has_value());
+  pass(0s);
+  pass(config::RolloutLateProofTime);
+  BOOST_TEST((*Shift.due(Now) == rollout_state::Completed));
+}
+
 // A small service: no kind alone has enough answers to be judged. All are four
 // times slower.
 BOOST_FIXTURE_TEST_CASE(few_answers_of_each_kind_are_enough, fixture) {
