Tell of sessions one datagram at a time, to another peer first each time

Cause: a VM told of all its sessions in one burst, always in the order of the peers' addresses; the end of the burst was lost, and again when it was told a second time.

Change: run_notes hands out what fits into one datagram, with each digest; sends to all begin at another peer each time.

Test: many_runs_are_told_one_datagram_at_a_time.

--- a/src/config.h
+++ b/src/config.h
@@ -653,6 +653,8 @@
 constexpr auto PeerMemory = 30s;
 /// Sessions named in one digest; those that meet a trial are a tenth of all.
 constexpr std::size_t MaxDigestSessions = 60;
+/// Sessions that wait to be named.
+constexpr std::size_t MaxUntoldRuns = 2000;
 /// Peers that get one digest; more take turns, so that a fleet of hundreds
 /// costs a VM no more than one of this size.
 constexpr std::size_t MaxDigestPeers = 24;
--- a/src/peer_datagrams.cpp
+++ b/src/peer_datagrams.cpp
@@ -129,9 +129,19 @@
   const mono_time Now = Clock.bootNow();
   const std::string Message = messageOf(Kind, Bytes);
   const duration Life = life();
-  for (const auto &[Address, Peer] : Peers)
+  if (Peers.empty())
+    return;
+  // A burst loses its end; it isn't always the same peers' turn to miss it.
+  auto Next =
+      std::next(Peers.begin(),
+                static_cast<std::ptrdiff_t>(mixed(AllTurn++) % Peers.size()));
+  for (std::size_t Left = Peers.size(); Left > 0; --Left) {
+    const auto &[Address, Peer] = *Next;
     if (Now - Peer.HeardAt <= Life)
       sendBytes(Address, Message);
+    if (++Next == Peers.end())
+      Next = Peers.begin();
+  }
 }
 
 void peer_datagrams::sendTo(const std::string &Address, peer_message Kind,
--- a/src/peer_datagrams.h
+++ b/src/peer_datagrams.h
@@ -87,7 +87,8 @@
   std::array<char, config::MaxPeerMessageBytes> Buffer{};
   std::map<boost::asio::ip::udp::endpoint, peer> Peers;
   std::uint64_t Generation = 0;
-  std::size_t Turn = 0; ///< where sending goes on if there are too many
+  std::size_t Turn = 0;    ///< where sending goes on if there are too many
+  std::size_t AllTurn = 0; ///< who comes first when all are sent to
   handler Handler;
 };
 
--- a/src/router.cpp
+++ b/src/router.cpp
@@ -72,7 +72,7 @@
                [this](std::string_view Service) { return shiftOf(Service); },
                [this](mono_time Now) { return keysHold(Now); },
                [this](std::string_view Service, const session_run &Run) {
-                 tellRun(Service, Run);
+                 UntoldRuns.add(Service, Run);
                },
                [this](const endpoint_info &Endpoint, std::uint64_t Request) {
                  connectionBroke(Endpoint, Request);
@@ -89,26 +89,6 @@
 
 router::~router() { Relay.disconnect(); }
 
-void router::tellRun(std::string_view Service, const session_run &Run) {
-  UntoldRuns.emplace_back(digestHash(Service), Run);
-  if (UntoldRuns.size() == config::MaxDigestSessions)
-    tellRuns();
-}
-
-// All others need them: a session's next request may come in anywhere.
-void router::tellRuns() {
-  if (UntoldRuns.empty())
-    return;
-  const mono_time Now = now();
-  std::vector<session_note> Notes;
-  for (const auto &[Service, Run] : std::exchange(UntoldRuns, {}))
-    Notes.push_back(
-        {Service, Run.Session, Run.Version,
-         std::chrono::ceil<std::chrono::milliseconds>(Now - Run.LastAt)});
-  if (Peers)
-    Peers->sendToAll(peer_message::SessionRuns, encodeNotes(Notes));
-}
-
 double router::random() {
   RandomState = RandomState * 6364136223846793005ULL + 1442695040888963407ULL;
   return static_cast<double>(RandomState >> 11U) / 9007199254740992.0;
@@ -431,7 +411,7 @@
   StatusTimes[std::string(Service)].RetellAt =
       now() + config::StrandedRetellTime + Spread;
   for (const session_run &Run : Shift.stranded(now()))
-    tellRun(Service, Run);
+    UntoldRuns.add(Service, Run);
 }
 
 void router::retellStranded(std::string_view Service,
@@ -441,7 +421,7 @@
     return;
   RetellAt.reset();
   for (const session_run &Run : Shift.stranded(Now))
-    tellRun(Service, Run);
+    UntoldRuns.add(Service, Run);
 }
 
 void router::onRolloutStatusesRead(mono_time SentAt) {
@@ -531,7 +511,9 @@
       encodeDigest({Settings.VmName, Incarnation, ++DigestSequence,
                     Choice.loads(), Settings.Cores, Choice.warmUp().notes(Now),
                     Choice.limits().notes(Now)}));
-  tellRuns();
+  // All others need them: a session's next request may come in anywhere.
+  if (const auto Notes = UntoldRuns.take(Now); !Notes.empty())
+    Peers->sendToAll(peer_message::SessionRuns, encodeNotes(Notes));
 }
 
 // --- time --------------------------------------------------------------------
--- a/src/router.h
+++ b/src/router.h
@@ -11,6 +11,7 @@
 #include "routed_request.h"
 #include "router_metrics.h"
 #include "router_settings.h"
+#include "run_notes.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -108,8 +109,6 @@
   duration wallAge(std::int64_t WallMs) const;
   void noteReadiness();
   void stopStep();
-  void tellRun(std::string_view Service, const session_run &Run);
-  void tellRuns();
   void tellStranded(std::string_view Service, const version_shift &Shift);
   void retellStranded(std::string_view Service, const version_shift &Shift,
                       mono_time Now);
@@ -146,8 +145,7 @@
   std::unique_ptr<peer_datagrams> Peers;
   std::optional<std::uint64_t> VmsGeneration; ///< that shares go by
   std::uint64_t DigestSequence = 0;
-  /// Not sent yet, with the hash of the service.
-  std::vector<std::pair<std::uint32_t, session_run>> UntoldRuns;
+  run_notes UntoldRuns;
   mono_time DigestAt{};
   std::string MetricsAddress;
   boost::asio::steady_timer Tick;
--- a/tests/peer_loads_test.cpp
+++ b/tests/peer_loads_test.cpp
@@ -4,6 +4,7 @@
 #include "config.h"
 #include "peer_datagrams.h"
 #include "peer_loads.h"
+#include "run_notes.h"
 
 #include <boost/test/unit_test.hpp>
 #include <rapidcheck.h>
@@ -126,3 +127,25 @@
   BOOST_TEST(Decoded->Cold[0].Endpoint == digestHash("e1"));
   BOOST_TEST((Decoded->Cold[0].Left == 2500ms));
 }
+
+// The end of an order leaves hundreds of sessions without a version, and all
+// are to be told to all VMs: the last peers got nothing of the burst.
+BOOST_AUTO_TEST_CASE(many_runs_are_told_one_datagram_at_a_time) {
+  constexpr std::size_t Runs = 2 * config::MaxDigestSessions + 30;
+  const mono_time Now{1h};
+  run_notes Untold;
+  for (std::size_t Each = 0; Each < Runs; ++Each)
+    Untold.add("engine", {Each, 7, Now - 1s});
+  std::size_t Next = 0;
+  for (const std::size_t Count : {config::MaxDigestSessions,
+                                  config::MaxDigestSessions, std::size_t{30}}) {
+    const auto Notes = Untold.take(Now + 500ms);
+    BOOST_REQUIRE(Notes.size() == Count);
+    BOOST_TEST(Notes[0].Session == Next);
+    BOOST_TEST(Notes[0].Service == digestHash("engine"));
+    BOOST_TEST(Notes[0].Version == 7U);
+    BOOST_TEST((Notes[0].Age == 1500ms));
+    Next += Count;
+  }
+  BOOST_TEST(Untold.take(Now).empty());
+}
--- a/tests/version_shift_test.cpp
+++ b/tests/version_shift_test.cpp
@@ -164,8 +164,9 @@
   BOOST_TEST((*Shift.due(Now) == rollout_state::Completed));
 }
 
-// The store goes away after the last step, when sessions have moved that this VM
-// hasn't heard of. The step isn't taken back, and nothing is completed unseen.
+// The store goes away after the last step, when sessions have moved that this
+// VM hasn't heard of. The step isn't taken back, and nothing is completed
+// unseen.
 BOOST_FIXTURE_TEST_CASE(last_step_is_not_taken_back_without_reports, fixture) {
   order();
   Shift.takeStatus("v2", rollout_state::InProgress, Now);
