Let requests wait at the router for the lapse of a session without a version

Cause: callers that wouldn't stay away until the session has lapsed were answered on another version at once, though most have time to wait.

Change: such a request is sent when the session has lapsed, if it can be served within its target latency from then on; else at once, as before.

Test: session_without_version_comes_back_or_runs has the waiting request now; its hasty caller is one that couldn't be served in its target latency.

--- a/src/routed_request.cpp
+++ b/src/routed_request.cpp
@@ -90,6 +90,10 @@
     refuseQuarantined(run_state::NotRun, Now);
     return;
   }
+  beginSending(Now);
+}
+
+void routed_request::beginSending(mono_time Now) {
   if (version_shift *Shift = Context.ShiftOf(Call.Service)) {
     if (waitsForLapse(*Shift, Now))
       return;
@@ -104,13 +108,21 @@
   send(Now);
 }
 
-// The caller is told when its session may go on. One that wouldn't wait for so
-// long gets its answer now, on another version.
+// The caller is told when its session may go on. One that wouldn't stay away
+// for so long waits here, if it can still be served in its target latency then;
+// else it gets its answer now, on another version.
 bool routed_request::waitsForLapse(const version_shift &Shift, mono_time Now) {
   const auto Lapse =
       Shift.untilLapse(Call.Facts.Session, sessionHash(Call.Facts), Now);
-  if (!Lapse || *Lapse > mostRetryAfter(Now))
+  if (!Lapse)
     return false;
+  if (*Lapse > mostRetryAfter(Now)) {
+    if (*Lapse + Call.Route->TargetLatency > finalTime() - Now)
+      return false;
+    Outputs.note("waits", "session_without_version", "");
+    RetryAt = Now + *Lapse;
+    return true;
+  }
   finish();
   Outputs.refuse({error_kind::NoVersionActive, run_state::NotRun, *Lapse});
   return true;
@@ -719,10 +731,13 @@
   if (IsOver)
     return;
   if (RetryAt && Now < finalTime()) {
-    if (Now >= *RetryAt) {
-      RetryAt.reset();
+    if (Now < *RetryAt)
+      return;
+    RetryAt.reset();
+    if (IsPlaced)
       send(Now);
-    }
+    else
+      beginSending(Now);
     return;
   }
   if (Now < finalTime()) {
--- a/src/routed_request.h
+++ b/src/routed_request.h
@@ -118,6 +118,7 @@
   mono_time callerDeadline() const;
   mono_time finalTime() const;
   bool mayAttempt(mono_time Now) const;
+  void beginSending(mono_time Now);
   bool waitsForLapse(const version_shift &Shift, mono_time Now);
   /// The longest Retry-After that the caller will keep to.
   duration mostRetryAfter(mono_time Now) const;
--- a/tests/routed_request_test.cpp
+++ b/tests/routed_request_test.cpp
@@ -24,7 +24,8 @@
 
 // A roll-out is ordered right after another was completed. A caller whose
 // session ran before that has no version left: it is told when to come back if
-// it keeps to that time, and else is answered on the version in use.
+// it keeps to that time, or else waits here while it can be served in time, or
+// else is answered on the version in use.
 BOOST_FIXTURE_TEST_CASE(session_without_version_comes_back_or_runs,
                         routed_fixture) {
   version_shift &Shift = Shifts.try_emplace("engine", "vm1", 1).first->second;
@@ -38,8 +39,11 @@
   Now += 1s;
   Call.ArrivedAt = Now;
   Shift.takeOrder({"engine", "v2", 20s, 6}, Now);
+  routed_call Waiting = Call;
   routed_call Hasty = Call;
-  Hasty.Facts.Remaining = 11900ms;
+  const duration Target = Call.Route->TargetLatency;
+  Hasty.Facts.Remaining = 4s + Target - 1ms;
+  Waiting.Facts.Remaining = std::min<duration>(4s + Target, 11900ms);
   Call.Facts.Remaining = 12s;
   begin(Call);
   BOOST_TEST(Out.Attempts.empty());
@@ -48,6 +52,15 @@
   BOOST_TEST((Out.Refused->RetryAfter == 4s));
   begin(Hasty);
   BOOST_TEST(Out.Attempts.size() == 1U);
+  const auto Waits = begin(Waiting);
+  BOOST_TEST(Out.Attempts.empty());
+  BOOST_TEST(!Out.Refused.has_value());
+  BOOST_REQUIRE(Waits->nextTimer().has_value());
+  BOOST_TEST((*Waits->nextTimer() == Now + 4s));
+  Now += 4s;
+  Waits->onTimer(Now);
+  BOOST_REQUIRE(Out.Attempts.size() == 1U);
+  BOOST_TEST(Out.Attempts[0].Endpoint.Version == "v1");
 }
 
 // A booking is sent and the connection is lost before an answer. The endpoint
