--- a/src/config.h
+++ b/src/config.h
@@ -651,10 +651,6 @@
 /// comes back names itself.
 constexpr auto QuietPeerPause = 2s;
 constexpr auto PeerMemory = 30s;
-/// Sessions named in one digest; those that meet a trial are a tenth of all.
-constexpr std::size_t MaxDigestSessions = 60;
-/// Sessions that wait to be named.
-constexpr std::size_t MaxUntoldRuns = 2000;
 /// Peers that get one digest; more take turns, so that a fleet of hundreds
 /// costs a VM no more than one of this size.
 constexpr std::size_t MaxDigestPeers = 24;
@@ -663,6 +659,26 @@
 /// From the start until topics are followed without knowing other routers.
 constexpr auto PeerListWait = 400ms;
 
+// --- runs of sessions, kept at their owners
+// ------------------------------------
+
+/// VMs that keep a session's last run: two may be lost or silent.
+constexpr std::size_t RunOwners = 3;
+/// Runs in one datagram, which stays below the size that links pass in one
+/// piece, datagrams at a time, and runs that wait for their turn.
+constexpr std::size_t MaxRunNotes = 30;
+constexpr std::size_t MaxRunNoteDatagrams = 64;
+constexpr std::size_t MaxQueuedRuns = 6000;
+/// From notes until they are sent again without a receipt, and how often.
+constexpr auto RunNotePause = 150ms;
+constexpr unsigned MaxRunNoteSends = 6;
+/// From a question until the silent owners are asked again, and until it ends;
+/// a dozen times the way there and back.
+constexpr auto RunQuestionPause = 50ms;
+constexpr auto RunAnswerTime = 150ms;
+/// A VM that stood still for so long has missed notes.
+constexpr auto RunNoteGap = 1s;
+
 // --- reads of the store for others -------------------------------------------
 
 /// Routers that read the store for all: one may be lost or cut off at any time.
@@ -841,9 +857,8 @@
 constexpr double RolloutLeastVariance = 0.5;
 /// Old answers of a kind before the new ones' times are judged.
 constexpr unsigned RolloutLeastBaseline = 15;
-/// From the end of an order until VMs tell again which sessions it left without
-/// a version, and the spread of that over the VMs.
-constexpr auto StrandedRetellTime = 1s;
+/// VMs reach the half and the last step of an order at most so far apart.
+constexpr auto RolloutSkew = 1s;
 /// Added to the sessions' time to live, for the way between VM and caller.
 constexpr auto SessionTtlMargin = 1s;
 /// Sessions whose side is remembered; 100 B each.
--- a/src/peer_loads.cpp
+++ b/src/peer_loads.cpp
@@ -16,9 +16,8 @@
 constexpr double WorkUnit = 10;
 /// Cores are sent in hundredths.
 constexpr double CoresUnit = 100;
-/// Fields of one load or session and of a digest, in their order on the wire.
+/// Fields of one load and of a digest, in their order on the wire.
 constexpr std::size_t LoadFields = 3;
-constexpr std::size_t SessionFields = 4;
 constexpr std::size_t DigestFields = 4;
 constexpr std::size_t ColdFields = 2;
 constexpr std::size_t LimitFields = 3;
@@ -53,36 +52,6 @@
   return static_cast<std::uint32_t>(stableHash(Id));
 }
 
-std::string encodeNotes(const std::vector<session_note> &Notes) {
-  auto Body = json::array();
-  for (const session_note &Note : Notes)
-    Body.push_back(
-        {Note.Service, Note.Session, Note.Version, Note.Age.count()});
-  std::string Bytes;
-  json::to_msgpack(Body, Bytes);
-  return Bytes;
-}
-
-std::optional<std::vector<session_note>> decodeNotes(std::string_view Bytes) {
-  try {
-    const json Body = json::from_msgpack(Bytes.begin(), Bytes.end());
-    if (!Body.is_array())
-      return std::nullopt;
-    std::vector<session_note> Notes;
-    for (const json &Note : Body) {
-      if (!Note.is_array() || Note.size() < SessionFields)
-        return std::nullopt;
-      Notes.push_back(
-          {Note[0].get<std::uint32_t>(), Note[1].get<std::uint64_t>(),
-           Note[2].get<std::uint32_t>(),
-           std::chrono::milliseconds(Note[3].get<std::uint32_t>())});
-    }
-    return Notes;
-  } catch (const json::exception &) {
-    return std::nullopt; // the caller counts it
-  }
-}
-
 std::string encodeDigest(const load_digest &Digest) {
   auto Loads = json::array();
   for (const endpoint_load &Load : Digest.Loads)
--- a/src/peer_loads.h
+++ b/src/peer_loads.h
@@ -22,15 +22,6 @@
   unsigned Running = 0;
 };
 
-/// A session that may meet a trial of a new version, and where it is; or one
-/// whose version is gone.
-struct session_note {
-  std::uint32_t Service = 0;       ///< hash of its name
-  std::uint64_t Session = 0;       ///< hash of its id
-  std::uint32_t Version = 0;       ///< hash; of the version that it last ran on
-  std::chrono::milliseconds Age{}; ///< since then
-};
-
 /// What one VM has under way, told to the others.
 struct load_digest {
   std::string Vm;
@@ -45,10 +36,6 @@
 /// The hash by which digests name an endpoint or a service.
 std::uint32_t digestHash(std::string_view Id);
 
-std::string encodeNotes(const std::vector<session_note> &Notes);
-/// None if the bytes are no notes.
-std::optional<std::vector<session_note>> decodeNotes(std::string_view Bytes);
-
 std::string encodeDigest(const load_digest &Digest);
 /// None if the bytes are no digest.
 std::optional<load_digest> decodeDigest(std::string_view Bytes);
--- a/src/routed_request.cpp
+++ b/src/routed_request.cpp
@@ -95,7 +95,7 @@
 
 void routed_request::beginSending(mono_time Now) {
   if (version_shift *Shift = Context.ShiftOf(Call.Service)) {
-    if (waitsForLapse(*Shift, Now))
+    if (holdsBack(*Shift, Now))
       return;
     place(*Shift, Now);
   }
@@ -108,6 +108,33 @@
   send(Now);
 }
 
+// Not once an attempt may have run: the answer that a caller may still get is
+// worth more than its session's version.
+bool routed_request::holdsBack(const version_shift &Shift, mono_time Now) {
+  return !AnyMayHaveRun && (looksUp(Shift, Now) || waitsForLapse(Shift, Now));
+}
+
+bool routed_request::looksUp(const version_shift &Shift, mono_time Now) {
+  if (IsLookedUp ||
+      !Shift.needsLookup(Call.Facts.Session, sessionHash(Call.Facts), Now))
+    return false;
+  IsLookingUp = true;
+  Outputs.lookUpSession();
+  return true;
+}
+
+void routed_request::onLookedUp(bool IsAnswered, mono_time Now) {
+  if (IsOver || !std::exchange(IsLookingUp, false))
+    return;
+  IsLookedUp = true;
+  if (!IsAnswered) {
+    Outputs.note("refused", "session_unknown", "");
+    refuse(error_kind::SessionStateUnavailable, run_state::NotRun, Now);
+    return;
+  }
+  beginSending(Now);
+}
+
 // The caller is told when its session may go on. One that wouldn't stay away
 // for so long waits here, if it can still be served in its target latency then;
 // else it is told the same at once, so that it can decide.
@@ -228,9 +255,12 @@
     giveUp("quarantined", Now);
     return;
   }
-  const version_shift *Shift = Context.ShiftOf(Call.Service);
-  if (Shift && PinnedVersion.empty())
+  if (const version_shift *Shift = Context.ShiftOf(Call.Service);
+      Shift && PinnedVersion.empty()) {
+    if (holdsBack(*Shift, Now))
+      return;
     place(*Shift, Now);
+  }
   const auto Endpoint = chooseEndpoint(Now);
   if (!Endpoint) {
     if (!waitsForEndpoint(Now) && !waitsForTurn(Now))
--- a/src/routed_request.h
+++ b/src/routed_request.h
@@ -36,6 +36,9 @@
   virtual void answerWhole(const endpoint_answer &Answer,
                            std::string_view Body) = 0;
   virtual void refuse(const refusal &Refusal) = 0;
+  /// Asks the owners of the request's session for its last run; onLookedUp() is
+  /// called with the outcome, maybe at once.
+  virtual void lookUpSession() = 0;
   /// A session was placed on a side of a roll-out, for the log.
   virtual void placed(const session_placing &Placing) = 0;
   /// A decision, for the log: what, why, and where.
@@ -55,7 +58,7 @@
   std::function<version_shift *(std::string_view Service)> ShiftOf;
   /// Whether customers' keys may be trusted at this moment.
   std::function<bool(mono_time Now)> KeysHold;
-  /// Tells the other VMs what a session runs on.
+  /// Tells the owners of a session what it runs on.
   std::function<void(std::string_view Service, const session_run &)> TellRun;
   /// The connection of an attempt that may have run broke.
   std::function<void(const endpoint_info &Endpoint, std::uint64_t Request)>
@@ -84,6 +87,8 @@
   void onEnd(mono_time Now);
   void onFailure(exchange_failure Failure, mono_time Now);
   void onCallerGone(mono_time Now);
+  /// `IsAnswered`: an owner of the session said what it knows of it.
+  void onLookedUp(bool IsAnswered, mono_time Now);
   void onTimer(mono_time Now);
   /// With each tick: moves a stream off an endpoint that no longer answers.
   void onLook(mono_time Now);
@@ -119,6 +124,8 @@
   mono_time finalTime() const;
   bool mayAttempt(mono_time Now) const;
   void beginSending(mono_time Now);
+  bool holdsBack(const version_shift &Shift, mono_time Now);
+  bool looksUp(const version_shift &Shift, mono_time Now);
   bool waitsForLapse(const version_shift &Shift, mono_time Now);
   /// The longest Retry-After that the caller will keep to.
   duration mostRetryAfter(mono_time Now) const;
@@ -168,6 +175,8 @@
   std::optional<first_answer> Dropped; ///< the last that wasn't kept
   version_side Side = version_side::Old;
   bool IsPlaced = false;
+  bool IsLookingUp = false; ///< waits for its session's owners
+  bool IsLookedUp = false;
   bool IsBeyondTrial = false; ///< may use all endpoints of the target
   unsigned Sent = 0;          ///< attempts that reached an endpoint
   unsigned ConnectFailures = 0;
--- a/src/router.cpp
+++ b/src/router.cpp
@@ -72,13 +72,16 @@
                [this](std::string_view Service) { return shiftOf(Service); },
                [this](mono_time Now) { return keysHold(Now); },
                [this](std::string_view Service, const session_run &Run) {
-                 UntoldRuns.add(Service, Run);
+                 tellRun(Service, Run);
+                 Runs.flush(now());
                },
                [this](const endpoint_info &Endpoint, std::uint64_t Request) {
                  connectionBroke(Endpoint, Request);
                },
                [this] { return random(); }},
-      Probes(Context), MetricsAddress(std::move(MetricsAddress)), Tick(Context),
+      Probes(Context), Runs(Settings.PeerAddress, *this, *this),
+      RunsTimer(Context), NotesSince(StartedAt), TickedAt(StartedAt),
+      MetricsAddress(std::move(MetricsAddress)), Tick(Context),
       RandomState(stableHash(Settings.VmName, Incarnation + 1)) {
   Quarantine.onHeld([](const crash_note &Note) {
     logs::warning("request_quarantined",
@@ -134,7 +137,16 @@
   return Peers && ArePeersKnown ? Peers->peers() + 1 : config::AssumedVms;
 }
 
+duration router::longestRun() const {
+  duration Longest{};
+  if (Table)
+    for (const route_rule &Route : Table->Routes)
+      Longest = std::max<duration>(Longest, Route.Timeout);
+  return Longest;
+}
+
 void router::setUp(version_shift &Shift) const {
+  Shift.setLongestRun(longestRun());
   Shift.setSessionTtl(Settings.SessionTtl + config::SessionTtlMargin);
   Shift.setExposureBound(Settings.ExposureBound, Settings.ExposureTolerance);
 }
@@ -259,6 +271,8 @@
         logs::warning("model_without_price",
                       {{"service", Name}, {"model", Model.Name}});
   noteColdRules();
+  for (auto &[Service, Shift] : Shifts)
+    setUp(*Shift);
   logs::info("configuration",
              {{"version", std::to_string(Table->Version)},
               {"routes", std::to_string(Table->Routes.size())},
@@ -367,7 +381,8 @@
 version_shift &router::ensureShift(std::string_view Service) {
   auto &Shift = Shifts[std::string(Service)];
   if (!Shift) {
-    Shift = std::make_unique<version_shift>(Settings.VmName, Incarnation);
+    Shift = std::make_unique<version_shift>(Settings.VmName, Incarnation,
+                                            StartedAt);
     setUp(*Shift);
   }
   return *Shift;
@@ -401,27 +416,11 @@
     tellStranded(Service, Shift);
 }
 
-// Load: all VMs read the end of an order at once and tell each other of many
-// sessions. Harm prevented: a part of that is lost. It is told again some
-// moments later, by each VM at a time of its own.
 void router::tellStranded(std::string_view Service,
                           const version_shift &Shift) {
-  const auto Spread = std::chrono::duration_cast<duration>(
-      config::StrandedRetellTime * random());
-  StatusTimes[std::string(Service)].RetellAt =
-      now() + config::StrandedRetellTime + Spread;
   for (const session_run &Run : Shift.stranded(now()))
-    UntoldRuns.add(Service, Run);
-}
-
-void router::retellStranded(std::string_view Service,
-                            const version_shift &Shift, mono_time Now) {
-  auto &RetellAt = StatusTimes[std::string(Service)].RetellAt;
-  if (!RetellAt || Now < *RetellAt)
-    return;
-  RetellAt.reset();
-  for (const session_run &Run : Shift.stranded(Now))
-    UntoldRuns.add(Service, Run);
+    tellRun(Service, Run);
+  Runs.flush(now());
 }
 
 void router::onRolloutStatusesRead(mono_time SentAt) {
@@ -459,7 +458,7 @@
   case peer_message::Loads:
     return takeDigest(Sender, Bytes);
   case peer_message::SessionRuns:
-    return takeNotes(Bytes);
+    return takeRuns(Sender, Bytes);
   case peer_message::Report:
     return onReport(Bytes);
   case peer_message::Crashes:
@@ -488,16 +487,86 @@
     Choice.limits().told(Note, now());
 }
 
-void router::takeNotes(std::string_view Bytes) {
-  const auto Notes = decodeNotes(Bytes);
-  if (!Notes) {
-    logs::warning("session_notes_unreadable", {});
+// --- runs of sessions
+// ---------------------------------------------------------
+
+void router::sendRuns(const std::string &Address, std::string_view Bytes) {
+  if (Peers)
+    Peers->sendTo(Address, peer_message::SessionRuns, Bytes);
+}
+
+std::optional<session_run> router::lastRun(const session_key &Key,
+                                           mono_time Now) const {
+  for (const auto &[Service, Shift] : Shifts)
+    if (digestHash(Service) == Key.Service)
+      return Shift->lastRun(Key.Session, Now);
+  return std::nullopt;
+}
+
+void router::takeRun(const session_key &Key, const session_run &Run,
+                     mono_time Now) {
+  for (auto &[Service, Shift] : Shifts)
+    if (digestHash(Service) == Key.Service)
+      Shift->takeRun(Run, Now);
+}
+
+bool router::isComplete(mono_time Now) const {
+  return Now - NotesSince >= Settings.SessionTtl + config::SessionTtlMargin;
+}
+
+void router::takeRuns(const std::string &Sender, std::string_view Bytes) {
+  const auto Message = decodeRunMessage(Bytes);
+  if (!Message) {
+    logs::warning("session_runs_unreadable", {{"from", Sender}});
     return;
   }
-  for (const session_note &Note : *Notes)
-    for (auto &[Service, Shift] : Shifts)
-      if (digestHash(Service) == Note.Service)
-        Shift->takeRun({Note.Session, Note.Version, now() - Note.Age}, now());
+  Runs.take(Sender, *Message, now());
+}
+
+void router::tellRun(std::string_view Service, const session_run &Run) {
+  Runs.tell({digestHash(Service), Run.Session}, Run);
+}
+
+void router::lookUp(std::string_view Service, std::uint64_t Session,
+                    std::function<void(bool IsAnswered)> Handler) {
+  const session_key Key{digestHash(Service), Session};
+  Runs.ask(Key, now(),
+           [this, Key,
+            Handler = std::move(Handler)](const run_registry::found &Found) {
+             if (Found.Run)
+               takeRun(Key, *Found.Run, now());
+             Handler(Found.IsAnswered);
+           });
+  armRuns();
+}
+
+// Questions are repeated sooner than the router ticks.
+void router::armRuns() {
+  const auto At = Runs.nextExpiry();
+  if (!At)
+    return;
+  RunsTimer.expires_after(std::max<duration>(*At - now(), config::LeastTimer));
+  RunsTimer.async_wait([this](const boost::system::error_code &Error) {
+    if (Error)
+      return;
+    Runs.expire(now());
+    armRuns();
+  });
+}
+
+void router::tickRuns(mono_time Now) {
+  if (Now - std::exchange(TickedAt, Now) >= config::RunNoteGap)
+    NotesSince = Now;
+  if (!Peers)
+    return;
+  std::vector<std::string> Heard;
+  for (relay_peer &Peer : Peers->heard(Now))
+    Heard.push_back(std::move(Peer.Address));
+  Runs.setPeers(Heard);
+  for (const auto &[Service, Shift] : Shifts)
+    for (const session_run &Run : Shift->takeRenewals(Now))
+      tellRun(Service, Run);
+  Runs.expire(Now);
 }
 
 void router::tickDigest(mono_time Now) {
@@ -511,9 +580,6 @@
       encodeDigest({Settings.VmName, Incarnation, ++DigestSequence,
                     Choice.loads(), Settings.Cores, Choice.warmUp().notes(Now),
                     Choice.limits().notes(Now)}));
-  // All others need them: a session's next request may come in anywhere.
-  if (const auto Notes = UntoldRuns.take(Now); !Notes.empty())
-    Peers->sendToAll(peer_message::SessionRuns, encodeNotes(Notes));
 }
 
 // --- time --------------------------------------------------------------------
@@ -538,6 +604,7 @@
   tickRollouts(Now);
   tickQuarantine(Now);
   tickDigest(Now);
+  tickRuns(Now);
   logEstimates(Now);
   Relay.expire(Now);
   noteReadiness();
@@ -641,7 +708,6 @@
       Now - ReportedAt >=
       (IsAnyHasty ? config::RolloutHastyPeriod : config::RolloutReportPeriod);
   for (auto &[Service, Shift] : Shifts) {
-    retellStranded(Service, *Shift, Now);
     if (!Shift->isActive())
       continue;
     IsAnyActive = true;
--- a/src/router.h
+++ b/src/router.h
@@ -11,7 +11,7 @@
 #include "routed_request.h"
 #include "router_metrics.h"
 #include "router_settings.h"
-#include "run_notes.h"
+#include "run_registry.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -25,7 +25,9 @@
 /// The data path of one VM on a platform: callers in, endpoints out, decisions
 /// by routed_request. Everything runs on the context's one thread, since a VM
 /// has a part of one core.
-class router final : public platform_events {
+class router final : public platform_events,
+                     private run_peers,
+                     private run_records {
 public:
   router(boost::asio::io_context &Context, const runtime_clock &Clock,
          const router_settings &Settings, platform_port &Platform,
@@ -66,9 +68,15 @@
   struct status_times {
     std::optional<mono_time> DueSince;
     mono_time WrittenAt{};
-    std::optional<mono_time> RetellAt; ///< of the sessions that it stranded
   };
 
+  void sendRuns(const std::string &Address, std::string_view Bytes) override;
+  std::optional<session_run> lastRun(const session_key &Key,
+                                     mono_time Now) const override;
+  void takeRun(const session_key &Key, const session_run &Run,
+               mono_time Now) override;
+  bool isComplete(mono_time Now) const override;
+
   mono_time now() const { return Clock.bootNow(); }
   void take(std::shared_ptr<caller_exchange> Exchange);
   void refuse(caller_exchange &Exchange, const refusal &Refusal,
@@ -82,6 +90,7 @@
   version_shift *shiftOf(std::string_view Service);
   version_shift &ensureShift(std::string_view Service);
   void setUp(version_shift &Shift) const;
+  duration longestRun() const;
   void noteEndpoints(std::string_view Service);
   void armTick();
   void tick();
@@ -97,7 +106,12 @@
   void takeMessage(peer_message Kind, const std::string &Sender,
                    std::string_view Bytes);
   void takeDigest(const std::string &Sender, std::string_view Bytes);
-  void takeNotes(std::string_view Bytes);
+  void takeRuns(const std::string &Sender, std::string_view Bytes);
+  void tellRun(std::string_view Service, const session_run &Run);
+  void lookUp(std::string_view Service, std::uint64_t Session,
+              std::function<void(bool IsAnswered)> Handler);
+  void tickRuns(mono_time Now);
+  void armRuns();
   void connectionBroke(const endpoint_info &Endpoint, std::uint64_t Request);
   void endpointEnded(const endpoint_info &Endpoint,
                      const std::vector<std::uint64_t> &Requests);
@@ -110,8 +124,6 @@
   void noteReadiness();
   void stopStep();
   void tellStranded(std::string_view Service, const version_shift &Shift);
-  void retellStranded(std::string_view Service, const version_shift &Shift,
-                      mono_time Now);
   double random();
 
   boost::asio::io_context &Context;
@@ -145,7 +157,10 @@
   std::unique_ptr<peer_datagrams> Peers;
   std::optional<std::uint64_t> VmsGeneration; ///< that shares go by
   std::uint64_t DigestSequence = 0;
-  run_notes UntoldRuns;
+  run_registry Runs;
+  boost::asio::steady_timer RunsTimer;
+  mono_time NotesSince; ///< no gap in what this VM was told since then
+  mono_time TickedAt;
   mono_time DigestAt{};
   std::string MetricsAddress;
   boost::asio::steady_timer Tick;
--- a/src/router_session.cpp
+++ b/src/router_session.cpp
@@ -162,6 +162,16 @@
   Router.refuse(*Exchange, Refusal, call().Facts.Id);
 }
 
+void router::session::lookUpSession() {
+  Router.lookUp(call().Service, sessionHash(call().Facts),
+                [Weak = weak_from_this()](bool IsAnswered) {
+                  if (const auto Self = Weak.lock())
+                    Self->advance([&Self, IsAnswered](mono_time Now) {
+                      Self->Request.onLookedUp(IsAnswered, Now);
+                    });
+                });
+}
+
 void router::session::placed(const session_placing &Placing) {
   const auto &[Source, Side, Age] = Placing.Known;
   const auto NameOf = [](version_side Value) {
--- a/src/session_versions.h
+++ b/src/session_versions.h
@@ -12,6 +12,13 @@
 /// The hash that notes between VMs name a version by.
 std::uint32_t versionHash(std::string_view Version);
 
+/// A session and the version that it last ran on.
+struct session_run {
+  std::uint64_t Session = 0; ///< its hash
+  std::uint32_t Version = 0; ///< its hash
+  mono_time LastAt{};
+};
+
 /// The version that each session last ran on, as this VM saw it or was told,
 /// without I/O.
 ///
@@ -31,6 +38,7 @@
   };
 
   void setTtl(duration Value) { Ttl = Value; }
+  duration ttl() const { return Ttl; }
 
   /// A request of this VM began to run.
   void began(std::uint64_t Session, std::uint32_t Version, mono_time Now);
--- a/src/version_shift.cpp
+++ b/src/version_shift.cpp
@@ -21,6 +21,9 @@
     return;
   // The record of an order that is known already may come back when the log
   // drops old records and the newest of each key is read again.
+  // One that is replaced has ended, whether its end was read or not.
+  if (isActive())
+    EndedAt = ReadAt;
   Order = Value;
   OrderedAt = ReadAt;
   SeenAt = ReadAt;
@@ -40,7 +43,7 @@
   if (const auto Status = std::exchange(Early, std::nullopt);
       Status && Status->Target == Order->Target &&
       ReadAt - Status->ReadAt <= config::RolloutEarlyStatusLife)
-    applyStatus(Status->State);
+    applyStatus(Status->State, ReadAt);
 }
 
 // Failure: a VM stands still through a whole roll-out while it follows another
@@ -49,16 +52,17 @@
 void version_shift::takeStatus(std::string_view Target, rollout_state State,
                                mono_time Now) {
   if (Order && Order->Target == Target)
-    applyStatus(State);
+    applyStatus(State, Now);
   else
     Early = early_status{std::string(Target), State, Now};
 }
 
-void version_shift::applyStatus(rollout_state State) {
+void version_shift::applyStatus(rollout_state State, mono_time Now) {
   HasStatus = true;
   if (State == rollout_state::InProgress || Final)
     return;
   Final = State;
+  EndedAt = Now;
   if (State == rollout_state::Completed) {
     Accepted = {Order->Target};
   } else {
@@ -159,6 +163,19 @@
   return elapsed(Now) < Order->Length / 2;
 }
 
+// Failure: a VM ends before the order does, and with it what it knew of
+// sessions that the end leaves without a version.
+bool version_shift::isNearEnd(mono_time Now) const {
+  return isActive() && Order->Length - elapsed(Now) < Sessions.ttl();
+}
+
+bool version_shift::isUnsettled(mono_time Now) const {
+  // An order that came so soon stays so until its end: what it finds without a
+  // version moves apart from the hash.
+  const mono_time At = isActive() ? SeenAt : Now;
+  return EndedAt && At - *EndedAt < LongestRun + Sessions.ttl();
+}
+
 double version_shift::expectedRequests() const {
   const double Seen =
       std::chrono::duration<double>(JudgedAt - OrderedAt).count();
@@ -231,6 +248,37 @@
   return freshSide(Hash, Now);
 }
 
+// Failure: a session ran at another VM on a version that is gone, or has moved
+// there, and this VM takes it for a new one. That may be so after the end of
+// an order, while VMs pass the half and the last step one by one, and after a
+// start. At other times the hash alone decides.
+bool version_shift::needsLookup(std::string_view Session, std::uint64_t Hash,
+                                mono_time Now) const {
+  if (Session.empty() || !isActive() || !Verdict.empty())
+    return false;
+  const auto *Known = Sessions.find(Hash, Now);
+  if (Known && isTargetHash(Known->Version))
+    return false;
+  if (Now - StartedAt < Sessions.ttl())
+    return true;
+  const bool IsFirstHalf = isFirstHalf(Now);
+  if (!IsFirstHalf && freshSide(Hash, Now) == version_side::New)
+    return false;
+  const bool HasVersion = Known && !isGone(Known->Version);
+  const duration Next = IsFirstHalf ? Order->Length / 2 : lastStep();
+  return (isUnsettled(Now) && !HasVersion) ||
+         elapsed(Now) >= Next - config::RolloutSkew;
+}
+
+std::optional<session_run> version_shift::lastRun(std::uint64_t Hash,
+                                                  mono_time Now) const {
+  const auto *Known = Sessions.find(Hash, Now);
+  if (!Known)
+    return std::nullopt;
+  return session_run{Hash, Known->Version,
+                     Known->Running > 0 ? Now : Known->LastAt};
+}
+
 session_knowledge version_shift::knowledgeOf(std::uint64_t Hash,
                                              mono_time Now) const {
   const auto *Known = Sessions.find(Hash, Now);
@@ -280,8 +328,8 @@
                            mono_time Now) const {
   const std::uint32_t Its = versionHash(Version);
   const auto *Known = Sessions.find(Hash, Now);
-  return (isActive() && isTarget(Version)) || isGone(Its) ||
-         (Known && Known->Version != Its);
+  return (isActive() && isTarget(Version)) || isGone(Its) || isUnsettled(Now) ||
+         isNearEnd(Now) || (Known && Known->Version != Its);
 }
 
 std::vector<session_run> version_shift::stranded(mono_time Now) const {
@@ -294,6 +342,19 @@
   return Found;
 }
 
+// Failure: a stream goes on for longer than the time to live on a version that
+// is gone, and its session's owners forget it.
+std::vector<session_run> version_shift::takeRenewals(mono_time Now) {
+  if (!isUnsettled(Now) || Now - RenewedAt < Sessions.ttl() / 2)
+    return {};
+  RenewedAt = Now;
+  std::vector<session_run> Found;
+  for (const auto &[Hash, Session] : Sessions.all())
+    if (Session.Running > 0 && isGone(Session.Version))
+      Found.push_back({Hash, Session.Version, Now});
+  return Found;
+}
+
 // Load: the endpoints of the target are full, cold or avoided for moments. Harm
 // prevented: sessions that have moved go back and forth. A session that isn't
 // known to have moved may have done so elsewhere, a moment ago. Once the target
--- a/src/version_shift.h
+++ b/src/version_shift.h
@@ -24,13 +24,6 @@
   std::uint64_t Offset = 0; ///< place in the log; a higher one is newer
 };
 
-/// A session and the version that it last ran on.
-struct session_run {
-  std::uint64_t Session = 0; ///< its hash
-  std::uint32_t Version = 0; ///< its hash
-  mono_time LastAt{};
-};
-
 enum class rollout_state : std::uint8_t { InProgress, Completed, RolledBack };
 
 /// Moves one service's sessions to an ordered version, or back, without I/O.
@@ -47,10 +40,14 @@
 /// bound.
 class version_shift {
 public:
-  version_shift(std::string Vm, std::uint64_t Incarnation)
-      : Vm(std::move(Vm)), Incarnation(Incarnation) {}
+  /// `StartedAt`: since when runs of sessions are followed.
+  version_shift(std::string Vm, std::uint64_t Incarnation,
+                mono_time StartedAt = {})
+      : Vm(std::move(Vm)), Incarnation(Incarnation), StartedAt(StartedAt) {}
 
   void setSessionTtl(duration Value) { Sessions.setTtl(Value); }
+  /// A run that began before an order's end may last for so long after it.
+  void setLongestRun(duration Value) { LongestRun = Value; }
   /// Part of all requests that a bad target may meet, and requests beside.
   void setExposureBound(double Share, double Requests) {
     ExposureBound = Share;
@@ -73,6 +70,11 @@
                        mono_time Now) const;
   /// What is known of a session that may still be alive.
   session_knowledge knowledgeOf(std::uint64_t Hash, mono_time Now) const;
+  /// Whether the session's side depends on a run that only other VMs may know.
+  bool needsLookup(std::string_view Session, std::uint64_t Hash,
+                   mono_time Now) const;
+  /// What is known of the session's last run.
+  std::optional<session_run> lastRun(std::uint64_t Hash, mono_time Now) const;
   /// How long the session must stay away until a version may take it, if none
   /// may now: its own is gone and a trial is under way.
   std::optional<duration> untilLapse(std::string_view Session,
@@ -83,12 +85,13 @@
   void endRun(std::uint64_t Hash, mono_time Now);
   /// Another VM saw the session run on a version, last at `LastAt`.
   void takeRun(const session_run &Run, mono_time Now);
-  /// Whether the other VMs might place the session wrongly unless they are told
-  /// that it runs on `Version`.
+  /// Whether the session's owners need to know that it runs on `Version`.
   bool isNews(std::uint64_t Hash, std::string_view Version,
               mono_time Now) const;
-  /// Sessions of this VM whose version has gone; the other VMs are told.
+  /// Sessions of this VM whose version has gone; their owners are told.
   std::vector<session_run> stranded(mono_time Now) const;
+  /// Those of them that run on and on, when their owners are to be told again.
+  std::vector<session_run> takeRenewals(mono_time Now);
   /// Whether a request on the new side may run on the old version where the
   /// target has no endpoint for it.
   bool mayFallBack(std::string_view Session) const;
@@ -136,6 +139,9 @@
   bool isTold(mono_time Now) const;
   void noteStep(mono_time Now);
   bool isFirstHalf(mono_time Now) const;
+  /// An order ended so lately that sessions may be left without a version.
+  bool isUnsettled(mono_time Now) const;
+  bool isNearEnd(mono_time Now) const;
   void acceptVersions(std::span<const endpoint_info *const> Endpoints);
   bool isTargetHash(std::uint32_t Version) const;
   /// Whether no request may run on the version any more.
@@ -146,16 +152,19 @@
   /// Requests of the service that the whole order is likely to see.
   double expectedRequests() const;
   void judge(mono_time Now);
-  void applyStatus(rollout_state State);
+  void applyStatus(rollout_state State, mono_time Now);
 
   std::string Vm;
   std::uint64_t Incarnation;
+  mono_time StartedAt;
+  duration LongestRun{};
   double ExposureBound = 0.15;
   double ExposureTolerance = 0;
   std::optional<rollout_order> Order;
   mono_time OrderedAt{}; ///< as far as this VM knows
   mono_time SeenAt{};    ///< when the order was read here
   std::optional<rollout_state> Final;
+  std::optional<mono_time> EndedAt; ///< of the last order that ended
   std::optional<early_status> Early;
   bool HasStatus = false;     ///< of this order, any
   bool IsStatusKnown = false; ///< whether there is one was looked up
@@ -174,6 +183,7 @@
   mono_time JudgedAt{};
   std::uint64_t Answers = 0; ///< of all VMs, as last judged
   session_versions Sessions;
+  mono_time RenewedAt{};
 };
 
 } // namespace clementinelane
--- a/tests/peer_loads_test.cpp
+++ b/tests/peer_loads_test.cpp
@@ -4,7 +4,6 @@
 #include "config.h"
 #include "peer_datagrams.h"
 #include "peer_loads.h"
-#include "run_notes.h"
 
 #include <boost/test/unit_test.hpp>
 #include <rapidcheck.h>
@@ -65,19 +64,11 @@
   BOOST_TEST(Digest->Vm == "a");
   BOOST_TEST(Digest->Sequence == 7U);
   BOOST_TEST(Digest->Loads[0].Work == 12.5);
-  const auto Notes = decodeNotes(
-      encodeNotes({{digestHash("engine"), 77, 4000000000U, 1200ms}}));
-  BOOST_REQUIRE(Notes.has_value());
-  BOOST_TEST(Notes->at(0).Service == digestHash("engine"));
-  BOOST_TEST(Notes->at(0).Session == 77U);
-  BOOST_TEST(Notes->at(0).Version == 4000000000U);
-  BOOST_TEST((Notes->at(0).Age == 1200ms));
 }
 
 BOOST_AUTO_TEST_CASE(any_datagram_is_a_digest_or_none) {
   const bool IsOk = rc::check([](const std::string &Bytes) {
     decodeDigest(Bytes);
-    decodeNotes(Bytes);
     std::string Spoilt = encodeDigest(digest("a", 7, 12.5));
     Spoilt[Bytes.size() % Spoilt.size()] ^= 0x55;
     decodeDigest(Spoilt);
@@ -127,25 +118,3 @@
   BOOST_TEST(Decoded->Cold[0].Endpoint == digestHash("e1"));
   BOOST_TEST((Decoded->Cold[0].Left == 2500ms));
 }
-
-// The end of an order leaves hundreds of sessions without a version, and all
-// are to be told to all VMs: the last peers got nothing of the burst.
-BOOST_AUTO_TEST_CASE(many_runs_are_told_one_datagram_at_a_time) {
-  constexpr std::size_t Runs = 2 * config::MaxDigestSessions + 30;
-  const mono_time Now{1h};
-  run_notes Untold;
-  for (std::size_t Each = 0; Each < Runs; ++Each)
-    Untold.add("engine", {Each, 7, Now - 1s});
-  std::size_t Next = 0;
-  for (const std::size_t Count : {config::MaxDigestSessions,
-                                  config::MaxDigestSessions, std::size_t{30}}) {
-    const auto Notes = Untold.take(Now + 500ms);
-    BOOST_REQUIRE(Notes.size() == Count);
-    BOOST_TEST(Notes[0].Session == Next);
-    BOOST_TEST(Notes[0].Service == digestHash("engine"));
-    BOOST_TEST(Notes[0].Version == 7U);
-    BOOST_TEST((Notes[0].Age == 1500ms));
-    Next += Count;
-  }
-  BOOST_TEST(Untold.take(Now).empty());
-}
--- a/tests/routed_fixture.h
+++ b/tests/routed_fixture.h
@@ -13,6 +13,7 @@
 struct recorded_outputs final : request_outputs {
   std::vector<attempt_order> Attempts;
   unsigned Cancelled = 0;
+  unsigned Lookups = 0; ///< of its session at the owners
   bool HasBegun = false;
   bool HasEnded = false;
   bool IsBrokenOff = false;
@@ -37,6 +38,7 @@
     WholeBody = Body;
   }
   void refuse(const refusal &Refusal) override { Refused = Refusal; }
+  void lookUpSession() override { ++Lookups; }
   void placed(const session_placing &Placing) override {
     Placings.push_back(Placing);
   }
--- a/tests/routed_request_test.cpp
+++ b/tests/routed_request_test.cpp
@@ -45,13 +45,14 @@
   Waiting.Facts.Remaining = std::min<duration>(4s + Target, 11900ms);
   Call.Facts.Remaining = 12s;
   for (const routed_call &Each : {Call, Hasty}) {
-    begin(Each);
+    begin(Each)->onLookedUp(true, Now);
     BOOST_TEST(Out.Attempts.empty());
     BOOST_REQUIRE(Out.Refused.has_value());
     BOOST_TEST((Out.Refused->Ran == run_state::NotRun));
     BOOST_TEST((Out.Refused->RetryAfter == 4s));
   }
   const auto Waits = begin(Waiting);
+  Waits->onLookedUp(true, Now);
   BOOST_TEST(Out.Attempts.empty());
   BOOST_TEST(!Out.Refused.has_value());
   BOOST_REQUIRE(Waits->nextTimer().has_value());
@@ -62,6 +63,39 @@
   BOOST_TEST(Out.Attempts[0].Endpoint.Version == "v1");
 }
 
+// A session is unknown to the VM that gets its next request, and its version is
+// gone. That nobody told of it is no proof that it is new: its owners are asked
+// first, and without an answer nothing runs.
+BOOST_FIXTURE_TEST_CASE(unknown_session_runs_only_after_its_owners_answered,
+                        routed_fixture) {
+  version_shift &Shift = Shifts.try_emplace("engine", "vm1", 1).first->second;
+  Shift.setSessionTtl(5s);
+  Shift.takeOrder({"engine", "v1", 20s, 5}, Now);
+  Shift.takeStatus("v1", rollout_state::Completed, Now);
+  Now += 1s;
+  Shift.takeOrder({"engine", "v2", 20s, 6}, Now);
+  routed_call Call = call(0);
+  Call.Facts.Session = "s";
+  const auto New = begin(Call);
+  BOOST_TEST(Out.Lookups == 1U);
+  BOOST_TEST(Out.Attempts.empty());
+  New->onLookedUp(true, Now);
+  BOOST_TEST(Out.Attempts.size() == 1U);
+  const auto Unanswered = begin(Call);
+  Unanswered->onLookedUp(false, Now);
+  BOOST_TEST(Out.Attempts.empty());
+  BOOST_REQUIRE(Out.Refused.has_value());
+  BOOST_TEST((Out.Refused->Kind == error_kind::SessionStateUnavailable));
+  BOOST_TEST((Out.Refused->Ran == run_state::NotRun));
+  BOOST_TEST((Out.Refused->RetryAfter > 0s));
+  const auto Known = begin(Call);
+  Shift.takeRun({sessionHash(Call.Facts), versionHash("v0"), Now}, Now);
+  Known->onLookedUp(true, Now);
+  BOOST_TEST(Out.Attempts.empty());
+  BOOST_REQUIRE(Out.Refused.has_value());
+  BOOST_TEST((Out.Refused->RetryAfter == 5s));
+}
+
 // A booking is sent and the connection is lost before an answer. The endpoint
 // may have made the booking: it isn't sent again, and the caller isn't told
 // that nothing ran.
--- a/tests/session_steadiness_test.cpp
+++ b/tests/session_steadiness_test.cpp
@@ -1,6 +1,7 @@
 #define BOOST_TEST_MODULE session_steadiness
 #include "config.h"
 #include "hashing.h"
+#include "run_registry.h"
 #include "version_shift.h"
 
 #include <algorithm>
@@ -21,7 +22,14 @@
 /// Requests of a day that may run on another version than the one before.
 constexpr unsigned AllowedMoves = 3;
 constexpr auto ReportPeriod = 1s;
-constexpr auto NotePeriod = 200ms;
+/// Of a VM that repeats what was not confirmed.
+constexpr auto RunPeriod = 100ms;
+/// Part of the datagrams that are late.
+constexpr double LateNotes = 0.05;
+/// Bytes that a datagram takes beside its message.
+constexpr std::size_t DatagramBytes = 28;
+/// Bytes that a link holds; the rest of a burst is lost.
+constexpr double LinkBuffer = 64 << 10U;
 constexpr auto RetryPause = 300ms;
 /// What a VM does isn't held to the rule for so long after its start.
 constexpr auto StartGrace = 4s;
@@ -38,8 +46,10 @@
   duration Length = 16s;
   duration MostOrderSkew = 0s; ///< until the last VM has read the order
   duration MostListSkew = 0s;  ///< from then until it knows the target's
-  duration MostNoteDelay = 0s;
+  duration MostNoteDelay = 0s; ///< of some datagrams; others take moments
   double LostNotes = 0;
+  double LinkBytesPerSecond = 25e6; ///< of each VM, outwards
+  double ImpatientCallers = 0;      ///< that don't come back after a lapse
   double Beside = 0;   ///< requests that come while the one before runs
   double BusyPart = 0; ///< of time, that a VM finds no endpoint of the target
   double LongestStream = 20;
@@ -61,6 +71,8 @@
   Drawn.MostListSkew = seconds(Between(0.2, 1.2));
   Drawn.MostNoteDelay = seconds(Between(0.01, 1));
   Drawn.LostNotes = Between(0, 0.3);
+  Drawn.LinkBytesPerSecond = 1.25e6 * std::pow(20, Between(0, 1));
+  Drawn.ImpatientCallers = Between(0, 0.6);
   Drawn.Beside = Between(0, 0.3);
   Drawn.BusyPart = Between(0, 0.2);
   Drawn.LongestStream = Between(0.1, 20);
@@ -75,19 +87,24 @@
 public:
   fleet(const scenario &Scenario, unsigned Seed)
       : Scenario(Scenario), Random(Seed) {
+    std::vector<std::string> Names;
     for (std::size_t Each = 0; Each < Scenario.Vms; ++Each)
-      Vms.emplace_back("vm" + std::to_string(Each));
-    for (vm &Vm : Vms)
+      Names.push_back(nameOf(Vms.emplace_back(*this, Each).Number));
+    for (vm &Vm : Vms) {
+      Vm.Runs.setPeers(without(Names, Vm.Number));
       list(Vm, {"v1"});
+    }
     order("v2", 5, Start);
     if (Scenario.HasSecondOrder)
       order("v3", 6, Start + Scenario.Length + seconds(between(0.2, 3)));
-    const mono_time End = Orders.back().At + Scenario.Length - 1s;
+    End = Orders.back().At + Scenario.Length - 1s;
     for (mono_time At = Start - SessionTtl; At < End;
          At += seconds(exponential(1 / Scenario.SessionsPerSecond)))
       at(At, [this, Id = ++LastSession] { request(Id); });
-    for (std::size_t Each = 0; Each < Vms.size(); ++Each)
-      at(Start + seconds(between(0, 1)), [this, Each] { hearReports(Each); });
+    for (vm &Vm : Vms) {
+      at(Start + seconds(between(0, 1)), [this, &Vm] { hearReports(Vm); });
+      at(Start + seconds(between(0, 0.1)), [this, &Vm] { tickRuns(Vm); });
+    }
     for (unsigned Left = Scenario.Restarts; Left > 0; --Left)
       at(Start + std::chrono::duration_cast<duration>(Scenario.Length *
                                                       between(0.2, 0.95)),
@@ -102,20 +119,56 @@
   }
 
   unsigned Requests = 0;
-  unsigned Early = 0;   ///< moved to a target in its order's first half
-  unsigned Back = 0;    ///< from the target to the version before
-  unsigned Refused = 0; ///< for want of an endpoint of their version
+  unsigned Early = 0;        ///< moved to a target in its order's first half
+  unsigned Back = 0;         ///< to a version that isn't the target
+  unsigned Unread = 0;       ///< the same at VMs that haven't read the order
+  unsigned Refused = 0;      ///< for want of an endpoint or version
+  unsigned Unanswered = 0;   ///< refused since no owner said what it knows
+  std::size_t SentBytes = 0; ///< of notes and questions, by all VMs
 
 private:
-  struct vm {
-    explicit vm(const std::string &Name) : Shift(Name, 1) {
+  /// One VM: its links, what it knows, and how others reach it.
+  struct vm final : run_peers, run_records {
+    vm(fleet &Fleet, std::size_t Number)
+        : Fleet(Fleet), Number(Number), Shift(nameOf(Number), 1),
+          Runs(nameOf(Number), *this, *this) {
+      setUp();
+    }
+    void setUp() {
       Shift.setSessionTtl(SessionTtl + config::SessionTtlMargin);
       Shift.setExposureBound(0.1, 30);
+      Shift.setLongestRun(seconds(Fleet.Scenario.LongestStream));
+    }
+    /// Forgets all it knew.
+    void restart(mono_time Now) {
+      Shift = version_shift("restarted", 1, Now);
+      setUp();
+      StartedAt = Now;
     }
+    void sendRuns(const std::string &Address, std::string_view Bytes) override {
+      Fleet.send(*this, Address, Bytes);
+    }
+    std::optional<session_run> lastRun(const session_key &Key,
+                                       mono_time Now) const override {
+      return Shift.lastRun(Key.Session, Now);
+    }
+    void takeRun(const session_key &, const session_run &Run,
+                 mono_time Now) override {
+      Shift.takeRun(Run, Now);
+    }
+    bool isComplete(mono_time Now) const override {
+      return Now - StartedAt >= SessionTtl + config::SessionTtlMargin;
+    }
+
+    fleet &Fleet;
+    std::size_t Number;
     version_shift Shift;
+    run_registry Runs;
     mono_time StartedAt{};
     std::array<mono_time, 2> TargetFrom{mono_time::max(), mono_time::max()};
     mono_time BusyUntil{};
+    double OnLink = 0; ///< bytes
+    mono_time OnLinkAt{};
   };
   struct ordered {
     std::string Target;
@@ -178,6 +231,7 @@
          [this, &Vm, Target] {
            Vm.Shift.takeStatus(Target, rollout_state::Completed, Now);
            list(Vm, {Target});
+           tellStranded(Vm);
          });
     }
   }
@@ -189,8 +243,7 @@
     const auto Order = Vm.Shift.order();
     if (!Vm.Shift.isActive())
       return;
-    Vm.Shift = vm("restarted").Shift;
-    Vm.StartedAt = Now;
+    Vm.restart(Now);
     list(Vm, {Order->Offset == Orders.front().Offset ? "v1" : "v2"});
     Vm.Shift.takeOrder(*Order, Now);
     Vm.Shift.takeStatusesRead(Now);
@@ -200,8 +253,7 @@
   }
 
   /// The others' reports, by way of the store.
-  void hearReports(std::size_t Which) {
-    vm &Vm = Vms[Which];
+  void hearReports(vm &Vm) {
     Vm.Shift.takeReportsRead(Now);
     if (Vm.Shift.isActive()) {
       const vm &Other = Vms[std::uniform_int_distribution<std::size_t>(
@@ -214,21 +266,68 @@
            });
     }
     if (Now < Orders.back().At + Scenario.Length)
-      at(Now + ReportPeriod, [this, Which] { hearReports(Which); });
+      at(Now + ReportPeriod, [this, &Vm] { hearReports(Vm); });
   }
 
-  /// What `From` knows of a run, if the others need it.
-  void tell(std::size_t From, std::uint64_t Hash, const std::string &Version) {
-    if (!Vms[From].Shift.isNews(Hash, Version, Now))
+  static std::string nameOf(std::size_t Number) {
+    return "vm" + std::to_string(Number);
+  }
+
+  /// Whether the link takes the bytes; a full one drops them.
+  bool takes(vm &From, std::size_t Bytes) {
+    const auto Passed = std::chrono::duration<double>(Now - From.OnLinkAt);
+    From.OnLinkAt = Now;
+    From.OnLink = std::max(0.0, From.OnLink - Scenario.LinkBytesPerSecond *
+                                                  Passed.count());
+    if (From.OnLink + static_cast<double>(Bytes) > LinkBuffer)
+      return false;
+    From.OnLink += static_cast<double>(Bytes);
+    return true;
+  }
+
+  void send(vm &From, const std::string &Address, std::string_view Bytes) {
+    SentBytes += Bytes.size() + DatagramBytes;
+    if (!takes(From, Bytes.size() + DatagramBytes) ||
+        chance(Scenario.LostNotes))
       return;
-    const session_run Run{Hash, versionHash(Version), Now};
-    for (std::size_t To = 0; To < Vms.size(); ++To)
-      if (To != From && !chance(Scenario.LostNotes))
-        at(Now + NotePeriod / 2 +
-               seconds(between(
-                   0, std::chrono::duration<double>(Scenario.MostNoteDelay)
-                          .count())),
-           [this, To, Run] { Vms[To].Shift.takeRun(Run, Now); });
+    const auto Message = decodeRunMessage(Bytes);
+    vm &To = Vms[std::stoul(Address.substr(2))];
+    const duration Delay = chance(LateNotes)
+                               ? std::chrono::duration_cast<duration>(
+                                     Scenario.MostNoteDelay * between(0, 1))
+                               : seconds(between(0.001, 0.02));
+    at(Now + Delay, [this, &To, Sender = nameOf(From.Number), Message] {
+      To.Runs.take(Sender, *Message, Now);
+    });
+  }
+
+  static session_key keyOf(std::uint64_t Hash) { return {7, Hash}; }
+
+  /// What `Vm` knows of a run, if its owners need it.
+  void tell(vm &Vm, std::uint64_t Hash, const std::string &Version) {
+    if (!Vm.Shift.isNews(Hash, Version, Now))
+      return;
+    Vm.Runs.tell(keyOf(Hash), {Hash, versionHash(Version), Now});
+    Vm.Runs.flush(Now);
+  }
+
+  void tellStranded(vm &Vm) {
+    for (const session_run &Run : Vm.Shift.stranded(Now))
+      Vm.Runs.tell(keyOf(Run.Session), Run);
+    Vm.Runs.flush(Now);
+  }
+
+  void tickRuns(vm &Vm) {
+    for (const session_run &Run : Vm.Shift.takeRenewals(Now))
+      Vm.Runs.tell(keyOf(Run.Session), Run);
+    Vm.Runs.expire(Now);
+    if (Now < End)
+      at(Now + RunPeriod, [this, &Vm] { tickRuns(Vm); });
+  }
+
+  void armRuns(vm &Vm) {
+    if (const auto At = Vm.Runs.nextExpiry())
+      at(std::max(*At, Now + 1ms), [this, &Vm] { Vm.Runs.expire(Now); });
   }
 
   bool hasTarget(vm &Vm) {
@@ -239,6 +338,11 @@
     return Now >= Vm.TargetFrom[Place] && Now >= Vm.BusyUntil;
   }
 
+  bool isImpatient(std::uint64_t Id) const {
+    return static_cast<double>(mixed(Id) % 1000) <
+           1000 * Scenario.ImpatientCallers;
+  }
+
   std::string inUse(const vm &Vm) const {
     for (const auto *Version : {"v1", "v2", "v3"})
       if (Vm.Shift.allows(Version, version_side::Old))
@@ -246,12 +350,35 @@
     return {};
   }
 
+  /// A request of the session comes in at any VM.
   void request(std::uint64_t Id) {
-    const std::size_t Which =
-        std::uniform_int_distribution<std::size_t>(0, Vms.size() - 1)(Random);
-    vm &Vm = Vms[Which];
+    vm &Vm = Vms[std::uniform_int_distribution<std::size_t>(0, Vms.size() -
+                                                                   1)(Random)];
     const std::string Session = std::to_string(Id);
     const std::uint64_t Hash = stableHash(Session);
+    if (!Vm.Shift.needsLookup(Session, Hash, Now))
+      return place(Vm, Id);
+    Vm.Runs.ask(keyOf(Hash), Now,
+                [this, &Vm, Id](const run_registry::found &Found) {
+                  if (Found.Run)
+                    Vm.Shift.takeRun(*Found.Run, Now);
+                  if (Found.IsAnswered)
+                    return place(Vm, Id);
+                  ++Unanswered;
+                  at(Now + RetryPause, [this, Id] { request(Id); });
+                });
+    armRuns(Vm);
+  }
+
+  void place(vm &Vm, std::uint64_t Id) {
+    const std::string Session = std::to_string(Id);
+    const std::uint64_t Hash = stableHash(Session);
+    if (const auto Lapse = Vm.Shift.untilLapse(Session, Hash, Now)) {
+      ++Refused;
+      if (!isImpatient(Id))
+        at(Now + *Lapse, [this, Id] { request(Id); });
+      return;
+    }
     version_side Side = Vm.Shift.sideFor(Session, Hash, Now);
     if (Side == version_side::New && !hasTarget(Vm)) {
       if (!Vm.Shift.mayFallBack(Session)) {
@@ -261,21 +388,25 @@
       }
       Side = version_side::Old;
     }
-    const std::string Version =
-        Side == version_side::New ? Vm.Shift.order()->Target : inUse(Vm);
-    tell(Which, Hash, Version);
+    serve(Vm, Id,
+          Side == version_side::New ? Vm.Shift.order()->Target : inUse(Vm));
+  }
+
+  void serve(vm &Vm, std::uint64_t Id, const std::string &Version) {
+    const std::uint64_t Hash = stableHash(std::to_string(Id));
+    tell(Vm, Hash, Version);
     Vm.Shift.beginRun(Hash, Version, Now);
     if (Vm.StartedAt == mono_time{} || Now - Vm.StartedAt >= StartGrace)
-      check(Id, Version);
+      check(Vm, Id, Version);
     ++Requests;
     const std::size_t Run = Runs[Id].size();
     Runs[Id].push_back({Version, std::nullopt});
     const duration Took =
         seconds(0.05 * std::pow(Scenario.LongestStream / 0.05, between(0, 1)));
-    at(Now + Took, [this, Which, Id, Hash, Version, Run] {
+    at(Now + Took, [this, &Vm, Id, Hash, Version, Run] {
       Runs[Id][Run].EndedAt = Now;
-      Vms[Which].Shift.endRun(Hash, Now);
-      tell(Which, Hash, Version);
+      Vm.Shift.endRun(Hash, Now);
+      tell(Vm, Hash, Version);
     });
     if (Run < 6 && chance(0.7))
       at(Now + (chance(Scenario.Beside) ? Took / 4 : Took) +
@@ -284,7 +415,7 @@
   }
 
   /// Against the run before in the session: the last one to begin.
-  void check(std::uint64_t Id, const std::string &Version) {
+  void check(const vm &Vm, std::uint64_t Id, const std::string &Version) {
     const auto &Its = Runs[Id];
     if (Its.empty() || Its.back().Version == Version ||
         (Its.back().EndedAt && Now - *Its.back().EndedAt >= SessionTtl))
@@ -293,12 +424,20 @@
       if (Now < Order->At)
         continue;
       const bool IsFirstHalf = Now < Order->At + Scenario.Length / 2;
+      const auto &Read = Vm.Shift.order();
+      unsigned &Other = Read && Read->Offset == Order->Offset ? Back : Unread;
       Early += Version == Order->Target && IsFirstHalf ? 1 : 0;
-      Back += Its.back().Version == Order->Target ? 1 : 0;
+      Other += Version != Order->Target ? 1 : 0;
       return;
     }
   }
 
+  static std::vector<std::string> without(std::vector<std::string> Names,
+                                          std::size_t Which) {
+    Names.erase(Names.begin() + static_cast<std::ptrdiff_t>(Which));
+    return Names;
+  }
+
   const mono_time Start{1h};
   scenario Scenario;
   std::mt19937 Random;
@@ -308,6 +447,7 @@
   std::multimap<mono_time, std::function<void()>> Later;
   std::map<std::uint64_t, std::vector<run>> Runs; ///< by session
   std::uint64_t LastSession = 0;
+  mono_time End{};
 };
 
 } // namespace
@@ -322,21 +462,25 @@
     BOOST_TEST_INFO("seed " << Seed << ", VMs " << draw(Seed).Vms << ", early "
                             << Fleet.Early << ", back " << Fleet.Back << " of "
                             << Fleet.Requests);
-    BOOST_TEST(Fleet.Early + Fleet.Back <= AllowedMoves);
+    BOOST_TEST(Fleet.Early + Fleet.Back + Fleet.Unread <= AllowedMoves);
   }
 }
 
-// A second order follows the first within the sessions' time to live. What is
-// told of the first one's target must not count as the second one's.
-BOOST_AUTO_TEST_CASE(moves_of_one_order_are_not_those_of_the_next) {
+// A second order follows the first within the sessions' time to live, read by
+// all VMs within moments. Sessions that the end of the first leaves without a
+// version run on another one amid the second: links lose and drop notes, and
+// callers have no time to wait.
+BOOST_AUTO_TEST_CASE(sessions_without_a_version_stay_away_from_the_next_order) {
   for (unsigned Seed = 1; Seed <= 40; ++Seed) {
     scenario Scenario = draw(Seed);
-    Scenario.Vms = std::min<std::size_t>(Scenario.Vms, 71);
     Scenario.HasSecondOrder = true;
+    Scenario.MostOrderSkew = 40ms;
     fleet Fleet(Scenario, Seed);
     Fleet.play();
-    BOOST_TEST_INFO("seed " << Seed << ", early " << Fleet.Early << ", back "
-                            << Fleet.Back << " of " << Fleet.Requests);
-    BOOST_TEST(Fleet.Early <= AllowedMoves);
+    BOOST_TEST_INFO("seed " << Seed << ", VMs " << Scenario.Vms << ", early "
+                            << Fleet.Early << ", back " << Fleet.Back << " of "
+                            << Fleet.Requests << ", unread " << Fleet.Unread
+                            << ", unanswered " << Fleet.Unanswered);
+    BOOST_TEST(Fleet.Early + Fleet.Back <= AllowedMoves);
   }
 }
--- a/tests/version_shift_test.cpp
+++ b/tests/version_shift_test.cpp
@@ -316,7 +316,10 @@
   Now += 1s;
   run("s", "v1");
   Shift.takeRun({stableHash("s"), versionHash("v2"), Now - 500ms}, Now);
-  BOOST_TEST(!Shift.isNews(stableHash("s"), "v1", Now));
+  const auto Last = Shift.lastRun(stableHash("s"), Now);
+  BOOST_REQUIRE(Last.has_value());
+  BOOST_TEST(Last->Version == versionHash("v1"));
+  BOOST_TEST((Last->LastAt == Now));
   BOOST_TEST(Shift.isNews(stableHash("s"), "v3", Now));
 }
 
