Keep a weak answer of before an order, rather than run its session again

What callers saw: a request of a session without a version ran on v2 before the second order, when that was right.

Cause: the cascade placed its second run anew by the session's last run, which was this very request's first one.

Change: in the first half of an order that came while sessions may be without a version, a request of a session that was first sent before the order keeps the answer it has.

Ruled out: breaking off what still waits at an endpoint when the order is read. It would delay the caller by seconds or fail the request, for a session whose change was decided before the order.

Test: weak_answer_of_before_an_order_is_kept, fails on the code before (a second attempt is made).

--- a/src/routed_request.cpp
+++ b/src/routed_request.cpp
@@ -274,6 +274,7 @@
   Attempt->Model = Model;
   Attempt->Ahead = Endpoint->Ahead;
   Attempt->SentAt = Now;
+  FirstSentAt = FirstSentAt.value_or(Now);
   Splitter.reset();
   ++Sent;
   attempt_order Order;
@@ -459,6 +460,11 @@
       Context.Cascade.nextModel(cascadeView(Options, Now), Answer);
   if (Next == Model)
     return false;
+  if (!mayRunAgain(Now)) {
+    Outputs.note("kept_weak_answer", "session_before_order",
+                 Attempt->Endpoint.Id);
+    return false;
+  }
   if (!Context.Budget.spend(Call.Service, Now, config::CascadeBudgetShare)) {
     Outputs.note("kept_weak_answer", "repeat_budget", Attempt->Endpoint.Id);
     return false;
@@ -470,6 +476,11 @@
   return true;
 }
 
+bool routed_request::mayRunAgain(mono_time Now) const {
+  const version_shift *Shift = Context.ShiftOf(Call.Service);
+  return !Shift || !Shift->keepsFirstRun(Call.Facts.Session, *FirstSentAt, Now);
+}
+
 void routed_request::onBody(std::string_view Bytes, mono_time Now) {
   if (IsOver || !Attempt || !Attempt->Answer)
     return;
--- a/src/routed_request.h
+++ b/src/routed_request.h
@@ -145,6 +145,7 @@
   void noteLimit(const endpoint_answer &Head, mono_time Now);
   void takeSuccessHead(mono_time Now);
   bool dropsForOtherModel(mono_time Now);
+  bool mayRunAgain(mono_time Now) const;
   void forwardEvents(mono_time Now);
   void endAttempt(attempt_result Result, mono_time Now);
   void sample(sample_kind What, mono_time Now, duration Time = {});
@@ -177,6 +178,7 @@
   bool IsPlaced = false;
   bool IsLookingUp = false; ///< waits for its session's owners
   bool IsLookedUp = false;
+  std::optional<mono_time> FirstSentAt;
   bool IsBeyondTrial = false; ///< may use all endpoints of the target
   unsigned Sent = 0;          ///< attempts that reached an endpoint
   unsigned ConnectFailures = 0;
--- a/src/version_shift.cpp
+++ b/src/version_shift.cpp
@@ -279,6 +279,15 @@
                      Known->Running > 0 ? Now : Known->LastAt};
 }
 
+// Failure: a cascade asks its next model after an order was read. The first
+// answer changed the session's version before the order, when that was right;
+// the next run would change it amid the order.
+bool version_shift::keepsFirstRun(std::string_view Session, mono_time SentAt,
+                                  mono_time Now) const {
+  return !Session.empty() && isActive() && isFirstHalf(Now) &&
+         isUnsettled(Now) && SentAt < SeenAt;
+}
+
 session_knowledge version_shift::knowledgeOf(std::uint64_t Hash,
                                              mono_time Now) const {
   const auto *Known = Sessions.find(Hash, Now);
--- a/src/version_shift.h
+++ b/src/version_shift.h
@@ -75,6 +75,10 @@
                    mono_time Now) const;
   /// What is known of the session's last run.
   std::optional<session_run> lastRun(std::uint64_t Hash, mono_time Now) const;
+  /// Whether a request of a session that was first sent at `SentAt` must not
+  /// run again, since that run may have changed its session's version.
+  bool keepsFirstRun(std::string_view Session, mono_time SentAt,
+                     mono_time Now) const;
   /// How long the session must stay away until a version may take it, if none
   /// may now: its own is gone and a trial is under way.
   std::optional<duration> untilLapse(std::string_view Session,
--- a/tests/routed_request_test.cpp
+++ b/tests/routed_request_test.cpp
@@ -299,6 +299,34 @@
   BOOST_TEST(Out.HasBegun);
 }
 
+// A session's version has gone, and a request of it runs on another one before
+// the next order. Its weak answer comes after the order; the larger model would
+// run on that version amid the order.
+BOOST_FIXTURE_TEST_CASE(weak_answer_of_before_an_order_is_kept,
+                        routed_fixture) {
+  for (int Each = 0; Each < 5; ++Each)
+    Budget.earn("engine", Now);
+  version_shift &Shift = Shifts.try_emplace("engine", "vm1", 1).first->second;
+  Shift.setSessionTtl(5s);
+  Shift.takeOrder({"engine", "v1", 20s, 5}, Now);
+  Shift.takeStatus("v1", rollout_state::Completed, Now);
+  routed_call Call = call(0);
+  Call.Facts.Session = "s";
+  const auto Before = begin(Call);
+  Before->onSent(Now);
+  Now += 100ms;
+  Shift.takeOrder({"engine", "v2", 20s, 6}, Now);
+  Before->onHead(confident(5), Now);
+  BOOST_TEST(Out.Attempts.size() == 1U);
+  BOOST_TEST(Out.Notes.back() == "kept_weak_answer:session_before_order");
+  Call.Facts.Session = "t";
+  const auto After = begin(Call);
+  After->onLookedUp(true, Now);
+  After->onSent(Now);
+  After->onHead(confident(5), Now);
+  BOOST_TEST(Out.Attempts.size() == 2U);
+}
+
 // The fleet's repeats are used up: a weak answer is better than none, and
 // repeats are left for failures.
 BOOST_FIXTURE_TEST_CASE(weak_answer_is_kept_without_budget, routed_fixture) {
