Announce an order again, and don't believe a reader that is behind the news

Cause, by reading the code: a reader announced a new record once, in one datagram a VM; where it was lost, the next question came after RelayPause, 0.4 s. And a VM asks a reader of its own, which may read the order some milliseconds after the one that announced it: it answers that there is nothing new, and the VM pauses too. That makes half of all VMs late at once.

Change: news name the end of the topic. A VM that is told of a further end than its reader knows asks the other reader at once. News are announced again with the next two ticks; who knows them already asks nothing.

Tests: lost_news_are_announced_again and reader_behind_the_news_is_not_believed, both seen failing with the two changes taken out.

--- a/src/config.h
+++ b/src/config.h
@@ -694,6 +694,8 @@
 /// Kept of a topic for those who ask, the newest of each key: an endpoint takes
 /// 350 B, and a roll-out has each of a large service twice.
 constexpr std::size_t MaxRelayBytes = 512U << 10U;
+/// News are announced again so often, with the next ticks.
+constexpr unsigned RelayNewsRepeats = 2;
 /// A topic that was asked for is followed for so long.
 constexpr auto RelayWantedFor = 2s;
 /// Asked for a listing for so long before the store is: at a start of all VMs
--- a/src/read_relay.cpp
+++ b/src/read_relay.cpp
@@ -20,6 +20,7 @@
 constexpr std::size_t QuestionFields = 4;
 constexpr std::size_t AnswerFields = 7;
 constexpr std::size_t RecordFields = 4;
+constexpr std::size_t NewsFields = 2;
 
 std::string toBytes(const json &Body) {
   std::string Bytes;
@@ -137,8 +138,10 @@
                      SentAt - *Known.ProvenAt > config::MaxRelayedAge;
   Known.End = End;
   Known.ProvenAt = SentAt;
-  if (IsNew)
-    announce(Topic, SentAt);
+  if (!IsNew)
+    return;
+  Known.NewsLeft = config::RelayNewsRepeats;
+  announce(Topic, SentAt);
 }
 
 // Failure: an order is known to the readers, or they have the store back, and
@@ -148,13 +151,34 @@
   const bool IsUrgent =
       Topic == relayed_topic::Orders || Topic == relayed_topic::Statuses;
   if (IsUrgent && Peers && isReader(Now))
-    Peers->sendNews(toBytes(static_cast<unsigned>(Topic)));
+    Peers->sendNews(toBytes({static_cast<unsigned>(Topic), at(Topic).End}));
 }
 
-void read_relay::takeNews(std::string_view Bytes) {
+// Failure: one datagram is lost, and its VM learns of an order a pause later
+// than all others.
+void read_relay::announceAgain(mono_time Now) {
+  for (std::size_t Each = 0; Each < Topics.size(); ++Each) {
+    if (Topics[Each].NewsLeft == 0)
+      continue;
+    --Topics[Each].NewsLeft;
+    announce(static_cast<relayed_topic>(Each), Now);
+  }
+}
+
+void read_relay::takeNews(std::string_view Bytes, mono_time Now) {
   try {
-    const auto Topic = json::from_msgpack(Bytes).get<std::size_t>();
-    if (Topic < RelayedTopics && NewsHandler)
+    const json Body = json::from_msgpack(Bytes);
+    if (!Body.is_array() || Body.size() < NewsFields)
+      return;
+    const auto Topic = Body[0].get<std::size_t>();
+    if (Topic >= RelayedTopics)
+      return;
+    topic &Known = Topics[Topic];
+    Known.AnnouncedEnd =
+        std::max(Known.AnnouncedEnd, Body[1].get<std::uint64_t>());
+    const bool IsKnown = Known.End >= Known.AnnouncedEnd && Known.ProvenAt &&
+                         Now - *Known.ProvenAt <= config::MaxRelayedAge;
+    if (!IsKnown && NewsHandler)
       NewsHandler(static_cast<relayed_topic>(Topic));
   } catch (const json::exception &) {
     return; // the next question finds it out
@@ -191,11 +215,12 @@
 }
 
 void read_relay::restart(relayed_topic Topic, std::uint64_t End) {
-  const auto WantedAt = at(Topic).WantedAt;
-  at(Topic) = topic{};
-  at(Topic).WantedAt = WantedAt;
-  at(Topic).First = End;
-  at(Topic).End = End;
+  topic Anew;
+  Anew.WantedAt = at(Topic).WantedAt;
+  Anew.AnnouncedEnd = at(Topic).AnnouncedEnd;
+  Anew.First = End;
+  Anew.End = End;
+  at(Topic) = std::move(Anew);
 }
 
 void read_relay::listed(relayed_topic Topic,
@@ -252,25 +277,39 @@
   return Readers[(stableHash(Own) + Turn) % Readers.size()];
 }
 
-bool read_relay::send(relay_question Question, bool HasStoreFailed,
-                      mono_time Now, handler Handler) {
+bool read_relay::send(question Question, bool HasStoreFailed, mono_time Now) {
   const auto Reader = readerToAsk(HasStoreFailed, Now);
   if (!Reader)
     return false;
-  Question.Number = ++LastNumber;
-  Asked[Question.Number] = {Now, std::move(Handler)};
-  Peers->sendQuestion(*Reader, encodeQuestion(Question));
+  Question.What.Number = ++LastNumber;
+  Question.AskedAt = Now;
+  ++Question.Asked;
+  const std::string Bytes = encodeQuestion(Question.What);
+  Asked[LastNumber] = std::move(Question);
+  Peers->sendQuestion(*Reader, Bytes);
   return true;
 }
 
+// Failure: one reader announces an order and another one, which is asked for
+// it, has not read it yet. Its answer says that there is nothing new.
+bool read_relay::asksAnother(question &Question, const relay_answer &Answer,
+                             mono_time Now) {
+  if (Answer.End >= at(Question.What.Topic).AnnouncedEnd ||
+      Question.Asked >= config::RelayReaders)
+    return false;
+  ++Turn;
+  return send(std::move(Question), false, Now);
+}
+
 bool read_relay::ask(relayed_topic Topic, std::uint64_t From,
                      bool HasStoreFailed, mono_time Now, handler Handler) {
-  return send({0, Topic, From, false}, HasStoreFailed, Now, std::move(Handler));
+  return send({{0, Topic, From, false}, {}, std::move(Handler)}, HasStoreFailed,
+              Now);
 }
 
 bool read_relay::askListing(relayed_topic Topic, std::uint64_t From,
                             mono_time Now, handler Handler) {
-  return send({0, Topic, From, true}, false, Now, std::move(Handler));
+  return send({{0, Topic, From, true}, {}, std::move(Handler)}, false, Now);
 }
 
 const read_relay::packed &read_relay::pack(relayed_topic Topic,
@@ -350,8 +389,7 @@
   const auto Found = Asked.find(Answer->Number);
   if (Found == Asked.end())
     return;
-  const mono_time AskedAt = Found->second.AskedAt;
-  const mono_time ProvenAt = AskedAt - Answer->Age;
+  const mono_time ProvenAt = Found->second.AskedAt - Answer->Age;
   const bool IsOld = Now - ProvenAt > config::MaxRelayedAge;
   // Failure: the store forgets its history. Its readers list it anew, and all
   // the others lack what came before their listing; they take it over.
@@ -364,6 +402,10 @@
     return;
   }
   ServedAt = ProvenAt;
+  if (question Question = Found->second; asksAnother(Question, *Answer, Now)) {
+    Asked.erase(Answer->Number);
+    return;
+  }
   end(Answer->Number,
       news{std::move(Answer->Records), Answer->End, ProvenAt, false});
 }
@@ -375,6 +417,7 @@
 }
 
 void read_relay::expire(mono_time Now) {
+  announceAgain(Now);
   std::vector<std::uint64_t> Late;
   for (const auto &[Number, Question] : Asked)
     if (Now - Question.AskedAt >= config::RelayAnswerTime)
--- a/src/read_relay.h
+++ b/src/read_relay.h
@@ -150,11 +150,12 @@
   void takeQuestion(const std::string &From, std::string_view Bytes,
                     mono_time Now);
   void takeAnswer(std::string_view Bytes, mono_time Now);
-  void takeNews(std::string_view Bytes);
+  void takeNews(std::string_view Bytes, mono_time Now);
   /// Whether others asked lately for a topic of which this router has no fresh
   /// proof; it follows the topic for them.
   bool isWanted(relayed_topic Topic, mono_time Now) const;
-  /// Ends questions without an answer; call it from time to time.
+  /// Ends questions without an answer, and announces news again; call it from
+  /// time to time.
   void expire(mono_time Now);
 
 private:
@@ -168,6 +169,8 @@
     std::uint64_t End = 0;
     std::optional<mono_time> ProvenAt;
     std::optional<mono_time> WantedAt; ///< last asked for without a fresh proof
+    std::uint64_t AnnouncedEnd = 0;    ///< by readers
+    unsigned NewsLeft = 0;             ///< times that its news are told again
   };
   /// Records of a topic as they were last packed. All askers lack the same ones
   /// when something is new, so packing them for each would be the most work.
@@ -179,8 +182,10 @@
     std::string Bytes;
   };
   struct question {
+    relay_question What;
     mono_time AskedAt;
     handler Handler;
+    std::size_t Asked = 0; ///< readers so far
   };
 
   topic &at(relayed_topic Topic) {
@@ -192,11 +197,13 @@
   static bool canList(const topic &Known);
   static void forget(topic &Known, std::uint64_t Offset);
   static void bound(topic &Known);
-  bool send(relay_question Question, bool HasStoreFailed, mono_time Now,
-            handler Handler);
+  bool send(question Question, bool HasStoreFailed, mono_time Now);
+  bool asksAnother(question &Question, const relay_answer &Answer,
+                   mono_time Now);
   const packed &pack(relayed_topic Topic, std::uint64_t From, mono_time Now);
   void end(std::uint64_t Number, std::optional<news> News);
   void announce(relayed_topic Topic, mono_time Now);
+  void announceAgain(mono_time Now);
 
   std::string Own;
   double Cores; ///< of this VM
--- a/src/router.cpp
+++ b/src/router.cpp
@@ -468,7 +468,7 @@
   case peer_message::Answer:
     return Relay.takeAnswer(Bytes, now());
   case peer_message::News:
-    return Relay.takeNews(Bytes);
+    return Relay.takeNews(Bytes, now());
   }
   logs::warning("datagram_unreadable", {{"from", Sender}});
 }
--- a/tests/read_relay_test.cpp
+++ b/tests/read_relay_test.cpp
@@ -44,7 +44,8 @@
     void sendNews(std::string_view Bytes) override {
       for (const auto &[Address, Vm] : Fleet.Vms)
         if (Address != Own && !Fleet.Silent.contains(Address))
-          Vm->Relay.takeNews(Bytes);
+          if (!Fleet.Deaf.contains(Address))
+            Vm->Relay.takeNews(Bytes, Fleet.Now);
     }
     fleet &Fleet;
     std::string Own;
@@ -106,6 +107,7 @@
   std::map<std::string, unsigned> Questions; ///< by whom they were sent to
   std::set<std::string> Silent;              ///< not heard, hear nothing
   std::set<std::string> Mute;                ///< heard, but hear nothing
+  std::set<std::string> Deaf;                ///< for whom news are lost
   bool IsHeld = false;
   std::vector<std::pair<std::string, std::string>> Held;
 };
@@ -430,7 +432,49 @@
   for (auto &[Address, Vm] : Fleet.Vms)
     Vm->Relay.proven(relayed_topic::Endpoints, 5, Fleet.Now);
   BOOST_TEST(News == 0U);
-  Fleet.asker().takeNews("no message");
-  Fleet.asker().takeNews({});
+  Fleet.asker().takeNews("no message", Fleet.Now);
+  Fleet.asker().takeNews({}, Fleet.Now);
   BOOST_TEST(News == 0U);
 }
+
+// The one datagram that announces an order is lost. Its VM runs sessions by the
+// order before for a pause longer than all others.
+BOOST_AUTO_TEST_CASE(lost_news_are_announced_again) {
+  fleet Fleet(9);
+  read_relay &Asker = Fleet.asker();
+  unsigned News = 0;
+  Asker.onNews([&News](relayed_topic) { ++News; });
+  Fleet.Deaf.insert(Asker.own());
+  Fleet.prove(7);
+  BOOST_TEST(News == 0U);
+  Fleet.Deaf.clear();
+  for (auto &[Address, Vm] : Fleet.Vms)
+    Vm->Relay.expire(Fleet.Now);
+  BOOST_TEST(News == config::RelayReaders);
+  Asker.proven(relayed_topic::Orders, 7, Fleet.Now);
+  for (auto &[Address, Vm] : Fleet.Vms)
+    Vm->Relay.expire(Fleet.Now);
+  BOOST_TEST(News == config::RelayReaders); // it knows what is told again
+}
+
+// A reader announces an order. The reader that is asked for it reads it a
+// moment later, and says that there is nothing new; half of the VMs learn of
+// the order a pause later.
+BOOST_AUTO_TEST_CASE(reader_behind_the_news_is_not_believed) {
+  fleet Fleet(9);
+  Fleet.prove(7);
+  read_relay &Asker = Fleet.asker();
+  const auto Readers = Fleet.readers();
+  const topic_record Order = record(7, "rollout");
+  for (const std::string &Ahead : Readers) {
+    fleet Each(9);
+    Each.prove(7);
+    read_relay &Its = Each.Vms.at(Asker.own())->Relay;
+    Each.Vms.at(Ahead)->Relay.keep(relayed_topic::Orders, Order);
+    Each.Vms.at(Ahead)->Relay.proven(relayed_topic::Orders, 8, Each.Now);
+    const asked Question(Each, Its, 7);
+    BOOST_REQUIRE(Question.News.has_value());
+    BOOST_TEST(Question.News->End == 8U);
+    BOOST_TEST(Question.News->Records.size() == 1U);
+  }
+}
