Send messages to all VMs in portions, and count what the system refuses

A report with its counts is some 3 KB, so that a verdict told to 70 VMs fills the link and reaches a third of them; the rest run a bad version on. An error of send_to was dropped without a count.

Change: datagram_outbox hands out a message to many peers in portions of 16 KB, 20 ms apart (6.4 Mbit/s, below the slowest link). The word of a verdict goes to all without the counts behind it, which only readers need: some 120 bytes a VM in place of kilobytes, so 130 KB at 1,100 VMs. A report that is older than what is known of its VM, or empty, takes nothing back. Refused datagrams, notes that no owner confirmed and lookups without an answer are metrics.

Tests: message_to_all_leaves_in_portions, large_message_leaves_alone, late_report_takes_nothing_back, the last of which fails on the code before (the count fell to 0). rollout_model_test (1,000 bad versions) and crashing_request_test are green, unchanged.

--- a/src/config.h
+++ b/src/config.h
@@ -654,6 +654,10 @@
 /// Peers that get one digest; more take turns, so that a fleet of hundreds
 /// costs a VM no more than one of this size.
 constexpr std::size_t MaxDigestPeers = 24;
+/// Of a message to all peers, at a time: a quarter of what a link holds, and
+/// less than it passes until the next.
+constexpr std::size_t PeerPortionBytes = 16U << 10U;
+constexpr auto PeerPortionPause = 20ms;
 /// Between tries to learn the other routers while the store doesn't answer.
 constexpr auto PeerListRetry = 2s;
 /// From the start until topics are followed without knowing other routers.
--- a/src/peer_datagrams.cpp
+++ b/src/peer_datagrams.cpp
@@ -30,7 +30,8 @@
 peer_datagrams::peer_datagrams(boost::asio::io_context &Context,
                                const runtime_clock &Clock,
                                std::string_view Address, handler Handler)
-    : Clock(Clock), Socket(Context), Handler(std::move(Handler)) {
+    : Clock(Clock), Socket(Context), OutboxTimer(Context),
+      Handler(std::move(Handler)) {
   const auto Parsed = parseAddress(Address);
   if (!Parsed)
     throw std::invalid_argument("not an address: " + std::string(Address));
@@ -101,8 +102,9 @@
 
 void peer_datagrams::sendBytes(const udp::endpoint &Peer,
                                const std::string &Message) {
-  error_code Ignored; // a lost datagram is made good by the next
-  Socket.send_to(boost::asio::buffer(Message), Peer, 0, Ignored);
+  error_code Error; // only counted: one that is lost is made good by the next
+  Socket.send_to(boost::asio::buffer(Message), Peer, 0, Error);
+  SendErrors += Error ? 1 : 0;
 }
 
 void peer_datagrams::send(peer_message Kind, std::string_view Bytes) {
@@ -127,21 +129,34 @@
 
 void peer_datagrams::sendToAll(peer_message Kind, std::string_view Bytes) {
   const mono_time Now = Clock.bootNow();
-  const std::string Message = messageOf(Kind, Bytes);
   const duration Life = life();
-  if (Peers.empty())
-    return;
-  // A burst loses its end; it isn't always the same peers' turn to miss it.
-  auto Next =
-      std::next(Peers.begin(),
-                static_cast<std::ptrdiff_t>(mixed(AllTurn++) % Peers.size()));
-  for (std::size_t Left = Peers.size(); Left > 0; --Left) {
-    const auto &[Address, Peer] = *Next;
+  std::vector<udp::endpoint> Heard;
+  for (const auto &[Address, Peer] : Peers)
     if (Now - Peer.HeardAt <= Life)
-      sendBytes(Address, Message);
-    if (++Next == Peers.end())
-      Next = Peers.begin();
-  }
+      Heard.push_back(Address);
+  if (Heard.empty())
+    return;
+  // What is lost of a portion isn't always lost for the same peers.
+  std::rotate(Heard.begin(),
+              Heard.begin() +
+                  static_cast<std::ptrdiff_t>(mixed(AllTurn++) % Heard.size()),
+              Heard.end());
+  const bool IsWaiting = !Outbox.isEmpty();
+  Outbox.add(messageOf(Kind, Bytes), std::move(Heard));
+  if (!IsWaiting)
+    sendPortion();
+}
+
+void peer_datagrams::sendPortion() {
+  for (const auto &[To, Message] : Outbox.take(config::PeerPortionBytes))
+    sendBytes(To, *Message);
+  if (Outbox.isEmpty())
+    return;
+  OutboxTimer.expires_after(config::PeerPortionPause);
+  OutboxTimer.async_wait([this](const error_code &Error) {
+    if (!Error)
+      sendPortion();
+  });
 }
 
 void peer_datagrams::sendTo(const std::string &Address, peer_message Kind,
--- a/src/peer_datagrams.h
+++ b/src/peer_datagrams.h
@@ -1,10 +1,12 @@
 #pragma once
 
 #include "config.h"
+#include "datagram_outbox.h"
 #include "read_relay.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/udp.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <functional>
 #include <map>
 #include <string>
@@ -43,8 +45,10 @@
   void send(peer_message Kind, std::string_view Bytes);
   void sendTo(const std::string &Address, peer_message Kind,
               std::string_view Bytes);
-  /// Sends to all that were heard lately.
+  /// Sends to all that were heard lately, in portions that a link takes.
   void sendToAll(peer_message Kind, std::string_view Bytes);
+  /// Datagrams that the system didn't take.
+  std::uint64_t sendErrors() const { return SendErrors; }
   std::size_t peers() const { return Peers.size(); }
   /// Hashes of the addresses of all that are known, also of those that fell
   /// silent.
@@ -78,6 +82,7 @@
   void receive();
   void sendBytes(const boost::asio::ip::udp::endpoint &Peer,
                  const std::string &Message);
+  void sendPortion();
   void forget(mono_time Now);
 
   const runtime_clock &Clock;
@@ -86,6 +91,9 @@
   boost::asio::ip::udp::endpoint Sender;
   std::array<char, config::MaxPeerMessageBytes> Buffer{};
   std::map<boost::asio::ip::udp::endpoint, peer> Peers;
+  datagram_outbox<boost::asio::ip::udp::endpoint> Outbox;
+  boost::asio::steady_timer OutboxTimer;
+  std::uint64_t SendErrors = 0;
   std::uint64_t Generation = 0;
   std::size_t Turn = 0;    ///< where sending goes on if there are too many
   std::size_t AllTurn = 0; ///< who comes first when all are sent to
--- a/src/rollout_reports.cpp
+++ b/src/rollout_reports.cpp
@@ -34,6 +34,9 @@
     return;
   }
   rollout_report &Known = Direct[{Report.Vm, Report.Incarnation}];
+  // A late one, or only the word of a verdict.
+  if (Report.Tally.answers() < Known.Tally.answers())
+    return;
   DirectSum.remove(Known.Tally);
   DirectSum.merge(Report.Tally);
   Known = Report;
--- a/src/router.cpp
+++ b/src/router.cpp
@@ -245,6 +245,10 @@
   Gauges.KeyLeaseAgeSeconds =
       Table ? std::chrono::duration<double>(Lease.age(now())).count() : 0.0;
   Gauges.DroppedLogLines = static_cast<double>(logs::dropped());
+  Gauges.UnsentDatagrams =
+      Peers ? static_cast<double>(Peers->sendErrors()) : 0.0;
+  Gauges.LostSessionNotes = static_cast<double>(Runs.lostNotes());
+  Gauges.UnansweredLookups = static_cast<double>(Runs.unanswered());
   Gauges.IsReady = isReady() ? 1 : 0;
   Exchange.answer(200, {{"Content-Type", std::string(MetricsType)}},
                   Metrics.text(Gauges));
@@ -685,14 +689,16 @@
 }
 
 // A verdict goes from the readers to all: each VM has to stop within seconds,
-// also while the store doesn't answer.
+// also while the store doesn't answer. The counts behind it are for readers;
+// with them a word to hundreds of VMs would take a link for seconds.
 void router::tellReport(const version_shift &Shift, mono_time Now) {
   if (!Peers)
     return;
-  const std::string Report = encodeReport(Shift.report(Now));
+  rollout_report Own = Shift.report(Now);
+  const std::string Report = encodeReport(Own);
   if (!Shift.verdict().empty() && Relay.isReader(Now)) {
-    Peers->sendToAll(peer_message::Report, Report);
-    return;
+    Own.Tally = {};
+    Peers->sendToAll(peer_message::Report, encodeReport(Own));
   }
   for (const std::string &Reader : Relay.readers(Now))
     if (Reader != Relay.own())
--- a/src/router_metrics.cpp
+++ b/src/router_metrics.cpp
@@ -68,7 +68,7 @@
 };
 
 using g = router_metrics::gauges;
-constexpr std::array<gauge_row, 12> GaugeRows{{
+constexpr std::array<gauge_row, 15> GaugeRows{{
     {"clementine_open_requests", "requests under way", &g::OpenRequests},
     {"clementine_caller_connections", "callers' connections", &g::Connections},
     {"clementine_endpoints", "endpoints in the directory", &g::Endpoints},
@@ -88,6 +88,15 @@
      "since a read last proved the configuration", &g::KeyLeaseAgeSeconds},
     {"clementine_log_lines_dropped", "log lines dropped since the start",
      &g::DroppedLogLines},
+    {"clementine_datagrams_unsent",
+     "datagrams to other VMs that the system did not take, since the start",
+     &g::UnsentDatagrams},
+    {"clementine_session_notes_lost",
+     "notes of sessions that no owner confirmed, since the start",
+     &g::LostSessionNotes},
+    {"clementine_session_lookups_unanswered",
+     "sessions of which no owner said what it knows, since the start",
+     &g::UnansweredLookups},
     {"clementine_ready", "1 if the balancer is told to send requests",
      &g::IsReady},
 }};
--- a/src/router_metrics.h
+++ b/src/router_metrics.h
@@ -42,6 +42,9 @@
     double ConfigurationVersion = 0;
     double KeyLeaseAgeSeconds = 0;
     double DroppedLogLines = 0;
+    double UnsentDatagrams = 0;
+    double LostSessionNotes = 0;
+    double UnansweredLookups = 0;
     double IsReady = 0;
   };
   std::string text(const gauges &Gauges) const;
--- a/tests/peer_datagrams_test.cpp
+++ b/tests/peer_datagrams_test.cpp
@@ -2,6 +2,7 @@
 #include "peer_datagrams.h"
 
 #include <boost/test/unit_test.hpp>
+#include <numeric>
 
 using namespace clementinelane;
 using namespace std::chrono_literals;
@@ -46,3 +47,37 @@
   BOOST_TEST(Heard[0].Cores == 0);
   BOOST_TEST(Heard[1].Cores == 0.5);
 }
+
+// A message of 3 KB to 70 peers goes out at once, and a link that holds 64 KB
+// drops it for two thirds of them, always the last ones.
+BOOST_AUTO_TEST_CASE(message_to_all_leaves_in_portions) {
+  datagram_outbox<int> Outbox;
+  std::vector<int> Peers(70);
+  std::iota(Peers.begin(), Peers.end(), 0);
+  Outbox.add(std::string(3000, 'r'), Peers);
+  Outbox.add("news", {7, 8});
+  std::vector<int> Reached;
+  std::size_t Portions = 0;
+  while (!Outbox.isEmpty()) {
+    std::size_t Bytes = 0;
+    for (const auto &[To, Message] : Outbox.take(16'000)) {
+      Bytes += Message->size();
+      Reached.push_back(To);
+    }
+    BOOST_TEST(Bytes > 0U);
+    BOOST_TEST(Bytes <= 16'000U);
+    ++Portions;
+  }
+  BOOST_TEST(Portions == 14U);
+  Peers.insert(Peers.end(), {7, 8});
+  BOOST_TEST(Reached == Peers);
+}
+
+// A message that is larger than a portion must not wait for ever.
+BOOST_AUTO_TEST_CASE(large_message_leaves_alone) {
+  datagram_outbox<int> Outbox;
+  Outbox.add(std::string(50'000, 'r'), {1, 2});
+  BOOST_TEST(Outbox.take(16'000).size() == 1U);
+  BOOST_TEST(Outbox.take(16'000).size() == 1U);
+  BOOST_TEST(Outbox.isEmpty());
+}
--- a/tests/rollout_reports_test.cpp
+++ b/tests/rollout_reports_test.cpp
@@ -45,6 +45,16 @@
   BOOST_TEST(Reports.combined(report("own", 1)).answers() == 18U);
 }
 
+// A report is overtaken by a newer one, or only carries the word of a verdict.
+// What was known of its VM must not be lost.
+BOOST_AUTO_TEST_CASE(late_report_takes_nothing_back) {
+  rollout_reports Reports;
+  Reports.take(report("a", 12));
+  Reports.take(report("a", 10));
+  Reports.take(report("a", 0));
+  BOOST_TEST(Reports.combined(report("own", 0)).answers() == 12U);
+}
+
 // A VM is killed and started again. Its answers before count on.
 BOOST_AUTO_TEST_CASE(answers_before_a_restart_count_on) {
   rollout_reports Reports;
