Time the last step by what the target met, not by what was planned

The later all sessions move, the more are left. The step was charged for a tenth of the bound in the first half, where no session meets the target any more, for the trial by its plan, and for the time after the step twice.

Change: VMs report the requests that they sent to either version; once the half is past, what the target met counts, and the trial's share only for the time since the reports. The step is fixed a second before it comes: what others send to the target after their step would move that of a VM that is behind.

Ruled out: a smaller trial share. It would let the step come 0.2 s earlier, and show a bad version later; not played.

Tests: step_is_charged_for_what_the_target_met and step_of_the_others_moves_no_step, each seen failing with its part taken out. rollout_model_test now reports what is sent, and keeps both bounds on its 1,000 bad versions.

--- a/src/rollout_codec.cpp
+++ b/src/rollout_codec.cpp
@@ -9,7 +9,8 @@
 using json = nlohmann::json;
 
 json encodeSide(const side_tally &Side) {
-  return {{"count", Side.Count},
+  return {{"sent", Side.Sent},
+          {"count", Side.Count},
           {"failures", Side.Failures},
           {"wait", Side.Wait},
           {"pace", Side.Pace}};
@@ -22,6 +23,7 @@
 
 side_tally decodeSide(const json &From) {
   side_tally Side;
+  Side.Sent = From.value("sent", 0U);
   Side.Count = From.at("count").get<std::uint32_t>();
   Side.Failures = From.at("failures").get<std::uint32_t>();
   decodeHistogram(From.at("wait"), Side.Wait);
--- a/src/routed_request.cpp
+++ b/src/routed_request.cpp
@@ -277,6 +277,7 @@
   FirstSentAt = FirstSentAt.value_or(Now);
   Splitter.reset();
   ++Sent;
+  sample(sample_kind::Sent, Now);
   attempt_order Order;
   Order.Endpoint = *Endpoint;
   Order.Model = choosesModel() ? Call.Route->Models[Model] : std::string{};
--- a/src/version_shift.cpp
+++ b/src/version_shift.cpp
@@ -31,7 +31,9 @@
   HasStatus = false;
   IsStatusKnown = false;
   Verdict.clear();
-  Answers = 0;
+  Sent = 0;
+  Met = 0;
+  Step.reset();
   Own = {};
   AtLastStep = {};
   IsDoubtful = false;
@@ -105,7 +107,12 @@
     noteStep(SentAt);
 }
 
+// Failure: what the others send to the target after the step would count as met
+// before it, and move the step of a VM that is behind.
 void version_shift::noteStep(mono_time Now) {
+  if (const duration Next = lastStep();
+      !Step && elapsed(Now) >= Next - config::RolloutSkew)
+    Step = Next;
   HasStepped = HasStepped || shareAt(Now) == 1;
 }
 
@@ -179,28 +186,45 @@
 double version_shift::expectedRequests() const {
   const double Seen =
       std::chrono::duration<double>(JudgedAt - OrderedAt).count();
-  if (Answers == 0 || Seen <= 0)
+  if (Sent == 0 || Seen <= 0)
     return 0;
-  return static_cast<double>(Answers) *
+  return static_cast<double>(Sent) *
          std::chrono::duration<double>(Order->Length).count() / Seen;
 }
 
-// With share a in the first half, share b until the step at t (of the order's
-// time), and everything after it, the target meets a / 2 + b * (t - 1 / 2) +
-// (1 - t). Taking b for the whole second half errs towards a later step.
-duration version_shift::lastStep() const {
-  const double Before =
-      ExposureBound * (config::RolloutFirstShare + config::RolloutTrialShare) /
-      2;
+// With share b until the step at t and everything after it, the target meets
+// Met + b * (t - From) + (1 - t).
+duration version_shift::stepAfter(double Met, double From) const {
+  const double Trial = ExposureBound * config::RolloutTrialShare;
   const double Requests = expectedRequests();
   const double Tolerance =
       Requests > 0 ? config::RolloutTolerancePart * ExposureTolerance / Requests
                    : 0;
-  const double Rest = std::min(0.5, config::RolloutLastStepPart *
-                                        (ExposureBound - Before + Tolerance));
+  const double Left = ExposureBound + Tolerance - Met - Trial * (1 - From);
+  const double Rest =
+      std::clamp(config::RolloutLastStepPart * Left / (1 - Trial), 0.0, 0.5);
   return std::chrono::duration_cast<duration>(Order->Length * (1 - Rest));
 }
 
+// What the target met counts where it is known; reports are up to a period old.
+// Most sessions of a quiet trial never come to it, which leaves more of the
+// bound to the step: the earlier it comes, the fewer sessions are left on a
+// version that the order's end takes away.
+duration version_shift::lastStep() const {
+  if (Step)
+    return *Step;
+  const duration Planned =
+      stepAfter(ExposureBound * config::RolloutFirstShare / 2, 0.5);
+  const duration Seen = JudgedAt - OrderedAt - config::RolloutReportPeriod;
+  const double Requests = expectedRequests();
+  if (Requests <= 0 || Seen < Order->Length / 2)
+    return Planned;
+  const double From = std::chrono::duration<double>(Seen) /
+                      std::chrono::duration<double>(Order->Length);
+  return std::min(Planned,
+                  stepAfter(static_cast<double>(Met) / Requests, From));
+}
+
 bool version_shift::isTold(mono_time Now) const {
   return Now - ReportsReadAt <= config::RolloutReportLife;
 }
@@ -399,7 +423,7 @@
   if (!isActive())
     return;
   Own.add(Sample);
-  if (!Sample.IsNew)
+  if (!Sample.IsNew || Sample.What == sample_kind::Sent)
     return;
   const bool WasStopped = !Verdict.empty();
   judge(Now);
@@ -411,7 +435,8 @@
   if (!Verdict.empty() || !isActive())
     return;
   const version_tally Whole = Reports.combined(report(Now));
-  Answers = Whole.answers();
+  Sent = Whole.sent();
+  Met = Whole.sentToNew();
   JudgedAt = Now;
   Verdict = verdictOn(Whole);
   noteStep(Now);
--- a/src/version_shift.h
+++ b/src/version_shift.h
@@ -153,6 +153,9 @@
   version_side freshSide(std::uint64_t Hash, mono_time Now) const;
   /// From the order to the step that moves all sessions.
   duration lastStep() const;
+  /// The same if `Met` of the order's requests met the target until `From`, and
+  /// the trial's share meets it from then on; all are parts of the whole order.
+  duration stepAfter(double Met, double From) const;
   /// Requests of the service that the whole order is likely to see.
   double expectedRequests() const;
   void judge(mono_time Now);
@@ -180,12 +183,14 @@
   version_tally Own;
   rollout_reports Reports;
   std::string Verdict;
-  version_tally AtLastStep; ///< of all VMs, as last judged before it
-  bool HasStepped = false;  ///< all sessions may have moved
-  bool IsDoubtful = false;  ///< what answered so far raises doubt
+  version_tally AtLastStep;     ///< of all VMs, as last judged before it
+  bool HasStepped = false;      ///< all sessions may have moved
+  std::optional<duration> Step; ///< of the order; fixed shortly before it
+  bool IsDoubtful = false;      ///< what answered so far raises doubt
   bool HasUntoldFailure = false;
   mono_time JudgedAt{};
-  std::uint64_t Answers = 0; ///< of all VMs, as last judged
+  std::uint64_t Sent = 0; ///< requests of all VMs, as last judged
+  std::uint64_t Met = 0;  ///< of them, at the target
   session_versions Sessions;
   mono_time RenewedAt{};
 };
--- a/src/version_tally.cpp
+++ b/src/version_tally.cpp
@@ -144,6 +144,9 @@
 
 void side_tally::add(const answer_sample &Sample) {
   switch (Sample.What) {
+  case sample_kind::Sent:
+    ++Sent;
+    break;
   case sample_kind::Failed:
     ++Failures;
     [[fallthrough]];
@@ -160,6 +163,7 @@
 }
 
 void side_tally::merge(const side_tally &Other) {
+  Sent += Other.Sent;
   Count += Other.Count;
   Failures += Other.Failures;
   mergeInto(Wait, Other.Wait);
@@ -167,6 +171,7 @@
 }
 
 void side_tally::remove(const side_tally &Other) {
+  takeAway(Sent, Other.Sent);
   takeAway(Count, Other.Count);
   takeAway(Failures, Other.Failures);
   takeAway(Wait, Other.Wait);
@@ -210,6 +215,20 @@
   return Sum;
 }
 
+std::uint64_t version_tally::sent() const {
+  std::uint64_t Sum = 0;
+  for (const auto &[Kind, Pair] : Kinds)
+    Sum += Pair.Old.Sent + Pair.New.Sent;
+  return Sum;
+}
+
+std::uint64_t version_tally::sentToNew() const {
+  std::uint64_t Sum = 0;
+  for (const auto &[Kind, Pair] : Kinds)
+    Sum += Pair.New.Sent;
+  return Sum;
+}
+
 // Each term is the one before times a ratio, so the sum ends soon after the
 // terms are too small to matter.
 double binomialTail(std::uint32_t Count, std::uint32_t Hits, double Chance) {
--- a/src/version_tally.h
+++ b/src/version_tally.h
@@ -12,6 +12,7 @@
 
 /// What was seen of an attempt at an endpoint of a service under roll-out.
 enum class sample_kind : std::uint8_t {
+  Sent, ///< to an endpoint
   Answered,
   Failed,
   FirstByte, ///< with the wait for it
@@ -31,7 +32,8 @@
   static constexpr std::size_t Buckets = 20;
   using histogram = std::array<std::uint32_t, Buckets>;
 
-  std::uint32_t Count = 0;
+  std::uint32_t Sent = 0;
+  std::uint32_t Count = 0; ///< of answers
   std::uint32_t Failures = 0;
   histogram Wait{};
   histogram Pace{};
@@ -57,6 +59,9 @@
   version_tally newSince(const version_tally &Before) const;
   /// Of both versions.
   std::uint64_t answers() const;
+  /// Requests sent to either version, and to the new one.
+  std::uint64_t sent() const;
+  std::uint64_t sentToNew() const;
 };
 
 /// The probability of at least `Hits` of `Count` when each has `Chance`.
--- a/tests/rollout_model_test.cpp
+++ b/tests/rollout_model_test.cpp
@@ -204,6 +204,7 @@
     Exposed += IsBefore && IsNew ? 1 : 0;
     const bool IsOwed = OwedSince && Now - *OwedSince > RollbackTime;
     Late += IsNew && IsOwed && !isCut(Which) ? 1 : 0;
+    Vm.Shift.observe({"review|0", IsNew, sample_kind::Sent, {}}, Now);
     const bool IsBad = IsNew && Now - Start >= Scenario.TurnsBadAfter &&
                        chance(Scenario.BadShare);
     const duration Wait = IsBad ? duration(50ms) : duration(300ms);
--- a/tests/version_shift_test.cpp
+++ b/tests/version_shift_test.cpp
@@ -72,6 +72,7 @@
   void answers(version_shift &On, bool IsNew, int Count, int Failures,
                duration Wait, const std::string &Kind = "review|0") {
     for (int Each = 0; Each < Count; ++Each) {
+      On.observe({Kind, IsNew, sample_kind::Sent, {}}, Now);
       On.observe({Kind, IsNew, sample_kind::FirstByte, Wait}, Now);
       On.observe({Kind, IsNew, sample_kind::Pace, 20ms}, Now);
       On.observe({Kind,
@@ -323,6 +324,54 @@
   BOOST_TEST(Shift.isNews(stableHash("s"), "v3", Now));
 }
 
+// The step is charged for what the trial was planned to meet, though it met
+// less: more sessions than needed are left on the version that goes.
+BOOST_FIXTURE_TEST_CASE(step_is_charged_for_what_the_target_met, fixture) {
+  Shift.setExposureBound(0.15, 0);
+  const auto StepWith = [this](int MetOfThousand) {
+    order("v2", Shift.order() ? Shift.order()->Offset + 1 : 5);
+    const mono_time Start = Now;
+    double Met = 0;
+    int Sent = 0;
+    while (newSessions(std::to_string(Sent)) < 1000) {
+      pass(100ms);
+      const bool IsHalf = Now - Start >= Length / 2;
+      for (int Each = 0; Each < 100; ++Each) {
+        const bool IsNew =
+            IsHalf && ++Sent * MetOfThousand % 1000 < MetOfThousand;
+        Met += IsNew ? 1 : 0;
+        Shift.observe({"review|0", IsNew, sample_kind::Sent, {}}, Now);
+      }
+      answers(Shift, true, 1, 0, 300ms);
+    }
+    const duration Rest = Start + Length - Now;
+    const double All = 100 * std::chrono::duration<double>(Length) / 100ms;
+    const double Exposed =
+        Met + 100 * std::chrono::duration<double>(Rest) / 100ms;
+    BOOST_TEST(Exposed <= 0.15 * All);
+    return Rest;
+  };
+  const duration Planned = StepWith(100);
+  const duration Quiet = StepWith(20);
+  BOOST_TEST((Quiet >= Planned + 200ms));
+}
+
+// The others step some moments before this VM, and tell of all that their
+// sessions now send to the target. Counted as met before, it moves this VM's
+// step away.
+BOOST_FIXTURE_TEST_CASE(step_of_the_others_moves_no_step, fixture) {
+  order();
+  pass(Length - 2400ms);
+  BOOST_TEST(newSessions("a") < 200);
+  version_shift Other("vm2", 2);
+  Other.takeOrder({"engine", "v2", Length, 5}, Now - Length + 2400ms);
+  for (int Each = 0; Each < 2000; ++Each)
+    Other.observe({"review|0", true, sample_kind::Sent, {}}, Now);
+  Shift.takeReport(Other.report(Now), Now);
+  pass(1000ms);
+  BOOST_TEST(newSessions("b") == 1000);
+}
+
 // A small service: the tolerance in requests is a good part of all, so the last
 // step may come earlier and old requests have time to end.
 BOOST_FIXTURE_TEST_CASE(quiet_services_step_earlier, fixture) {
