--- a/src/config.h
+++ b/src/config.h
@@ -663,8 +663,7 @@
 /// From the start until topics are followed without knowing other routers.
 constexpr auto PeerListWait = 400ms;
 
-// --- runs of sessions, kept at their owners
-// ------------------------------------
+// --- runs of sessions, kept at their owners ----------------------------------
 
 /// VMs that keep a session's last run: two may be lost or silent.
 constexpr std::size_t RunOwners = 3;
@@ -680,6 +679,8 @@
 /// a dozen times the way there and back.
 constexpr auto RunQuestionPause = 50ms;
 constexpr auto RunAnswerTime = 150ms;
+/// Between looks at which VMs are heard, and so own sessions.
+constexpr auto RunPeersPause = 500ms;
 /// A VM that stood still for so long has missed notes.
 constexpr auto RunNoteGap = 1s;
 
--- a/src/router.cpp
+++ b/src/router.cpp
@@ -491,8 +491,7 @@
     Choice.limits().told(Note, now());
 }
 
-// --- runs of sessions
-// ---------------------------------------------------------
+// --- runs of sessions --------------------------------------------------------
 
 void router::sendRuns(const std::string &Address, std::string_view Bytes) {
   if (Peers)
@@ -563,10 +562,13 @@
     NotesSince = Now;
   if (!Peers)
     return;
-  std::vector<std::string> Heard;
-  for (relay_peer &Peer : Peers->heard(Now))
-    Heard.push_back(std::move(Peer.Address));
-  Runs.setPeers(Heard);
+  if (Now - RunPeersAt >= config::RunPeersPause) {
+    RunPeersAt = Now;
+    std::vector<std::string> Heard;
+    for (relay_peer &Peer : Peers->heard(Now))
+      Heard.push_back(std::move(Peer.Address));
+    Runs.setPeers(Heard);
+  }
   for (const auto &[Service, Shift] : Shifts)
     for (const session_run &Run : Shift->takeRenewals(Now))
       tellRun(Service, Run);
--- a/src/router.h
+++ b/src/router.h
@@ -159,6 +159,7 @@
   std::uint64_t DigestSequence = 0;
   run_registry Runs;
   boost::asio::steady_timer RunsTimer;
+  mono_time RunPeersAt{};
   mono_time NotesSince; ///< no gap in what this VM was told since then
   mono_time TickedAt;
   mono_time DigestAt{};
