--- a/tests/session_steadiness_test.cpp
+++ b/tests/session_steadiness_test.cpp
@@ -26,6 +26,9 @@
 constexpr auto RunPeriod = 100ms;
 /// Part of the datagrams that are late.
 constexpr double LateNotes = 0.05;
+/// Two notes and a lookup at three owners, each datagram with its reply some
+/// 110 bytes, and a half of that again for repeats.
+constexpr std::size_t MostBytesPerRequest = 1500;
 /// Bytes that a datagram takes beside its message.
 constexpr std::size_t DatagramBytes = 28;
 /// Bytes that a link holds; the rest of a burst is lost.
@@ -491,5 +494,7 @@
                             << Fleet.Requests << ", unread " << Fleet.Unread
                             << ", unanswered " << Fleet.Unanswered);
     BOOST_TEST(Fleet.Early + Fleet.Back <= AllowedMoves);
+    // What a fleet tells doesn't grow with its VMs.
+    BOOST_TEST(Fleet.SentBytes <= Fleet.Requests * MostBytesPerRequest);
   }
 }
