Price engine time by the delay that it causes other requests

Cause: the price of engine time was the expected backlog over the request's own target, so that a request with a long target paid a quarter of what an urgent one paid for a unit of time that delays both. Ruled out by the logs of all VMs: refusals (21 of 11,222 of that kind) and deadlines (22 attempts) are few; 10,381 escalations were made, 680 refused by the retry budget. Change: the price is the delay over the targets of the service's other requests, the less urgent ones in part; a customer's priority goes before its route's, as the configuration says. Test: a mix of urgent and long requests before a backlog; the same price by the own target fails it.

--- a/src/config.h
+++ b/src/config.h
@@ -821,9 +821,14 @@
 /// Price of a prompt token relative to a generated one, from the platform's
 /// price lists.
 constexpr double PromptTokenPriceRatio = 0.25;
-/// Cost of the slowest model's engine time to other requests; it is multiplied
-/// by the ratio of their expected wait to the latency target.
+/// Cost of the slowest model's engine time to other requests, if the wait that
+/// it causes them is as long as their latency target.
 constexpr double EngineTimePrice = 1.0;
+/// Weight of a delay of a less urgent request, relative to one of the payer's
+/// priority; and weight of a request in a service's mix relative to the next
+/// one, so that about 100 requests count.
+constexpr double LessUrgentDelayWeight = 0.2;
+constexpr double RequestMixForgettingFactor = 0.99;
 /// Steepness of the log-logistic curve that gives the probability of a first
 /// event within the target.
 constexpr double WaitCurveSteepness = 3;
--- a/src/routed_request.cpp
+++ b/src/routed_request.cpp
@@ -102,6 +102,10 @@
   return !Call.Route->Models.empty() && Call.Metadata.Model == AnyModel;
 }
 
+unsigned routed_request::priority() const {
+  return Call.Customer.Priority.value_or(Call.Route->Priority);
+}
+
 mono_time routed_request::callerDeadline() const {
   return Call.ArrivedAt +
          Call.Metadata.Remaining.value_or(duration(Call.Route->Timeout));
@@ -113,6 +117,9 @@
 
 void routed_request::begin(mono_time Now) {
   Context.Budget.recordRequest(Call.Service, Now);
+  if (choosesModel())
+    Context.EngineTime.recordRequest(Call.Service, priority(),
+                                     Call.Route->TargetLatency);
   if (isQuarantined()) {
     refuseQuarantined(run_state::NotRun, Now);
     return;
@@ -522,10 +529,8 @@
   View.TimeToDeadline = effectiveDeadline() - Now;
   const duration Wait = Context.Pace.backlogWait(
       Call.Service, Context.Choice.meanOutstandingWork(Call.Service));
-  View.EngineTimePrice =
-      config::EngineTimePrice *
-      (std::chrono::duration<double>(Wait) /
-       std::chrono::duration<double>(Call.Route->TargetLatency));
+  View.EngineTimePrice = Context.EngineTime.of(Call.Service, priority(),
+                                               Call.Route->TargetLatency, Wait);
   View.MayEscalate = SentAttempts + 2 <= Call.Route->MaxAttempts &&
                      Context.Budget.available(Call.Service, Now,
                                               config::CascadeBudgetShare) >= 1;
--- a/src/routed_request.h
+++ b/src/routed_request.h
@@ -5,6 +5,7 @@
 #include "crash_detector.h"
 #include "endpoint_choice.h"
 #include "engine_pace.h"
+#include "engine_time_price.h"
 #include "event_splitter.h"
 #include "fleet_retry_budget.h"
 #include "http_exchange.h"
@@ -54,6 +55,7 @@
   fleet_retry_budget &Budget;
   model_cascade &Cascade;
   engine_pace &Pace;
+  engine_time_price &EngineTime;
   answer_quality &Quality;
   request_quarantine &Quarantine;
   part_quarantine &Parts;
@@ -134,6 +136,7 @@
 
   bool isStream() const { return Call.Route->Kind == call_kind::Streaming; }
   bool choosesModel() const;
+  unsigned priority() const;
   mono_time callerDeadline() const;
   mono_time effectiveDeadline() const;
   bool mayAttempt(mono_time Now) const;
--- /dev/null
+++ b/tests/engine_time_price_test.cpp
@@ -0,0 +1,100 @@
+#define BOOST_TEST_MODULE engine_time_price
+#include "config.h"
+#include "engine_time_price.h"
+#include "model_cascade.h"
+
+#include <boost/test/unit_test.hpp>
+#include <vector>
+
+using namespace clementinelane;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr unsigned Urgent = 0;
+constexpr unsigned Batch = 2;
+
+struct fixture {
+  engine_time_price Price;
+
+  /// Urgent requests with a short target, and twice as many long ones with a
+  /// long target.
+  void observeMix() {
+    for (int Each = 0; Each < 100; ++Each) {
+      Price.recordRequest("engine", Urgent, 1s);
+      Price.recordRequest("engine", Batch, 4s);
+      Price.recordRequest("engine", Batch, 4s);
+    }
+  }
+  double urgent(duration Delay) const {
+    return Price.of("engine", Urgent, 1s, Delay);
+  }
+  double batch(duration Delay) const {
+    return Price.of("engine", Batch, 4s, Delay);
+  }
+
+  /// The highest confidence at which a weak answer of the small model is
+  /// dropped for one of the large model.
+  static double escalationThreshold(double EngineTime, duration Target) {
+    const std::vector<model_option> Models{{0.54, 0.02, 0.015, 0.1, 100ms},
+                                           {1.0, 0.1, 0.08, 1.0, 300ms}};
+    cascade_view View;
+    View.Models = Models;
+    View.TimeToTarget = Target;
+    View.TimeToDeadline = 10s;
+    View.EngineTimePrice = EngineTime;
+    double Confidence = 100;
+    while (Confidence > 0 &&
+           model_cascade().nextModel(View, {0, Confidence}) == 0U)
+      --Confidence;
+    return Confidence;
+  }
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_CASE(less_urgent_requests_pay_more, fixture) {
+  observeMix();
+  BOOST_TEST(batch(300ms) > urgent(300ms));
+}
+
+// Load: long requests that aren't urgent fill the engines.
+BOOST_FIXTURE_TEST_CASE(urgent_requests_keep_the_large_model, fixture) {
+  observeMix();
+  const duration Backlog = 600ms;
+  const double Urgently = escalationThreshold(urgent(Backlog), 1s);
+  const double Batched = escalationThreshold(batch(Backlog), 4s);
+  BOOST_TEST(Urgently > Batched);
+  const double ByOwnTarget =
+      config::EngineTimePrice * std::chrono::duration<double>(Backlog).count();
+  BOOST_TEST(Urgently > escalationThreshold(ByOwnTarget, 1s));
+}
+
+BOOST_FIXTURE_TEST_CASE(idle_engines_cost_nothing, fixture) {
+  observeMix();
+  BOOST_TEST(urgent(0ms) == 0);
+  BOOST_TEST(batch(0ms) == 0);
+}
+
+BOOST_FIXTURE_TEST_CASE(requests_alike_pay_by_their_own_target, fixture) {
+  for (int Each = 0; Each < 10; ++Each)
+    Price.recordRequest("engine", 1, 2s);
+  BOOST_TEST(Price.of("engine", 1, 2s, 500ms) == 0.25 * config::EngineTimePrice,
+             boost::test_tools::tolerance(1e-9));
+}
+
+// Failure: a VM that has just started knows no other requests.
+BOOST_FIXTURE_TEST_CASE(without_requests_the_own_target_counts, fixture) {
+  BOOST_TEST(Price.of("engine", Urgent, 1s, 100ms) ==
+                 0.1 * config::EngineTimePrice,
+             boost::test_tools::tolerance(1e-9));
+}
+
+BOOST_FIXTURE_TEST_CASE(mix_follows_the_latest_requests, fixture) {
+  observeMix();
+  const double Before = batch(300ms);
+  for (int Each = 0; Each < 1000; ++Each)
+    Price.recordRequest("engine", Batch, 4s);
+  BOOST_TEST(batch(300ms) < 0.6 * Before);
+  BOOST_TEST(urgent(300ms) < 0.5 * batch(300ms));
+}
--- a/tests/routed_fixture.h
+++ b/tests/routed_fixture.h
@@ -60,6 +60,7 @@
   fleet_retry_budget Budget{{0.9, std::chrono::seconds(10), 3}};
   model_cascade Cascade;
   engine_pace Pace;
+  engine_time_price EngineTime;
   answer_quality Quality;
   request_quarantine Quarantine;
   part_quarantine Parts;
@@ -73,6 +74,7 @@
       Budget,
       Cascade,
       Pace,
+      EngineTime,
       Quality,
       Quarantine,
       Parts,
