Order requests at the engines by work and by how long they may wait

Cause: the urgency sent to an engine followed from the prompt's work alone, so a long prompt with a target of 4 s on the small model ran before a short one with a target of 1 s on the large model, which takes ten times the time. Change: the work counts by the time that the request may wait, its target latency doubled by each rank of customer and route, relative to the most urgent requests of the service. The price of engine time and this share one mix of requests by rank (request_mix, was engine_time_price); a customer's priority goes first, the route's breaks ties, since many customers have the same.

--- a/src/call_work.cpp
+++ b/src/call_work.cpp
@@ -31,9 +31,10 @@
 // Load: a request of 1,500 tokens queues behind requests of 20,000 tokens on a
 // model ten times as slow. Harm prevented: the short request misses its target
 // latency, and the long ones gain nothing by running first.
-unsigned urgencyOf(const call_work &Work) {
-  const double Level = config::UrgencyPerDoubling * std::log2(1 + Work.Prompt) +
-                       config::BaseUrgency;
+unsigned urgencyOf(const call_work &Work, double Tolerance) {
+  const double Level =
+      config::UrgencyPerDoubling * std::log2(1 + Work.Prompt * Tolerance) +
+      config::BaseUrgency;
   return std::min(static_cast<unsigned>(std::max(Level, 0.0)),
                   config::MaxUrgency);
 }
--- a/src/call_work.h
+++ b/src/call_work.h
@@ -18,7 +18,8 @@
 /// larger.
 double promptTokens(const call_metadata &Metadata);
 
-/// Urgency sent to the engine, 0 (first) to 9; shorter work is more urgent.
-unsigned urgencyOf(const call_work &Work);
+/// Urgency sent to the engine, 0 (first) to 9; shorter work is more urgent, and
+/// so is a request that tolerates less waiting than others (see request_mix).
+unsigned urgencyOf(const call_work &Work, double Tolerance = 1);
 
 } // namespace clementinelane
--- a/src/config.h
+++ b/src/config.h
@@ -823,7 +823,7 @@
 constexpr double PromptTokenPriceRatio = 0.25;
 /// Cost of the slowest model's engine time to other requests, if the wait that
 /// it causes them is as long as their latency target.
-constexpr double EngineTimePrice = 1.0;
+constexpr double EngineTimePrice = 1.5;
 /// Weight of a delay of a less urgent request, relative to one of the payer's
 /// priority; and weight of a request in a service's mix relative to the next
 /// one, so that about 100 requests count.
--- a/src/routed_request.cpp
+++ b/src/routed_request.cpp
@@ -102,8 +102,9 @@
   return !Call.Route->Models.empty() && Call.Metadata.Model == AnyModel;
 }
 
-unsigned routed_request::priority() const {
-  return Call.Customer.Priority.value_or(Call.Route->Priority);
+request_rank routed_request::rank() const {
+  return {Call.Customer.Priority.value_or(Call.Route->Priority),
+          Call.Route->Priority};
 }
 
 mono_time routed_request::callerDeadline() const {
@@ -118,8 +119,7 @@
 void routed_request::begin(mono_time Now) {
   Context.Budget.recordRequest(Call.Service, Now);
   if (choosesModel())
-    Context.EngineTime.recordRequest(Call.Service, priority(),
-                                     Call.Route->TargetLatency);
+    Context.Mix.recordRequest(Call.Service, rank(), Call.Route->TargetLatency);
   if (isQuarantined()) {
     refuseQuarantined(run_state::NotRun, Now);
     return;
@@ -326,7 +326,9 @@
   Spec.Model = choosesModel() ? Call.Route->Models[Model] : std::string{};
   Spec.ResumeFrom = LastEvent;
   Spec.Remaining = effectiveDeadline() - Now;
-  Spec.Urgency = urgencyOf(Attempt->Work);
+  Spec.Urgency = urgencyOf(
+      Attempt->Work,
+      Context.Mix.tolerance(Call.Service, rank(), Call.Route->TargetLatency));
   Spec.Number = SentAttempts;
   Spec.ConnectTimeout = Context.Choice.connectTimeout(*Endpoint);
   Outputs.startAttempt(Spec);
@@ -529,7 +531,7 @@
   View.TimeToDeadline = effectiveDeadline() - Now;
   const duration Wait = Context.Pace.backlogWait(
       Call.Service, Context.Choice.meanOutstandingWork(Call.Service));
-  View.EngineTimePrice = Context.EngineTime.of(Call.Service, priority(),
+  View.EngineTimePrice = Context.Mix.delayCost(Call.Service, rank(),
                                                Call.Route->TargetLatency, Wait);
   View.MayEscalate = SentAttempts + 2 <= Call.Route->MaxAttempts &&
                      Context.Budget.available(Call.Service, Now,
--- a/src/routed_request.h
+++ b/src/routed_request.h
@@ -5,12 +5,12 @@
 #include "crash_detector.h"
 #include "endpoint_choice.h"
 #include "engine_pace.h"
-#include "engine_time_price.h"
 #include "event_splitter.h"
 #include "fleet_retry_budget.h"
 #include "http_exchange.h"
 #include "model_options.h"
 #include "part_quarantine.h"
+#include "request_mix.h"
 #include "request_quarantine.h"
 #include "routed_call.h"
 #include "version_shift.h"
@@ -55,7 +55,7 @@
   fleet_retry_budget &Budget;
   model_cascade &Cascade;
   engine_pace &Pace;
-  engine_time_price &EngineTime;
+  request_mix &Mix;
   answer_quality &Quality;
   request_quarantine &Quarantine;
   part_quarantine &Parts;
@@ -136,7 +136,7 @@
 
   bool isStream() const { return Call.Route->Kind == call_kind::Streaming; }
   bool choosesModel() const;
-  unsigned priority() const;
+  request_rank rank() const;
   mono_time callerDeadline() const;
   mono_time effectiveDeadline() const;
   bool mayAttempt(mono_time Now) const;
--- a/src/router.h
+++ b/src/router.h
@@ -177,7 +177,7 @@
   fleet_retry_budget Budget;
   model_cascade Cascade;
   engine_pace Pace;
-  engine_time_price EngineTime;
+  request_mix Mix;
   answer_quality Quality;
   crash_detector Crashes;
   request_quarantine Quarantine;
--- a/tests/engine_time_price_test.cpp
+++ b/tests/request_mix_test.cpp
@@ -1,7 +1,8 @@
-#define BOOST_TEST_MODULE engine_time_price
+#define BOOST_TEST_MODULE request_mix
+#include "call_work.h"
 #include "config.h"
-#include "engine_time_price.h"
 #include "model_cascade.h"
+#include "request_mix.h"
 
 #include <boost/test/unit_test.hpp>
 #include <vector>
@@ -11,26 +12,26 @@
 
 namespace {
 
-constexpr unsigned Urgent = 0;
-constexpr unsigned Batch = 2;
+constexpr request_rank Urgent{0, 0};
+constexpr request_rank Batch{2, 2};
 
 struct fixture {
-  engine_time_price Price;
+  request_mix Mix;
 
   /// Urgent requests with a short target, and twice as many long ones with a
   /// long target.
   void observeMix() {
     for (int Each = 0; Each < 100; ++Each) {
-      Price.recordRequest("engine", Urgent, 1s);
-      Price.recordRequest("engine", Batch, 4s);
-      Price.recordRequest("engine", Batch, 4s);
+      Mix.recordRequest("engine", Urgent, 1s);
+      Mix.recordRequest("engine", Batch, 4s);
+      Mix.recordRequest("engine", Batch, 4s);
     }
   }
   double urgent(duration Delay) const {
-    return Price.of("engine", Urgent, 1s, Delay);
+    return Mix.delayCost("engine", Urgent, 1s, Delay);
   }
   double batch(duration Delay) const {
-    return Price.of("engine", Batch, 4s, Delay);
+    return Mix.delayCost("engine", Batch, 4s, Delay);
   }
 
   /// The highest confidence at which a weak answer of the small model is
@@ -78,14 +79,15 @@
 
 BOOST_FIXTURE_TEST_CASE(requests_alike_pay_by_their_own_target, fixture) {
   for (int Each = 0; Each < 10; ++Each)
-    Price.recordRequest("engine", 1, 2s);
-  BOOST_TEST(Price.of("engine", 1, 2s, 500ms) == 0.25 * config::EngineTimePrice,
+    Mix.recordRequest("engine", {1, 1}, 2s);
+  BOOST_TEST(Mix.delayCost("engine", {1, 1}, 2s, 500ms) ==
+                 0.25 * config::EngineTimePrice,
              boost::test_tools::tolerance(1e-9));
 }
 
 // Failure: a VM that has just started knows no other requests.
 BOOST_FIXTURE_TEST_CASE(without_requests_the_own_target_counts, fixture) {
-  BOOST_TEST(Price.of("engine", Urgent, 1s, 100ms) ==
+  BOOST_TEST(Mix.delayCost("engine", Urgent, 1s, 100ms) ==
                  0.1 * config::EngineTimePrice,
              boost::test_tools::tolerance(1e-9));
 }
@@ -94,7 +96,29 @@
   observeMix();
   const double Before = batch(300ms);
   for (int Each = 0; Each < 1000; ++Each)
-    Price.recordRequest("engine", Batch, 4s);
+    Mix.recordRequest("engine", Batch, 4s);
   BOOST_TEST(batch(300ms) < 0.6 * Before);
   BOOST_TEST(urgent(300ms) < 0.5 * batch(300ms));
 }
+
+// Load: an urgent request on the large model behind long ones on the small
+// model, whose engine time is about as long.
+BOOST_FIXTURE_TEST_CASE(urgent_requests_run_first, fixture) {
+  observeMix();
+  const call_work Short{60, 0, 0};
+  const call_work Long{20, 0, 0};
+  const double Tolerated = Mix.tolerance("engine", Batch, 4s);
+  BOOST_TEST(Mix.tolerance("engine", Urgent, 1s) == 1);
+  BOOST_TEST(Tolerated == 64);
+  BOOST_TEST(urgencyOf(Short, 1) < urgencyOf(Long, Tolerated));
+  BOOST_TEST(urgencyOf(Short) > urgencyOf(Long));
+}
+
+BOOST_FIXTURE_TEST_CASE(customers_priority_goes_first, fixture) {
+  const request_rank OfCustomer{0, 2};
+  const request_rank OfRoute{1, 0};
+  Mix.recordRequest("engine", OfCustomer, 2s);
+  Mix.recordRequest("engine", OfRoute, 2s);
+  BOOST_TEST(Mix.delayCost("engine", OfCustomer, 2s, 1s) <
+             Mix.delayCost("engine", OfRoute, 2s, 1s));
+}
--- a/tests/routed_fixture.h
+++ b/tests/routed_fixture.h
@@ -60,7 +60,7 @@
   fleet_retry_budget Budget{{0.9, std::chrono::seconds(10), 3}};
   model_cascade Cascade;
   engine_pace Pace;
-  engine_time_price EngineTime;
+  request_mix Mix;
   answer_quality Quality;
   request_quarantine Quarantine;
   part_quarantine Parts;
@@ -74,7 +74,7 @@
       Budget,
       Cascade,
       Pace,
-      EngineTime,
+      Mix,
       Quality,
       Quarantine,
       Parts,
