Plan when refused callers come back, and tell the data centre

Callers would see: thousands who are refused in the same second are told the same half second, come back together and are refused again, and a caller that obeys Retry-After has no advantage over one that retries at once.

Cause: nobody kept what was told to whom.

return_schedule keeps an evenly spaced calendar for each service, customer and priority, with a phase that differs between VMs, and recognises a request that comes back at its time. return_exchange sends planned returns to the VMs of the data centre with the tick, or with the refusal if the return is near. Both do no I/O. Nothing plans returns yet; the admission gate will.

A plan may be used once on each VM that has its note, within its window, as VMs don't tell each other which returns arrived. Open plans for identical requests are limited, as they can't be told from retries of one caller.

--- a/src/config.h
+++ b/src/config.h
@@ -860,6 +860,34 @@
 /// Interval between log lines of the learned estimates.
 constexpr auto EstimateLogPeriod = 10s;
 
+// --- planned returns of refused callers --------------------------------------
+
+/// Spacing of a key's returns: bounds for any rate. With the second one, nine
+/// VMs still plan returns if their service runs one request a minute.
+constexpr auto MinReturnSpacing = 1ms;
+constexpr auto MaxReturnSpacing = 1h;
+/// A return counts as due this long before its time, as peers learn it by a
+/// note that takes as long to arrive; and this long after it, as the caller may
+/// need a second connection after one second. The first is below MinRetryAfter,
+/// so that a retry at once is never due.
+constexpr auto EarlyReturnTolerance = 50ms;
+constexpr auto LateReturnTolerance = 2s;
+/// Callers for whom no return can be planned are spread over at least this
+/// time.
+constexpr auto MinUnplannedReturnSpread = 1s;
+/// Returns that a VM knows, of its whole data centre; some 130 bytes each. At
+/// 5,000 requests a second and data centre, half of them returns, this is 8 s.
+constexpr std::size_t MaxPlannedReturns = 20'000;
+/// Open plans for identical requests, which can't be told from retries of one
+/// caller.
+constexpr std::size_t MaxReturnsPerRequest = 8;
+/// Keys with a calendar; some 50 bytes each.
+constexpr std::size_t MaxReturnCalendars = 4096;
+/// Notes per datagram, 16 bytes each.
+constexpr std::size_t MaxReturnNotes = 200;
+/// VMs whose latest batch is known, including ended incarnations.
+constexpr std::size_t MaxReturnSenders = 4096;
+
 // --- leases, budgets and stops of the router ---------------------------------
 
 /// Key lease as a fraction of the revocation bound. The lease is checked after
--- a/src/peer_datagrams.cpp
+++ b/src/peer_datagrams.cpp
@@ -142,8 +142,24 @@
               Heard.begin() + static_cast<std::ptrdiff_t>(
                                   mixBits(BroadcastCount++) % Heard.size()),
               Heard.end());
+  enqueue(encodeMessage(Kind, Bytes), std::move(Heard));
+}
+
+void peer_datagrams::multicast(std::span<const std::string> Addresses,
+                               peer_message Kind, std::string_view Bytes) {
+  std::vector<udp::endpoint> Recipients;
+  Recipients.reserve(Addresses.size());
+  for (const std::string &Address : Addresses)
+    if (const auto Parsed = parseAddress(Address))
+      Recipients.emplace_back(Parsed->address(), Parsed->port());
+  if (!Recipients.empty())
+    enqueue(encodeMessage(Kind, Bytes), std::move(Recipients));
+}
+
+void peer_datagrams::enqueue(std::string Message,
+                             std::vector<udp::endpoint> Recipients) {
   const bool IsWaiting = !Outbox.isEmpty();
-  Outbox.add(encodeMessage(Kind, Bytes), std::move(Heard));
+  Outbox.add(std::move(Message), std::move(Recipients));
   if (!IsWaiting)
     sendPortion();
 }
--- a/src/peer_datagrams.h
+++ b/src/peer_datagrams.h
@@ -9,6 +9,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <functional>
 #include <map>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -26,7 +27,8 @@
   Pause = 'W',
   Query = 'Q',
   Reply = 'A',
-  Announcement = 'N'
+  Announcement = 'N',
+  Returns = 'T'
 };
 
 /// Datagrams between the routers of a fleet. A router learns a peer's address
@@ -50,6 +52,9 @@
               std::string_view Bytes);
   /// Sends to all live peers, in portions that fit a link's buffer.
   void broadcast(peer_message Kind, std::string_view Bytes);
+  /// Sends to these addresses, in the same portions.
+  void multicast(std::span<const std::string> Addresses, peer_message Kind,
+                 std::string_view Bytes);
   /// Datagrams that the socket rejected.
   std::uint64_t sendErrors() const { return SendErrors; }
   std::size_t peerCount() const { return Peers.size(); }
@@ -85,6 +90,8 @@
   void receive();
   void sendBytes(const boost::asio::ip::udp::endpoint &Peer,
                  const std::string &Message);
+  void enqueue(std::string Message,
+               std::vector<boost::asio::ip::udp::endpoint> Recipients);
   void sendPortion();
   void dropSilentPeers(mono_time Now);
 
--- a/src/peer_paths.cpp
+++ b/src/peer_paths.cpp
@@ -38,6 +38,14 @@
                 [Now](const auto &Entry) { return Entry.second <= Now; });
 }
 
+std::vector<std::string> peer_paths::nearPeers() const {
+  std::vector<std::string> Found;
+  for (const auto &[Address, Peer] : Peers)
+    if (Peer.DataCentre == DataCentre)
+      Found.push_back(Address);
+  return Found;
+}
+
 bool peer_paths::mayReach(const peer &Peer, std::uint32_t Group,
                           mono_time Now) const {
   return Peer.AvoidedUntil <= Now &&
--- a/src/peer_paths.h
+++ b/src/peer_paths.h
@@ -47,6 +47,8 @@
   void expire(mono_time Now, duration Ttl);
   /// Whether digests of the peer arrive.
   bool isLive(std::string_view Peer) const { return Peers.contains(Peer); }
+  /// Addresses of the live peers of this VM's data centre.
+  std::vector<std::string> nearPeers() const;
 
   /// Whether some peer may reach the endpoint.
   bool hasPeerFor(const endpoint_info &Endpoint, mono_time Now) const;
--- a/src/router.cpp
+++ b/src/router.cpp
@@ -77,6 +77,13 @@
       Choice(Directory, Loads, Settings.DataCentre,
              stableHash(Settings.VmName, Incarnation)),
       Budget(limitsOf(Settings, config::AssumedVms)),
+      Returns(stableHash(Settings.VmName, Incarnation + 2)),
+      ReturnNotes(stableHash(Settings.VmName, Incarnation), Returns,
+                  [this](std::string_view Bytes) {
+                    if (Peers)
+                      Peers->multicast(Choice.paths().nearPeers(),
+                                       peer_message::Returns, Bytes);
+                  }),
       Requests{Choice,
                Budget,
                Cascade,
@@ -240,6 +247,7 @@
   std::string Body = R"({"error":")" + std::string(Row.Name) + R"(","ran":")" +
                      std::string(clementinelane::nameOf(Refusal.Ran)) +
                      R"(","message":")" + std::string(Row.Message) + "\"}";
+  ReturnNotes.onRefusal(now());
   Metrics.refused(Row.Name);
   logs::decision("refuse", {{"id", std::string(Id)},
                             {"kind", std::string(Row.Name)},
@@ -516,6 +524,8 @@
     return onRejections(Bytes);
   case peer_message::Pause:
     return onPeerPause(Bytes);
+  case peer_message::Returns:
+    return onPeerReturns(Bytes);
   case peer_message::Query:
     return Relay.handleQuery(Sender, Bytes, now());
   case peer_message::Reply:
@@ -606,6 +616,11 @@
               {"pause_ms", std::to_string(Note->Left.count())}});
 }
 
+void router::onPeerReturns(std::string_view Bytes) {
+  if (!ReturnNotes.onMessage(Bytes, now()))
+    logs::warning("returns_unreadable", {});
+}
+
 // --- runs of sessions --------------------------------------------------------
 
 void router::sendRunMessage(const std::string &Address,
@@ -736,6 +751,7 @@
   tickQuarantine(Now);
   tickParts(Now);
   tickDigest(Now);
+  ReturnNotes.onTick(Now);
   tickRuns(Now);
   logEstimates(Now);
   Relay.expire(Now);
--- a/src/router.h
+++ b/src/router.h
@@ -9,6 +9,8 @@
 #include "peer_datagrams.h"
 #include "peer_loads.h"
 #include "platform.h"
+#include "return_exchange.h"
+#include "return_schedule.h"
 #include "routed_request.h"
 #include "router_metrics.h"
 #include "router_settings.h"
@@ -149,6 +151,7 @@
   void sendCrashNotes(mono_time Now);
   void onRejections(std::string_view Bytes);
   void onPeerPause(std::string_view Bytes);
+  void onPeerReturns(std::string_view Bytes);
   void sendPause(const endpoint_info &Endpoint, std::string_view Peer,
                  duration Pause);
   void sendRejections();
@@ -182,6 +185,8 @@
   crash_detector Crashes;
   request_quarantine Quarantine;
   part_quarantine Parts;
+  return_schedule Returns;
+  return_exchange ReturnNotes;
   mono_time EstimatesLoggedAt{};
   std::map<std::string, std::unique_ptr<version_shift>, std::less<>> Shifts;
   std::map<std::string, status_times, std::less<>> StatusTimes;
