Entries of other writers: two more malformed records

Callers could see: an entry with more slots than fit the count was read as an endpoint with few slots; a record of the newest page whose value isn't text made the whole page unreadable, so that no entry of it held. Tests: 16 more malformed entries, the page, and a router whose store gets an unreadable entry over a known one and one under a new id.

--- a/tests/platform_records_test.cpp
+++ b/tests/platform_records_test.cpp
@@ -97,6 +97,22 @@
       {"\"version\":\"v1\",", ""},
       {"\"sequence\":4", "\"sequence\":4.5"},
       {"\"sequence\":4", "\"sequence\":4,\"born\":\"today\""},
+      {"\"sequence\":4", "\"sequence\":4,\"born\":4.5"},
+      {"\"sequence\":4", "\"sequence\":4,\"born\":true"},
+      {"\"sequence\":4", "\"sequence\":4,\"born\":null"},
+      {",\"sequence\":4", ""},
+      {"\"slots\":64,", ""},
+      {"\"slots\":64", "\"slots\":4294967297"},
+      {"\"state\":\"ready\"", "\"state\":1"},
+      {"\"service\":\"x\",", ""},
+      {"\"10.0.0.9:8080\"", "8080"},
+      {"\"zone\":\"hall-a\"", "\"zone\":[]"},
+      {"\"zone\":\"hall-a\",", ""},
+      {"\"cold_remaining_ms\":0", "\"cold_remaining_ms\":\"0\""},
+      {"\"cold_remaining_ms\":0,", ""},
+      {"hall-a", "\xff"},
+      {Entry, "7"},
+      {Entry, ""},
       {"{", "["}};
   for (const auto &[From, To] : Wrong)
     BOOST_TEST(!decodeEndpoint("i-1", replaced(Entry, From, To)).has_value(),
@@ -144,6 +160,18 @@
   BOOST_TEST(!Page->Records[1].Value.has_value());
 }
 
+// Guards against a value that isn't text and makes the whole page unreadable.
+BOOST_AUTO_TEST_CASE(newest_record_without_text_leaves_the_others) {
+  const auto Page = decodeNewestPage(
+      R"({"items":[{"key":"a","value":7,"offset":3},{"key":"b","offset":4},)"
+      R"({"key":"c","value":"aGVsbG8=","offset":5}],"end_offset":6})");
+  BOOST_REQUIRE(Page.has_value());
+  BOOST_REQUIRE(Page->Records.size() == 3U);
+  BOOST_TEST(!Page->Records[0].Value.has_value());
+  BOOST_TEST(!Page->Records[1].Value.has_value());
+  BOOST_TEST(*Page->Records[2].Value == "hello");
+}
+
 // Guards against decoders that throw, or read out of bounds, on arbitrary bytes
 // from the store.
 BOOST_AUTO_TEST_CASE(decoders_accept_any_bytes) {
--- a/tests/router_test.cpp
+++ b/tests/router_test.cpp
@@ -189,6 +189,22 @@
   }
 }
 
+// Another writer overwrites an endpoint's entry and adds one that can't be
+// read. Neither names an endpoint, and the other entries still hold.
+BOOST_FIXTURE_TEST_CASE(unreadable_entries_leave_the_others, fixture) {
+  Thread.run([&] {
+    Store->put("keyed.servers", "p1", "\xff{");
+    Store->put("keyed.servers", "x1", "[7]");
+  });
+  await([] { return call("/booking/1", "b1").starts_with("HTTP/1.1 503"); });
+  BOOST_TEST(call("/review/1", "r1").ends_with("0\r\n\r\n"));
+  Thread.run([&] {
+    Store->put("keyed.servers", "p1", entry("portal", "127.0.0.1:17437"));
+  });
+  await([] { return call("/booking/1", "b2").starts_with("HTTP/1.1 200"); });
+  BOOST_TEST(call("/review/1", "r2").ends_with("0\r\n\r\n"));
+}
+
 // An operator revokes a customer's key. Requests with it are refused soon
 // after; those with the other key are still served.
 BOOST_FIXTURE_TEST_CASE(revoked_key_is_refused, fixture) {
