Cut off answers that never end

Callers saw: an endpoint whose chunk size, chunk extension, trailer, interim heads, plain body or event never ends was read until the caller's deadline; the caller got 504, and the endpoint kept getting requests. Cause: only heads had a limit. The parser waits for the end of a chunk header or trailer however long it is; skipped responses, plain bodies and incomplete events were taken in without a bound. Change: framing_limit bounds what isn't body: an incomplete head, chunk header or trailer, the sum of them by the length of the body, and the bodies of skipped responses. Beyond it the exchange fails as a broken answer, counts against the endpoint and is tried elsewhere where that is allowed. A plain answer or an event longer than a caller's connection may hold unsent, which could not be delivered, fails its attempt likewise; an error that long is answered without its body. The event splitter searches each line once.

--- a/src/config.h
+++ b/src/config.h
@@ -563,12 +563,19 @@
 /// Maximum bytes buffered beyond the current request; callers rarely pipeline.
 constexpr std::size_t MaxPipelinedBytes = 64U << 10U;
 /// Maximum unsent bytes of an answer: twice the largest plain answer, or a
-/// stream of 6,000 events.
+/// stream of 6,000 events. An endpoint's plain answer or event beyond it can't
+/// be delivered, so no more is buffered.
 constexpr std::size_t MaxAnswerBufferBytes = 256U << 10U;
 /// Time for the caller to read the last bytes before its connection is closed.
 constexpr auto CloseLingerTimeout = 2s;
-/// Maximum bytes of the head of an endpoint's response.
+/// Maximum bytes of the head of an endpoint's response, and of a chunk header
+/// or the trailers.
 constexpr std::size_t MaxEndpointHeaderBytes = 32U << 10U;
+/// Maximum bytes that are no body, in all heads, chunk headers and trailers of
+/// an exchange; and how many more for each byte of the body, which leaves room
+/// for chunks of one byte with a signed extension.
+constexpr std::size_t MaxEndpointFramingBytes = 2 * MaxEndpointHeaderBytes;
+constexpr std::size_t MaxFramingPerBodyByte = 256;
 /// Connections within a region are established within a few ms. A lost SYN is
 /// retransmitted only after a second, so a new attempt is faster.
 constexpr auto EndpointConnectTimeout = 300ms;
--- a/src/event_splitter.cpp
+++ b/src/event_splitter.cpp
@@ -6,9 +6,10 @@
 
 namespace {
 
-/// Offset just past the blank line that ends the first event, or npos.
-std::size_t endOfEvent(std::string_view Text) {
-  std::size_t Line = 0;
+/// Offset just past the blank line that ends the first event, or npos. `Line`
+/// is the start of the first line to search, and then of the line where the
+/// search ended.
+std::size_t endOfEvent(std::string_view Text, std::size_t &Line) {
   while (true) {
     const std::size_t End = Text.find('\n', Line);
     if (End == std::string_view::npos)
@@ -47,12 +48,13 @@
 
 std::optional<stream_event> event_splitter::next() {
   const std::string_view Rest = std::string_view(Pending).substr(Start);
-  const std::size_t End = endOfEvent(Rest);
+  const std::size_t End = endOfEvent(Rest, Line);
   if (End == std::string_view::npos) {
     Pending.erase(0, Start);
     Start = 0;
     return std::nullopt;
   }
+  Line = 0;
   stream_event Event{std::string(Rest.substr(0, End)),
                      idOf(Rest.substr(0, End))};
   Start += End;
@@ -62,6 +64,7 @@
 void event_splitter::reset() {
   Pending.clear();
   Start = 0;
+  Line = 0;
 }
 
 } // namespace clementinelane
--- a/src/event_splitter.h
+++ b/src/event_splitter.h
@@ -30,6 +30,7 @@
 private:
   std::string Pending;
   std::size_t Start = 0;
+  std::size_t Line = 0; ///< within the rest; all lines before were searched
 };
 
 } // namespace clementinelane
--- a/src/http_exchange.cpp
+++ b/src/http_exchange.cpp
@@ -95,8 +95,10 @@
   void onReadable(const error_code &WaitError) {
     if (IsClosed)
       return;
+    const std::size_t Before = Pending.size();
     const error_code Error =
         WaitError ? WaitError : readAvailable(*Socket, Pending);
+    Framing.addReceived(Pending.size() - Before);
     if (Error == asio::error::would_block) {
       read();
       return;
@@ -106,6 +108,8 @@
       return;
     }
     parse();
+    if (Framing.isExceeded(Pending.size()))
+      fail(exchange_failure::BrokenAnswer);
     if (!IsClosed)
       read();
   }
@@ -166,7 +170,12 @@
 
   void reportBody() {
     std::string Bytes = Reader->takeBody();
-    if (!Bytes.empty() && !IsSkipped)
+    if (IsSkipped) {
+      Framing.addSkippedBody(Bytes.size());
+      return;
+    }
+    Framing.addBody(Bytes.size());
+    if (!Bytes.empty())
       invoke(Events.OnBody, std::move(Bytes));
   }
 
@@ -199,6 +208,7 @@
   http_exchange_events Events;
   std::unique_ptr<http_response_reader> Reader;
   std::string Pending;
+  framing_limit Framing;
   bool IsHeadReported = false;
   bool IsSkipped = false; ///< current response is interim or of another request
   bool IsClosed = false;
--- a/src/http_framing.cpp
+++ b/src/http_framing.cpp
@@ -1,5 +1,7 @@
 #include "http_framing.h"
 
+#include "config.h"
+
 #include <algorithm>
 #include <array>
 #include <boost/asio/buffer.hpp>
@@ -183,6 +185,23 @@
 template class http_reader<true>;
 template class http_reader<false>;
 
+void framing_limit::addBody(std::size_t Bytes) {
+  Framing -= Bytes;
+  Body += Bytes;
+}
+
+void framing_limit::addSkippedBody(std::size_t Bytes) {
+  Framing -= Bytes;
+  SkippedBody += Bytes;
+}
+
+bool framing_limit::isExceeded(std::size_t Unparsed) const {
+  return Unparsed > config::MaxEndpointHeaderBytes ||
+         SkippedBody > config::MaxAnswerBufferBytes ||
+         Framing > config::MaxEndpointFramingBytes +
+                       config::MaxFramingPerBodyByte * Body;
+}
+
 std::string requestHeadText(const http_head &Head) {
   std::string Text = Head.Method + " " + Head.Target + " HTTP/1.1\r\n";
   appendFields(Text, Head);
--- a/src/http_framing.h
+++ b/src/http_framing.h
@@ -93,6 +93,27 @@
 extern template class http_reader<true>;
 extern template class http_reader<false>;
 
+/// Limits the bytes of an exchange that are no part of its answer's body.
+///
+/// Load: an endpoint whose chunk header, trailer or series of interim heads
+/// never ends. Harm prevented: its bytes are read until the caller's deadline,
+/// the caller gets no answer, and the endpoint keeps attracting requests.
+class framing_limit {
+public:
+  void addReceived(std::size_t Bytes) { Framing += Bytes; }
+  /// Of the received bytes, `Bytes` belong to the answer's body.
+  void addBody(std::size_t Bytes);
+  /// Of the received bytes, `Bytes` belong to the body of a skipped response.
+  void addSkippedBody(std::size_t Bytes);
+  /// `Unparsed`: received bytes of an incomplete head, chunk header or trailer.
+  bool isExceeded(std::size_t Unparsed) const;
+
+private:
+  std::uint64_t Framing = 0; ///< received bytes that are no body
+  std::uint64_t Body = 0;
+  std::uint64_t SkippedBody = 0;
+};
+
 /// The serialized head, with the blank line at its end.
 std::string requestHeadText(const http_head &Head);
 std::string responseHeadText(const http_head &Head);
--- a/src/routed_request.cpp
+++ b/src/routed_request.cpp
@@ -585,9 +585,28 @@
   if (isStream() && Attempt->Response->isSuccess()) {
     Splitter.add(Bytes);
     forwardEvents(Now);
+    if (Splitter.pending() > config::MaxAnswerBufferBytes)
+      onAnswerTooLong(Now);
     return;
   }
   Attempt->Body += Bytes;
+  if (Attempt->Body.size() > config::MaxAnswerBufferBytes)
+    onAnswerTooLong(Now);
+}
+
+// Load: a plain answer or an event that never ends. Harm prevented: it fills
+// the memory until the caller's deadline, and the caller gets no answer. The
+// status of an error is known, so it is answered without its body.
+void routed_request::onAnswerTooLong(mono_time Now) {
+  if (IsOver || !Attempt)
+    return;
+  if (Attempt->Response->isSuccess()) {
+    failAttempt(attempt_result::Broken, true, "answer_too_long", Now);
+    return;
+  }
+  Attempt->Body.clear();
+  Outputs.cancelAttempt();
+  onEnd(Now);
 }
 
 void routed_request::forwardEvents(mono_time Now) {
--- a/src/routed_request.h
+++ b/src/routed_request.h
@@ -168,6 +168,7 @@
   bool escalatesModel(mono_time Now);
   bool mayRunAgain(mono_time Now) const;
   void forwardEvents(mono_time Now);
+  void onAnswerTooLong(mono_time Now);
   void endAttempt(attempt_result Result, mono_time Now);
   void recordSample(sample_type Kind, mono_time Now, duration Time = {});
   void failAttempt(attempt_result Result, bool MayHaveRun,
--- a/tests/routed_request_test.cpp
+++ b/tests/routed_request_test.cpp
@@ -270,6 +270,91 @@
   BOOST_TEST(Out.Attempts.size() == 2U);
 }
 
+// Failure: an event that never ends. The stream resumes elsewhere after the
+// last whole event.
+BOOST_FIXTURE_TEST_CASE(endless_event_is_tried_elsewhere, routed_fixture) {
+  auto Request = stream();
+  Request->onSent(Now);
+  Request->onHead(answerWithConfidence(90), Now);
+  Request->onBody(event(1) + "data: ", Now);
+  const std::string Part(4096, 'x');
+  std::size_t Sent = 0;
+  for (; Out.Attempts.size() == 1 && Sent < 1U << 20U; Sent += Part.size())
+    Request->onBody(Part, Now);
+  BOOST_TEST(Sent <= config::MaxAnswerBufferBytes + Part.size());
+  BOOST_REQUIRE(Out.Attempts.size() == 2U);
+  BOOST_TEST(Out.Attempts[1].Endpoint.Id != Out.Attempts[0].Endpoint.Id);
+  BOOST_TEST(*Out.Attempts[1].ResumeFrom == 1U);
+  BOOST_TEST(Out.Cancelled == 1U);
+}
+
+// Failure: an endpoint's plain answers never end. Each request is tried
+// elsewhere, and the endpoint soon gets no more of them.
+BOOST_FIXTURE_TEST_CASE(endless_plain_answers_are_tried_elsewhere,
+                        routed_fixture) {
+  const std::string Part(64U << 10U, 'x');
+  unsigned Endless = 0;
+  for (int Each = 0; Each < 30; ++Each) {
+    const auto Request = lookup();
+    for (std::size_t Try = 0; Try < Out.Attempts.size(); ++Try) {
+      Request->onSent(Now);
+      Request->onHead(answer(200), Now);
+      if (Out.Attempts[Try].Endpoint.Id != "p1") {
+        Request->onBody("ok", Now);
+        Request->onEnd(Now);
+        continue;
+      }
+      ++Endless;
+      for (int Parts = 0; Parts < 10 && Out.Attempts.size() == Try + 1; ++Parts)
+        Request->onBody(Part, Now);
+    }
+    BOOST_TEST(Out.Whole.has_value());
+    BOOST_TEST(Out.WholeBody == "ok");
+  }
+  BOOST_TEST(Endless >= 1U);
+  BOOST_TEST(Endless <= 3U);
+}
+
+// A call that isn't idempotent may have run, so it isn't tried elsewhere.
+BOOST_FIXTURE_TEST_CASE(endless_answer_of_non_idempotent_call, routed_fixture) {
+  auto Request = booking();
+  Request->onSent(Now);
+  Request->onHead(answer(200), Now);
+  Request->onBody(std::string(config::MaxAnswerBufferBytes + 1, 'x'), Now);
+  BOOST_TEST(Out.Attempts.size() == 1U);
+  BOOST_REQUIRE(Out.Refused.has_value());
+  BOOST_TEST((Out.Refused->Kind == error_kind::EndpointFailed));
+  BOOST_TEST((Out.Refused->Ran == run_state::MayHaveRun));
+}
+
+// Failure: the body of an error never ends. The caller gets the error without
+// it.
+BOOST_FIXTURE_TEST_CASE(endless_error_is_answered_without_body,
+                        routed_fixture) {
+  auto Request = booking();
+  Request->onSent(Now);
+  Request->onHead(answer(500), Now);
+  Request->onBody(std::string(config::MaxAnswerBufferBytes + 1, 'x'), Now);
+  BOOST_TEST(Request->isOver());
+  BOOST_TEST(Out.Cancelled == 1U);
+  BOOST_REQUIRE(Out.Whole.has_value());
+  BOOST_TEST(Out.Whole->Status == 500U);
+  BOOST_TEST(Out.WholeBody.empty());
+}
+
+// Guards against bodies that are cut although they can be delivered.
+BOOST_FIXTURE_TEST_CASE(longest_plain_answer_is_whole, routed_fixture) {
+  for (const unsigned Status : {200U, 500U}) {
+    auto Request = booking();
+    Request->onSent(Now);
+    Request->onHead(answer(Status), Now);
+    Request->onBody(std::string(config::MaxAnswerBufferBytes, 'x'), Now);
+    Request->onEnd(Now);
+    BOOST_REQUIRE(Out.Whole.has_value());
+    BOOST_TEST(Out.WholeBody.size() == config::MaxAnswerBufferBytes);
+  }
+}
+
 // All attempts of a stream were cut off: the caller must see that the response
 // is truncated.
 BOOST_FIXTURE_TEST_CASE(stream_without_attempts_left_is_aborted,
