Send to chosen peers in portions, in varying order

Callers would see: returns that VMs of the data centre don't recognise, if a full link buffer always drops the notes of the same peers.

Batches of planned returns go to the peers of the data centre alone, in the same portions as broadcasts and with the same rotation. peer_datagrams_test has a case for the recipients; peer_datagrams_test, peer_paths_test, router_test and return_schedule_test pass.

--- a/src/peer_datagrams.cpp
+++ b/src/peer_datagrams.cpp
@@ -136,12 +136,6 @@
       Heard.push_back(Address);
   if (Heard.empty())
     return;
-  // The order varies so that drops within a portion don't always hit the same
-  // peers.
-  std::rotate(Heard.begin(),
-              Heard.begin() + static_cast<std::ptrdiff_t>(
-                                  mixBits(BroadcastCount++) % Heard.size()),
-              Heard.end());
   enqueue(encodeMessage(Kind, Bytes), std::move(Heard));
 }
 
@@ -158,6 +152,13 @@
 
 void peer_datagrams::enqueue(std::string Message,
                              std::vector<udp::endpoint> Recipients) {
+  // The order varies so that drops within a portion don't always hit the same
+  // peers.
+  std::rotate(Recipients.begin(),
+              Recipients.begin() +
+                  static_cast<std::ptrdiff_t>(mixBits(BroadcastCount++) %
+                                              Recipients.size()),
+              Recipients.end());
   const bool IsWaiting = !Outbox.isEmpty();
   Outbox.add(std::move(Message), std::move(Recipients));
   if (!IsWaiting)
--- a/tests/peer_datagrams_test.cpp
+++ b/tests/peer_datagrams_test.cpp
@@ -2,6 +2,7 @@
 #include "loopback.h"
 #include "peer_datagrams.h"
 
+#include <algorithm>
 #include <boost/test/unit_test.hpp>
 #include <numeric>
 
@@ -52,6 +53,35 @@
   BOOST_TEST(Heard[1].Cores == 0.5);
 }
 
+// Guards against a message that also reaches peers it isn't meant for.
+BOOST_AUTO_TEST_CASE(multicast_reaches_only_its_addresses) {
+  reservePorts();
+  boost::asio::io_context Context;
+  const system_runtime_clock Clock;
+  std::vector<std::string> Reached;
+  const auto Record = [&Reached](std::string Name) {
+    return [&Reached, Name = std::move(Name)](peer_message Kind, const auto &,
+                                              std::string_view Bytes) {
+      if (Kind == peer_message::Returns)
+        Reached.push_back(Name + ' ' + std::string(Bytes));
+    };
+  };
+  peer_datagrams From(Context, Clock, "127.0.0.1:17460", Record("from"));
+  peer_datagrams Near(Context, Clock, "127.0.0.1:17461", Record("near"));
+  peer_datagrams Far(Context, Clock, "127.0.0.1:17462", Record("far"));
+  From.addPeers({"127.0.0.1:17461", "127.0.0.1:17462"});
+  From.multicast({}, peer_message::Returns, "none");
+  const std::vector<std::string> Addresses{"127.0.0.1:17461", "no address"};
+  From.multicast(Addresses, peer_message::Returns, "notes");
+  // Loopback delivers in order: when the broadcast is there, all is.
+  From.broadcast(peer_message::Returns, "end");
+  while (Reached.size() < 3)
+    Context.run_one();
+  std::sort(Reached.begin(), Reached.end());
+  const std::vector<std::string> Expected{"far end", "near end", "near notes"};
+  BOOST_TEST(Reached == Expected, boost::test_tools::per_element());
+}
+
 // Guards against bursts: 3 KB sent to 70 peers at once overflow a link buffer
 // of 64 KB, which drops them for two thirds of the peers, always the last ones.
 BOOST_AUTO_TEST_CASE(broadcast_is_sent_in_portions) {
