Show planned returns in the metrics

Operators would see nothing of the returns that a VM knows, nor that VMs of one data centre know different ones since notes are lost.

--- a/src/router.cpp
+++ b/src/router.cpp
@@ -280,6 +280,7 @@
       static_cast<double>(Choice.slowStart().countCold(now()));
   Gauges.LeavingEndpoints = static_cast<double>(Directory.leaves().size());
   Gauges.PausedEndpoints = static_cast<double>(Choice.pauses().size());
+  Gauges.PlannedReturns = static_cast<double>(Returns.size());
   Gauges.LimitedEndpoints = static_cast<double>(Choice.limits().countLimited());
   Gauges.GuardedServices = static_cast<double>(Choice.guard().countGuarded());
   Gauges.EvacuatedDataCentres =
--- a/src/router_metrics.cpp
+++ b/src/router_metrics.cpp
@@ -68,7 +68,7 @@
 };
 
 using g = router_metrics::gauges;
-constexpr std::array<gauge_row, 21> GaugeRows{{
+constexpr std::array<gauge_row, 22> GaugeRows{{
     {"clementine_open_requests", "requests currently being processed",
      &g::OpenRequests},
     {"clementine_caller_connections", "connections of callers",
@@ -91,6 +91,9 @@
     {"clementine_endpoints_paused",
      "endpoints that want no requests from this VM for a while",
      &g::PausedEndpoints},
+    {"clementine_returns_planned",
+     "planned returns of refused requests, of the whole data centre",
+     &g::PlannedReturns},
     {"clementine_services_guarded",
      "services whose endpoints name a limit on rejections",
      &g::GuardedServices},
--- a/src/router_metrics.h
+++ b/src/router_metrics.h
@@ -41,6 +41,7 @@
     double LimitedEndpoints = 0;
     double LeavingEndpoints = 0;
     double PausedEndpoints = 0;
+    double PlannedReturns = 0;
     double GuardedServices = 0;
     double EvacuatedDataCentres = 0;
     double QuarantinedRequests = 0;
