Keep the least wait for callers without a calendar

Callers would see: a Retry-After of a millisecond or less, and a busy loop, when more keys have calendars than are kept and the rate is high.

Cause: the wait without a calendar was the spacing of the rate. It is now at least config::MinRetryAfter. The case memory_is_bounded failed with a rate of 1,000 a second before the change; return_schedule_test passes.

--- a/src/return_schedule.cpp
+++ b/src/return_schedule.cpp
@@ -62,7 +62,8 @@
 // Failure: all callers for whom there is no time are told the same instant and
 // return together.
 duration return_schedule::spreadUnplanned(duration Wait) {
-  const duration Least = std::min<duration>(Wait, config::MaxRetryAfter);
+  const duration Least =
+      std::clamp<duration>(Wait, config::MinRetryAfter, config::MaxRetryAfter);
   const duration Range =
       std::max<duration>(Least, config::MinUnplannedReturnSpread);
   const double Turn = static_cast<double>(++Unplanned) * GoldenFraction;
--- a/tests/return_schedule_test.cpp
+++ b/tests/return_schedule_test.cpp
@@ -221,7 +221,8 @@
   return_schedule Keys;
   for (std::uint32_t Customer = 0; Customer < 2 * config::MaxReturnCalendars;
        ++Customer)
-    BOOST_TEST((Keys.plan({1, Customer, 0}, Customer, 10, Long, Start) > 0s));
+    BOOST_TEST((Keys.plan({1, Customer, 0}, Customer, 1000, Long, Start) >=
+                config::MinRetryAfter));
   BOOST_TEST(Keys.size() == config::MaxReturnCalendars);
   Keys.expire(Start + 2h);
   Keys.plan({2, 1, 0}, 1, 10, Long, Start + 2h);
