Probe an unavailable store with one call of a VM for all topics

What callers would see: nothing different while the store is available or away; the calls are billed to the operator and delay the store's recovery.

Cause: each VM follows four topics or more, and each follower backed off for itself. When the readers of the fleet had no recent confirmation, every VM called the store for each topic at the same moment and went on so.

Change: store_backoff decides for all followers of a VM. After a failed call, or when the readers know nothing new and the store hasn't answered this VM recently, one call at a time probes for all topics; the first answer lets all waiting followers go on at once. Readers probe every StoreRetryDelay as before. The other VMs' intervals grow with the fleet, so that their probes stay within StoreProbesPerSecond, but while a VM may hold its lease on the customers' keys it probes again before the lease ends. A single failed call is still retried at once, the failure of one topic while others are answered is no outage, and an answer to a call from before the outage doesn't end it. While held, followers go on querying their readers, also for a listing at the start. Log lines store_outage and store_outage_ended give length and failed calls.

Appends aren't held back; their results count for the decision.

--- a/src/config.h
+++ b/src/config.h
@@ -1012,10 +1012,22 @@
 /// would time out.
 constexpr auto StoreProbeTimeout = 600ms;
 constexpr auto StoreConnectTimeout = 500ms;
-/// Delay after a failed call. Routers that also have a reader to query double
-/// it with each further failure, up to the maximum.
+/// Between probes of an unavailable store. Routers that also have a reader to
+/// query double it with each further failure, up to the maximum.
 constexpr auto StoreRetryDelay = 250ms;
 constexpr auto MaxStoreRetryDelay = 1s;
+/// Probes of all routers other than readers. Larger fleets probe at longer
+/// intervals to stay within it, up to the maximum: a router that reaches the
+/// store but no reader refuses requests until its next probe.
+constexpr double StoreProbesPerSecond = 50;
+constexpr auto MaxStoreProbeInterval = 10s;
+/// Fraction by which an interval between probes is lengthened at random.
+constexpr double StoreProbeJitter = 0.5;
+/// A probe whose result isn't known after this time is lost; the longest call
+/// takes as long.
+constexpr auto StoreProbeLifetime = StoreConnectTimeout + StoreCallTimeout;
+/// Failed calls in succession that are logged as an outage.
+constexpr unsigned StoreOutageFailures = 3;
 /// Interval between checks of the settings file, which may change without a
 /// signal.
 constexpr auto SettingsPollInterval = 1s;
--- a/src/read_relay.cpp
+++ b/src/read_relay.cpp
@@ -268,6 +268,10 @@
   return std::find(Readers.begin(), Readers.end(), OwnAddress) != Readers.end();
 }
 
+std::size_t read_relay::liveVms(mono_time Now) const {
+  return 1 + (Peers ? Peers->livePeers(Now).size() : 0);
+}
+
 bool read_relay::hasRecentReply(mono_time Now) const {
   return ReplyConfirmedAt && Now - *ReplyConfirmedAt <= config::MaxRelayedAge;
 }
--- a/src/read_relay.h
+++ b/src/read_relay.h
@@ -142,6 +142,8 @@
   /// one if it is a reader or hears no other router.
   std::vector<std::string> readers(mono_time Now) const;
   bool isReader(mono_time Now) const;
+  /// Number of live routers, including this one.
+  std::size_t liveVms(mono_time Now) const;
   const std::string &ownAddress() const { return OwnAddress; }
   /// Whether another router's reply recently confirmed records for this one.
   bool hasRecentReply(mono_time Now) const;
--- a/src/router.cpp
+++ b/src/router.cpp
@@ -40,11 +40,6 @@
               static_cast<double>(std::max<std::size_t>(1, Vms))};
 }
 
-duration leaseTerm(const router_settings &Settings) {
-  return std::chrono::duration_cast<duration>(Settings.RevocationBound *
-                                              config::KeyLeaseFraction);
-}
-
 /// Tunnels for other VMs at once. They cost descriptors and two buffers of
 /// config::SocketReadBytes each.
 constexpr std::size_t MaxTunnels = 512;
@@ -72,7 +67,7 @@
       Relay(Relay), Connector(Connector),
       Incarnation(static_cast<std::uint64_t>(
           Clock.wallNow().time_since_epoch().count())),
-      StartedAt(Clock.bootNow()), Lease(leaseTerm(Settings)),
+      StartedAt(Clock.bootNow()), Lease(keyLease(Settings)),
       Directory(config::LapsedEntryGrace),
       Choice(Directory, Loads, Settings.DataCentre,
              stableHash(Settings.VmName, Incarnation)),
@@ -157,7 +152,7 @@
 
 void router::apply(const router_settings &Value) {
   Settings = Value;
-  Lease.setTerm(leaseTerm(Settings));
+  Lease.setTerm(keyLease(Settings));
   Budget.setLimits(limitsOf(Settings, knownVms()));
   for (auto &[Service, Shift] : Shifts)
     configure(*Shift);
--- a/src/router_settings.h
+++ b/src/router_settings.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "clock.h"
+#include "config.h"
 
 #include <cstddef>
 #include <map>
@@ -37,4 +38,10 @@
   std::chrono::milliseconds SessionTtl{5'000};
 };
 
+/// How long customers' keys stay valid without a confirmation.
+inline duration keyLease(const router_settings &Settings) {
+  return std::chrono::duration_cast<duration>(Settings.RevocationBound *
+                                              config::KeyLeaseFraction);
+}
+
 } // namespace clementinelane
--- a/tools/router/main.cpp
+++ b/tools/router/main.cpp
@@ -86,6 +86,7 @@
     cl::logs::info("settings_reloaded", {{"file", Path}});
     Router.apply(Parsed.Value);
     Platform.setStoreAddress(Parsed.Value.PlatformAddress);
+    Platform.setKeyLease(cl::keyLease(Parsed.Value));
   }
 
   boost::asio::signal_set Hangup;
@@ -103,6 +104,7 @@
   cl::read_relay Relay(Settings.PeerAddress, Settings.Cores);
   cl::platform_adapter Platform(Context, Clock, Settings.PlatformAddress,
                                 Relay);
+  Platform.setKeyLease(cl::keyLease(Settings));
   const std::string Metrics =
       FLAGS_metrics_port > 0
           ? Settings.Address + ":" + std::to_string(FLAGS_metrics_port)
