Divide a service that is short of capacity among customers

Callers of a customer that keeps to its usual load were rejected in proportion to another customer's burst, and requests that could not run were tried at up to three endpoints first.

--- a/src/config.h
+++ b/src/config.h
@@ -1078,6 +1078,63 @@
 /// begins may still get its first event out.
 constexpr unsigned PartServedEvents = 2;
 
+// --- shares of a service that is short of capacity ---------------------------
+
+/// Averaging time of the rates of requests, runs and rejections.
+constexpr auto ShareRateTime = 2s;
+/// The least part of that time that a rate is taken from.
+constexpr double MinRateSeen = 0.4;
+/// Between updates of capacity and shares.
+constexpr auto ShareRefreshInterval = 100ms;
+/// A service becomes short if endpoints reject more than this part of the
+/// attempts, and at least this many per second.
+constexpr double ShortageRejectedPart = 0.05;
+constexpr double ShortageMinRejections = 2;
+/// A shortage ends once the capacity exceeds the demand by this factor.
+constexpr double ShortageEndFactor = 1.01;
+/// Rejected part of the attempts at which the capacity is what ran; retries
+/// elsewhere make up for so many.
+constexpr double CapacityRejectedPart = 0.03;
+/// Change of the headroom, which is the capacity as a multiple of what ran,
+/// with the rejected part, and its minimum.
+constexpr double HeadroomGain = 0.6;
+constexpr double MinHeadroom = 0.97;
+/// Rejected part of the attempts below which endpoints surely have room.
+constexpr double CapacityFreePart = 0.01;
+/// Part of what ran lately below which endpoints are coming back.
+constexpr double LowCapacityPart = 0.8;
+constexpr auto CapacityMemoryTime = 30s;
+/// Growth of the headroom per second, and its bound; 0: none.
+struct headroom_growth {
+  double PerSecond = 0;
+  double Bound = 0;
+};
+constexpr headroom_growth FreeHeadroomGrowth{0.1, 1.15};
+constexpr headroom_growth LowHeadroomGrowth{0.5, 1.5};
+/// Requests per second; enough to notice that endpoints run requests again.
+constexpr double MinSharedCapacity = 5;
+/// Part of the capacity that each priority gets if it needs it.
+constexpr double GuaranteedPriorityPart = 0.05;
+/// Requests that a key may be ahead of or behind its share in one VM.
+constexpr double MaxShareCredit = 2;
+constexpr double MinShareCredit = -8;
+/// Rates per second below which digests don't carry them, and below which they
+/// are forgotten.
+constexpr double MinShareNoteRate = 0.02;
+constexpr double MinShareRate = 0.001;
+/// Rows in a digest, some 12 bytes each.
+constexpr std::size_t MaxDemandNotes = 24;
+constexpr std::size_t MaxOutcomeNotes = 8;
+/// A request may wait in this VM for the target latency divided by this; the
+/// caller doesn't notice so short a wait.
+constexpr int UnnoticedWaitDivisor = 8;
+/// Requests that wait in one VM for their share.
+constexpr std::size_t MaxShareWaits = 64;
+/// Part of a key's rate that planned returns may use, and their least rate per
+/// second.
+constexpr double ReturnRatePart = 0.5;
+constexpr double MinReturnRate = 0.1;
+
 // --- log lines ---------------------------------------------------------------
 
 /// Capacity of the queue of unwritten log lines; about 1,500 lines.
