Offer each request to the gate, and tell peers of demand and outcomes

The router offers each request once before its first attempt, waits or refuses with quota_exceeded (429, not run), and plans the return of requests that all endpoints tried rejected. Digests carry the notes while a service is short; otherwise they grow by one byte.

--- a/src/active_request.cpp
+++ b/src/active_request.cpp
@@ -204,6 +204,23 @@
                             {"where", std::string(Subject)}});
 }
 
+void router::active_request::logGate(const gate_decision &Decision,
+                                     unsigned Priority) {
+  const bool IsRefusal = Decision.Action == gate_action::Refuse;
+  Router.Metrics.heldBack(Decision.Rule);
+  const auto Millis =
+      std::chrono::duration_cast<std::chrono::milliseconds>(Decision.Time);
+  logs::decision(IsRefusal ? "share_refuses" : "share_waits",
+                 {{"id", call().Metadata.Id},
+                  {"why", std::string(Decision.Rule)},
+                  {"service", call().Service},
+                  {"customer", call().Customer.Name},
+                  {"priority", std::to_string(Priority)},
+                  {"part", std::to_string(Decision.AdmittedPart)},
+                  {IsRefusal ? "retry_after_ms" : "wait_ms",
+                   std::to_string(Millis.count())}});
+}
+
 void router::active_request::finish(std::string_view Outcome) {
   if (IsEnded)
     return;
--- a/src/active_request_p.h
+++ b/src/active_request_p.h
@@ -35,6 +35,7 @@
   void logPlacement(const session_placement &Placing) override;
   void logDecision(std::string_view Decision, std::string_view Reason,
                    std::string_view Subject) override;
+  void logGate(const gate_decision &Decision, unsigned Priority) override;
 
 private:
   const routed_call &call() const { return Request.call(); }
--- a/src/peer_loads.cpp
+++ b/src/peer_loads.cpp
@@ -4,6 +4,7 @@
 #include "hashing.h"
 
 #include <algorithm>
+#include <cmath>
 #include <nlohmann/json.hpp>
 
 namespace clementinelane {
@@ -23,6 +24,11 @@
 constexpr std::size_t ColdFields = 2;
 constexpr std::size_t LimitFields = 3;
 constexpr std::size_t LeaveFields = 2;
+constexpr std::size_t ShareFields = 2;
+constexpr std::size_t DemandFields = 4;
+constexpr std::size_t OutcomeFields = 3;
+/// Rates are encoded in hundredths per second.
+constexpr double RateUnit = 100;
 
 json encodeLimits(const std::vector<limit_note> &Limits) {
   auto Body = json::array();
@@ -91,6 +97,57 @@
   return true;
 }
 
+std::uint64_t encodeRate(double PerSecond) {
+  return static_cast<std::uint64_t>(std::llround(PerSecond * RateUnit));
+}
+
+double decodeRate(const json &Field) {
+  return static_cast<double>(Field.get<std::uint32_t>()) / RateUnit;
+}
+
+/// An empty list if there are no notes.
+json encodeShares(const share_notes &Notes) {
+  if (Notes.empty())
+    return json::array();
+  auto Demands = json::array();
+  for (const auto &[Key, Offered] : Notes.Demands)
+    Demands.push_back(
+        {Key.Service, Key.Customer, Key.Priority, encodeRate(Offered)});
+  auto Outcomes = json::array();
+  for (const outcome_note &Note : Notes.Outcomes)
+    Outcomes.push_back(
+        {Note.Service, encodeRate(Note.Ran), encodeRate(Note.Rejected)});
+  auto Body = json::array();
+  Body.push_back(std::move(Demands));
+  Body.push_back(std::move(Outcomes));
+  return Body;
+}
+
+/// Returns false if they aren't notes; may throw json::exception.
+bool decodeShares(const json &Body, share_notes &Out) {
+  if (!Body.is_array())
+    return false;
+  if (Body.empty())
+    return true;
+  if (Body.size() < ShareFields || !Body[0].is_array() || !Body[1].is_array())
+    return false;
+  for (const json &Each : Body[0]) {
+    if (!Each.is_array() || Each.size() < DemandFields)
+      return false;
+    Out.Demands.push_back(
+        {{Each[0].get<std::uint32_t>(), Each[1].get<std::uint32_t>(),
+          Each[2].get<unsigned>()},
+         decodeRate(Each[3])});
+  }
+  for (const json &Each : Body[1]) {
+    if (!Each.is_array() || Each.size() < OutcomeFields)
+      return false;
+    Out.Outcomes.push_back({Each[0].get<std::uint32_t>(), decodeRate(Each[1]),
+                            decodeRate(Each[2])});
+  }
+  return true;
+}
+
 } // namespace
 
 std::uint32_t digestHash(std::string_view Id) {
@@ -116,7 +173,8 @@
                      Digest.DataCentre,
                      Digest.LostGroups,
                      encodeRejectionLimits(Digest.RejectionLimits),
-                     encodeLeaves(Digest.Leaves)};
+                     encodeLeaves(Digest.Leaves),
+                     encodeShares(Digest.Shares)};
   std::string Bytes;
   json::to_msgpack(Body, Bytes);
   return Bytes;
@@ -162,6 +220,9 @@
     if (Body.size() > DigestFields + 6 &&
         !decodeLeaves(Body[DigestFields + 6], Digest.Leaves))
       return std::nullopt;
+    if (Body.size() > DigestFields + 7 &&
+        !decodeShares(Body[DigestFields + 7], Digest.Shares))
+      return std::nullopt;
     return Digest;
   } catch (const json::exception &) {
     return std::nullopt; // the caller counts it
--- a/src/peer_loads.h
+++ b/src/peer_loads.h
@@ -5,6 +5,7 @@
 #include "endpoint_leaves.h"
 #include "endpoint_limits.h"
 #include "rejection_guard.h"
+#include "service_shares.h"
 #include "slow_start.h"
 
 #include <cstdint>
@@ -38,6 +39,7 @@
   std::vector<std::uint32_t> LostGroups = {};
   std::vector<rejection_limit_note> RejectionLimits = {};
   std::vector<leave_note> Leaves = {};
+  share_notes Shares = {};
 };
 
 /// Hash that identifies an endpoint or a service in digests.
--- a/src/routed_request.cpp
+++ b/src/routed_request.cpp
@@ -11,9 +11,6 @@
 namespace {
 
 constexpr std::string_view AnyModel = "*";
-/// A request may wait in this VM for the target latency divided by this; the
-/// caller doesn't notice so short a wait.
-constexpr int UnnoticedWaitDivisor = 8;
 /// Failed direct connections after which a request prefers peers. A single
 /// endpoint may be down; several at once suggest that this VM's links are lost.
 constexpr unsigned DirectFailuresBeforePeers = 2;
@@ -124,7 +121,22 @@
     refuseQuarantined(run_state::NotRun, Now);
     return;
   }
-  beginSending(Now);
+  if (passesGate(Now))
+    beginSending(Now);
+}
+
+bool routed_request::passesGate(mono_time Now) {
+  const gate_decision Decision = Context.Gate.offer(gateRequest(Now), Now);
+  if (Decision.Action == gate_action::Send)
+    return true;
+  Outputs.logGate(Decision, priority());
+  if (Decision.Action == gate_action::Wait) {
+    RetryAt = Now + Decision.Time;
+    return false;
+  }
+  finish();
+  Outputs.refuse({error_kind::QuotaExceeded, run_state::NotRun, Decision.Time});
+  return false;
 }
 
 void routed_request::beginSending(mono_time Now) {
@@ -350,8 +362,11 @@
   if (Attempt->IsSent && mayHaveRun(Result))
     recordSample(sample_type::AnswerTime, Now, Now - Attempt->SentAt);
   recordSample(sample_type::Ended, Now);
-  if (Attempt->IsSent && mayHaveRun(Result))
+  if (Attempt->IsSent && mayHaveRun(Result)) {
+    if (!Attempt->HeadAt)
+      Context.Gate.shares().recordRun(digestHash(Call.Service), Now);
     beginRun(Now);
+  }
   endRun(Now);
   Context.Choice.attemptEnded(Attempt->Endpoint.Id, Attempt->WorkLeft, Result,
                               FirstByte, Now);
@@ -398,6 +413,8 @@
     Context.OnLeaving(Attempt->Endpoint);
   updatePause(Head, Now);
   if (Head.IsNotExecuted) {
+    if (!Head.IsMisdirected)
+      Context.Gate.shares().recordRejection(digestHash(Call.Service), Now);
     WasRejected = WasRejected || !Head.IsMisdirected;
     failAttempt(Head.IsMisdirected ? attempt_result::Replaced
                                    : attempt_result::Full,
@@ -405,6 +422,7 @@
     return;
   }
   AnyMayHaveRun = true;
+  Context.Gate.shares().recordRun(digestHash(Call.Service), Now);
   beginRun(Now);
   recordSample(sample_type::FirstByte, Now, Now - Attempt->SentAt);
   Context.Choice.reportProgress(Attempt->Endpoint.Id,
@@ -775,7 +793,7 @@
   const auto At =
       Context.Choice.nextSendTime(choiceRequestFor(Model, Now), Now);
   const mono_time Latest =
-      Call.ArrivedAt + Call.Route->TargetLatency / UnnoticedWaitDivisor;
+      Call.ArrivedAt + Call.Route->TargetLatency / config::UnnoticedWaitDivisor;
   if (!At || *At <= Now || *At > std::min(Latest, effectiveDeadline()))
     return false;
   Excluded.clear();
@@ -825,6 +843,12 @@
 // all endpoints asked for.
 void routed_request::refuse(error_kind Kind, run_state Ran, mono_time Now) {
   finish();
+  const gate_request Request = gateRequest(Now);
+  if (Kind == error_kind::EndpointRefused && WasRejected &&
+      Context.Gate.isHolding(Request.Key, Now)) {
+    Outputs.refuse({Kind, Ran, Context.Gate.planReturn(Request, Now)});
+    return;
+  }
   const duration Base = answerOf(Kind).RetryAfter;
   const duration Pause =
       Ran == run_state::NotRun
--- a/src/routed_request.h
+++ b/src/routed_request.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "admission_gate.h"
 #include "answer_quality.h"
 #include "call_work.h"
 #include "crash_detector.h"
@@ -47,6 +48,8 @@
   /// Logs a decision, its reason, and the endpoint or model it concerns.
   virtual void logDecision(std::string_view Decision, std::string_view Reason,
                            std::string_view Subject) = 0;
+  /// Logs that the gate holds the request back, and why.
+  virtual void logGate(const gate_decision &Decision, unsigned Priority) = 0;
 };
 
 /// State shared by all requests of one VM.
@@ -59,6 +62,7 @@
   answer_quality &Quality;
   request_quarantine &Quarantine;
   part_quarantine &Parts;
+  admission_gate &Gate;
   /// The version shift of a service; null if there is none.
   std::function<version_shift *(std::string_view Service)> ShiftOf;
   /// Whether the lease on the customer keys is valid at `Now`.
@@ -141,6 +145,10 @@
   mono_time effectiveDeadline() const;
   bool mayAttempt(mono_time Now) const;
   void beginSending(mono_time Now);
+  gate_request gateRequest(mono_time Now) const {
+    return gateRequestOf(Call, priority(), maxRetryAfter(Now));
+  }
+  bool passesGate(mono_time Now);
   bool defersAttempt(const version_shift &Shift, mono_time Now);
   bool startsSessionLookup(const version_shift &Shift, mono_time Now);
   bool waitsForSessionExpiry(const version_shift &Shift, mono_time Now);
--- a/src/router.cpp
+++ b/src/router.cpp
@@ -77,6 +77,7 @@
       Choice(Directory, Loads, Settings.DataCentre,
              stableHash(Settings.VmName, Incarnation)),
       Budget(limitsOf(Settings, config::AssumedVms)),
+      Shares(stableHash(Settings.VmName, Incarnation + 3)),
       Requests{Choice,
                Budget,
                Cascade,
@@ -85,6 +86,7 @@
                Quality,
                Quarantine,
                Parts,
+               Gate,
                [this](std::string_view Service) { return shiftOf(Service); },
                [this](mono_time Now) { return areKeysValid(Now); },
                [this](std::string_view Service, const session_run &Run) {
@@ -105,6 +107,7 @@
       RunsTimer(Context), RunsCompleteSince(StartedAt), LastTickAt(StartedAt),
       MetricsAddress(std::move(MetricsAddress)), Tick(Context),
       RandomState(stableHash(Settings.VmName, Incarnation + 1)) {
+  Gate.setEnabled(Settings.CustomerShares);
   Quarantine.onQuarantined([](const crash_note &Note) {
     logs::warning("request_quarantined",
                   {{"request", toHex(Note.Request)},
@@ -157,6 +160,7 @@
 
 void router::apply(const router_settings &Value) {
   Settings = Value;
+  Gate.setEnabled(Settings.CustomerShares);
   Lease.setTerm(leaseTerm(Settings));
   Budget.setLimits(limitsOf(Settings, knownVms()));
   for (auto &[Service, Shift] : Shifts)
@@ -274,6 +278,7 @@
   Gauges.PausedEndpoints = static_cast<double>(Choice.pauses().size());
   Gauges.LimitedEndpoints = static_cast<double>(Choice.limits().countLimited());
   Gauges.GuardedServices = static_cast<double>(Choice.guard().countGuarded());
+  Gauges.ShortServices = static_cast<double>(Shares.countShort());
   Gauges.EvacuatedDataCentres =
       static_cast<double>(Directory.evacuated().size());
   Gauges.QuarantinedRequests =
@@ -543,6 +548,7 @@
   for (const limit_note &Note : Digest->Limits)
     Choice.limits().applyPeerLimitNote(Note, now());
   applyPeerLeaves(Digest->Leaves);
+  Shares.applyPeer(Digest->Vm, Digest->Shares, now());
 }
 
 void router::onEndpointLeaving(const endpoint_info &Endpoint) {
@@ -694,6 +700,8 @@
 }
 
 void router::tickDigest(mono_time Now) {
+  Shares.expire(Now, Peers ? Peers->livenessTimeout() : config::DigestTtl);
+  Returns.expire(Now);
   if (Peers) {
     Loads.expire(Now, Peers->livenessTimeout());
     Choice.paths().expire(Now, Peers->livenessTimeout());
@@ -705,11 +713,12 @@
 }
 
 std::string router::digest(mono_time Now) {
-  return encodeDigest(
-      {Settings.VmName, Incarnation, ++DigestSequence, Choice.loads(),
-       Settings.Cores, Choice.slowStart().ownNotes(Now, ColdNoteDelay),
-       Choice.limits().ownNotes(Now), Settings.DataCentre, LostGroups,
-       Choice.guard().ownNotes(Now), Directory.leaves().ownNotes(Now)});
+  return encodeDigest({Settings.VmName, Incarnation, ++DigestSequence,
+                       Choice.loads(), Settings.Cores,
+                       Choice.slowStart().ownNotes(Now, ColdNoteDelay),
+                       Choice.limits().ownNotes(Now), Settings.DataCentre,
+                       LostGroups, Choice.guard().ownNotes(Now),
+                       Directory.leaves().ownNotes(Now), Shares.ownNotes(Now)});
 }
 
 // --- time --------------------------------------------------------------------
--- a/src/router.h
+++ b/src/router.h
@@ -9,6 +9,7 @@
 #include "peer_datagrams.h"
 #include "peer_loads.h"
 #include "platform.h"
+#include "return_schedule.h"
 #include "routed_request.h"
 #include "router_metrics.h"
 #include "router_settings.h"
@@ -185,6 +186,9 @@
   mono_time EstimatesLoggedAt{};
   std::map<std::string, std::unique_ptr<version_shift>, std::less<>> Shifts;
   std::map<std::string, status_times, std::less<>> StatusTimes;
+  service_shares Shares;
+  return_schedule Returns;
+  admission_gate Gate{Shares, Returns};
   request_context Requests;
   router_metrics Metrics;
   std::set<std::shared_ptr<active_request>> ActiveRequests;
--- a/src/router_metrics.cpp
+++ b/src/router_metrics.cpp
@@ -68,7 +68,7 @@
 };
 
 using g = router_metrics::gauges;
-constexpr std::array<gauge_row, 21> GaugeRows{{
+constexpr std::array<gauge_row, 22> GaugeRows{{
     {"clementine_open_requests", "requests currently being processed",
      &g::OpenRequests},
     {"clementine_caller_connections", "connections of callers",
@@ -94,6 +94,8 @@
     {"clementine_services_guarded",
      "services whose endpoints name a limit on rejections",
      &g::GuardedServices},
+    {"clementine_services_short",
+     "services whose capacity is divided among customers", &g::ShortServices},
     {"clementine_data_centres_evacuated", "evacuated data centres",
      &g::EvacuatedDataCentres},
     {"clementine_requests_quarantined",
@@ -168,6 +170,10 @@
   ++counterFor(Refusals, Kind);
 }
 
+void router_metrics::heldBack(std::string_view Rule) {
+  ++counterFor(HeldBack, Rule);
+}
+
 void router_metrics::platformCall(std::string_view Call, bool IsOk) {
   ++PlatformCalls[{std::string(Call), IsOk ? "ok" : "failed"}];
 }
@@ -195,6 +201,10 @@
   Families.push_back(familyOf("clementine_refusals_total",
                               "the router's own answers, by kind", "kind",
                               Refusals));
+  Families.push_back(
+      familyOf("clementine_held_back_total",
+               "requests that waited or were refused at once, by rule", "rule",
+               HeldBack));
   auto Crashes =
       makeFamily("clementine_endpoint_crashes_total",
                  "endpoints that crashed while processing requests of this VM",
--- a/src/router_metrics.h
+++ b/src/router_metrics.h
@@ -26,6 +26,8 @@
   void attemptStarted(std::string_view Route, bool IsRetry);
   void attemptFailed(std::string_view Reason);
   void refused(std::string_view Kind);
+  /// Requests that wait or are refused for the shares of others, by rule.
+  void heldBack(std::string_view Rule);
   void endpointCrashed() { ++EndpointCrashes; }
   void platformCall(std::string_view Call, bool IsOk);
 
@@ -42,6 +44,7 @@
     double LeavingEndpoints = 0;
     double PausedEndpoints = 0;
     double GuardedServices = 0;
+    double ShortServices = 0;
     double EvacuatedDataCentres = 0;
     double QuarantinedRequests = 0;
     double QuarantinedParts = 0;
@@ -72,6 +75,7 @@
   counters Retries;
   counters AttemptFailures;
   counters Refusals;
+  counters HeldBack; ///< by rule
   std::uint64_t EndpointCrashes = 0;
   pair_counters PlatformCalls; ///< by call and result
   std::map<std::string, histogram, std::less<>> Duration;
--- a/src/router_settings.h
+++ b/src/router_settings.h
@@ -35,6 +35,8 @@
   double ExposureTolerance = 0; ///< requests allowed in addition
   /// A session expires after this long without a request.
   std::chrono::milliseconds SessionTtl{5'000};
+  /// Whether customers get even parts of a service that is short of capacity.
+  bool CustomerShares = true;
 };
 
 } // namespace clementinelane
--- a/tests/peer_loads_test.cpp
+++ b/tests/peer_loads_test.cpp
@@ -130,3 +130,25 @@
   BOOST_TEST(Read->Leaves[0].Endpoint == 7U);
   BOOST_TEST((Read->Leaves[0].Age == 30ms));
 }
+
+BOOST_AUTO_TEST_CASE(share_notes_round_trip_through_digest) {
+  load_digest Digest = digest("a", 1, 10);
+  const std::size_t Ordinary = encodeDigest(Digest).size();
+  Digest.Shares = {{{{7, 4'000'000'000, 2}, 12.5}}, {{7, 80.25, 0.5}}};
+  const std::string Bytes = encodeDigest(Digest);
+  BOOST_TEST(Bytes.size() > Ordinary);
+  const auto Decoded = decodeDigest(Bytes);
+  BOOST_REQUIRE(Decoded);
+  BOOST_REQUIRE(Decoded->Shares.Demands.size() == 1U);
+  const auto &[Key, Offered] = Decoded->Shares.Demands[0];
+  BOOST_TEST(Key.Service == 7U);
+  BOOST_TEST(Key.Customer == 4'000'000'000U);
+  BOOST_TEST(Key.Priority == 2U);
+  BOOST_TEST(Offered == 12.5);
+  BOOST_REQUIRE(Decoded->Shares.Outcomes.size() == 1U);
+  BOOST_TEST(Decoded->Shares.Outcomes[0].Ran == 80.25);
+  BOOST_TEST(Decoded->Shares.Outcomes[0].Rejected == 0.5);
+  const auto Empty = decodeDigest(encodeDigest(digest("a", 1, 10)));
+  BOOST_REQUIRE(Empty);
+  BOOST_TEST(Empty->Shares.empty());
+}
--- a/tests/routed_fixture.h
+++ b/tests/routed_fixture.h
@@ -46,6 +46,9 @@
                    std::string_view) override {
     Notes.push_back(std::string(Decision) + ":" + std::string(Reason));
   }
+  void logGate(const gate_decision &Decision, unsigned) override {
+    Notes.push_back("gate:" + std::string(Decision.Rule));
+  }
 };
 
 /// An engine service and a plain service with their endpoints, and requests to
@@ -64,6 +67,9 @@
   answer_quality Quality;
   request_quarantine Quarantine;
   part_quarantine Parts;
+  service_shares Shares{1};
+  return_schedule Returns;
+  admission_gate Gate{Shares, Returns};
   std::vector<std::string>
       BrokenConnections; ///< endpoints whose connections broke
   /// Pauses told to peers: endpoint, peer.
@@ -78,6 +84,7 @@
       Quality,
       Quarantine,
       Parts,
+      Gate,
       [this](std::string_view Service) {
         const auto Found = Shifts.find(Service);
         return Found == Shifts.end() ? nullptr : &Found->second;
--- a/tests/routed_request_test.cpp
+++ b/tests/routed_request_test.cpp
@@ -833,3 +833,87 @@
   Request->onFailure(exchange_failure::NotConnected, Now);
   BOOST_TEST(BrokenConnections.empty());
 }
+
+namespace {
+
+/// Peers report that the portal service is short of capacity.
+void makePortalShort(routed_fixture &Fixture) {
+  const std::uint32_t Portal = digestHash("portal");
+  const share_key Key{Portal, digestHash("big"), 0};
+  Fixture.Shares.applyPeer("peer", {{{Key, 300}}, {{Portal, 30, 300}}},
+                           Fixture.Now);
+  Fixture.Shares.expire(Fixture.Now + 200ms, 1h);
+  Fixture.Now += 200ms;
+}
+
+routed_call callOf(routed_fixture &Fixture, std::string Customer) {
+  routed_call Call = Fixture.call(1);
+  Call.Customer.Name = std::move(Customer);
+  return Call;
+}
+
+} // namespace
+
+// Failure: one customer sends far more than its share. Its requests are refused
+// at once and don't reach an endpoint; its caller may retry them.
+BOOST_FIXTURE_TEST_CASE(request_beyond_share_is_refused_at_once,
+                        routed_fixture) {
+  makePortalShort(*this);
+  unsigned Refused = 0;
+  for (int Each = 0; Each < 40; ++Each) {
+    const auto Request = begin(callOf(*this, "big"));
+    if (!Out.Refused)
+      continue;
+    ++Refused;
+    BOOST_TEST(Out.Attempts.empty());
+    BOOST_TEST(Request->isOver());
+    BOOST_TEST((Out.Refused->Kind == error_kind::QuotaExceeded));
+    BOOST_TEST((Out.Refused->Ran == run_state::NotRun));
+    BOOST_TEST((Out.Refused->RetryAfter > 0s));
+    BOOST_TEST(Out.Notes.back() == "gate:beyond_share");
+  }
+  BOOST_TEST(Refused > 20U);
+}
+
+BOOST_FIXTURE_TEST_CASE(request_without_customer_passes_a_short_service,
+                        routed_fixture) {
+  makePortalShort(*this);
+  for (int Each = 0; Each < 10; ++Each) {
+    const auto Request = lookup();
+    BOOST_TEST(Out.Attempts.size() == 1U);
+  }
+}
+
+// A request whose turn comes soon waits here and is then sent.
+BOOST_FIXTURE_TEST_CASE(request_waits_for_its_share, routed_fixture) {
+  makePortalShort(*this);
+  Table->Routes[1].TargetLatency = 16s;
+  Table->Routes[1].Timeout = 20s;
+  unsigned Waited = 0;
+  for (int Each = 0; Each < 60; ++Each, Now += 20ms) {
+    const auto Request = begin(callOf(*this, "big"));
+    if (Out.Notes.empty() || Out.Notes.back() != "gate:share_comes_soon")
+      continue;
+    ++Waited;
+    BOOST_TEST(Out.Attempts.empty());
+    BOOST_REQUIRE(Request->nextTimer());
+    BOOST_TEST((*Request->nextTimer() - Now <= 2s));
+    Request->onTimer(*Request->nextTimer());
+    BOOST_TEST(Out.Attempts.size() == 1U);
+  }
+  BOOST_TEST(Waited > 0U);
+}
+
+// Runs and rejections of attempts are what shares are computed from.
+BOOST_FIXTURE_TEST_CASE(outcomes_of_attempts_are_recorded, routed_fixture) {
+  const auto Request = lookup();
+  Request->onSent(Now);
+  Request->onHead(notExecuted(), Now);
+  BOOST_REQUIRE(Out.Attempts.size() == 2U);
+  Request->onSent(Now);
+  Request->onHead(answer(200), Now);
+  const share_notes Notes = Shares.ownNotes(Now);
+  BOOST_REQUIRE(Notes.Outcomes.size() == 1U);
+  BOOST_TEST(Notes.Outcomes[0].Ran > 0);
+  BOOST_TEST(Notes.Outcomes[0].Rejected > 0);
+}
--- a/tools/router/main.cpp
+++ b/tools/router/main.cpp
@@ -16,6 +16,8 @@
               "settings file of the platform; without it, the file that the "
               "platform names in the environment");
 DEFINE_bool(check, false, "check the settings file and exit");
+DEFINE_bool(customer_shares, true,
+            "divide a service that is short of capacity among customers");
 DEFINE_int32(metrics_port, 0, "port of the metrics page; 0: none");
 
 namespace {
@@ -37,7 +39,9 @@
   std::string Text;
   if (!cl::readFile(Path, Text))
     return {{}, {{Path, 0, "", "cannot be read"}}};
-  return cl::parsePlatformSettings(Path, Text);
+  auto Parsed = cl::parsePlatformSettings(Path, Text);
+  Parsed.Value.CustomerShares = FLAGS_customer_shares;
+  return Parsed;
 }
 
 /// Reloads the settings file on SIGHUP and at a fixed interval, since it may
@@ -78,7 +82,8 @@
     if (!cl::readFile(Path, NewText) || NewText == Text)
       return;
     Text = NewText;
-    const auto Parsed = cl::parsePlatformSettings(Path, Text);
+    auto Parsed = cl::parsePlatformSettings(Path, Text);
+    Parsed.Value.CustomerShares = FLAGS_customer_shares;
     for (const auto &Error : Parsed.Errors)
       cl::logs::warning("settings_wrong", {{"error", cl::formatError(Error)}});
     if (!Parsed.Errors.empty())
@@ -130,7 +135,7 @@
   gflags::SetUsageMessage(
       "routes callers' requests to model engines and plain services on the "
       "platform\n\n  clementine_router [--settings FILE] [--check] "
-      "[--metrics_port PORT]");
+      "[--metrics_port PORT] [--nocustomer_shares]");
   gflags::SetVersionString("0.2");
   gflags::ParseCommandLineFlags(&ArgCount, &Args, true);
   const std::string Path = settingsPath();
