--- a/src/request_mix.cpp
+++ b/src/request_mix.cpp
@@ -9,6 +9,8 @@
 
 namespace {
 
+/// Priorities of routes that are told apart for one priority of a customer.
+constexpr unsigned RouteRanks = 16;
 /// Shares of ranks that stopped are dropped below this many requests.
 constexpr double MinShareRequests = 0.01;
 
@@ -25,6 +27,10 @@
 
 } // namespace
 
+unsigned request_rank::order() const {
+  return RouteRanks * Priority + std::min(Route, RouteRanks - 1);
+}
+
 void request_mix::recordRequest(std::string_view Service, request_rank Rank,
                                 duration TargetLatency) {
   const auto Found = Services.find(Service);
--- a/src/request_mix.h
+++ b/src/request_mix.h
@@ -15,6 +15,8 @@
   unsigned Priority = 0; ///< the customer's, or the route's if it has none
   unsigned Route = 0;    ///< the route's
   auto operator<=>(const request_rank &) const = default;
+  /// Position of this rank among all ranks.
+  unsigned order() const;
 };
 
 /// Weighs the requests of a service against each other by rank and target
--- a/src/router.h
+++ b/src/router.h
@@ -185,8 +185,10 @@
   crash_detector Crashes;
   request_quarantine Quarantine;
   part_quarantine Parts;
+  service_shares Shares;
   return_schedule Returns;
   return_exchange ReturnNotes;
+  admission_gate Gate{Shares, Returns};
   mono_time EstimatesLoggedAt{};
   std::map<std::string, std::unique_ptr<version_shift>, std::less<>> Shifts;
   std::map<std::string, status_times, std::less<>> StatusTimes;
--- a/src/router_metrics.cpp
+++ b/src/router_metrics.cpp
@@ -97,6 +97,8 @@
     {"clementine_services_guarded",
      "services whose endpoints name a limit on rejections",
      &g::GuardedServices},
+    {"clementine_services_short",
+     "services whose capacity is divided among customers", &g::ShortServices},
     {"clementine_data_centres_evacuated", "evacuated data centres",
      &g::EvacuatedDataCentres},
     {"clementine_requests_quarantined",
@@ -171,6 +173,10 @@
   ++counterFor(Refusals, Kind);
 }
 
+void router_metrics::heldBack(std::string_view Rule) {
+  ++counterFor(HeldBack, Rule);
+}
+
 void router_metrics::platformCall(std::string_view Call, bool IsOk) {
   ++PlatformCalls[{std::string(Call), IsOk ? "ok" : "failed"}];
 }
@@ -198,6 +204,10 @@
   Families.push_back(familyOf("clementine_refusals_total",
                               "the router's own answers, by kind", "kind",
                               Refusals));
+  Families.push_back(
+      familyOf("clementine_held_back_total",
+               "requests that waited or were refused at once, by rule", "rule",
+               HeldBack));
   auto Crashes =
       makeFamily("clementine_endpoint_crashes_total",
                  "endpoints that crashed while processing requests of this VM",
