--- a/src/router_metrics.cpp
+++ b/src/router_metrics.cpp
@@ -68,7 +68,7 @@
 };
 
 using g = router_metrics::gauges;
-constexpr std::array<gauge_row, 22> GaugeRows{{
+constexpr std::array<gauge_row, 23> GaugeRows{{
     {"clementine_open_requests", "requests currently being processed",
      &g::OpenRequests},
     {"clementine_caller_connections", "connections of callers",
