--- a/src/config.h
+++ b/src/config.h
@@ -1094,13 +1094,13 @@
 constexpr double ShortageEndFactor = 1.01;
 /// Rejected part of the attempts at which the capacity is what ran; retries
 /// elsewhere make up for so many.
-constexpr double CapacityRejectedPart = 0.03;
+constexpr double CapacityRejectedPart = 0.05;
 /// Change of the headroom, which is the capacity as a multiple of what ran,
 /// with the rejected part, and its minimum.
 constexpr double HeadroomGain = 0.6;
-constexpr double MinHeadroom = 0.97;
+constexpr double MinHeadroom = 0.985;
 /// Rejected part of the attempts below which endpoints surely have room.
-constexpr double CapacityFreePart = 0.01;
+constexpr double CapacityFreePart = 0.02;
 /// Part of what ran lately below which endpoints are coming back.
 constexpr double LowCapacityPart = 0.8;
 constexpr auto CapacityMemoryTime = 30s;
@@ -1109,7 +1109,7 @@
   double PerSecond = 0;
   double Bound = 0;
 };
-constexpr headroom_growth FreeHeadroomGrowth{0.1, 1.15};
+constexpr headroom_growth FreeHeadroomGrowth{0.1, 1.06};
 constexpr headroom_growth LowHeadroomGrowth{0.5, 1.5};
 /// Requests per second; enough to notice that endpoints run requests again.
 constexpr double MinSharedCapacity = 5;
