Bound ranks and guarantees, tell targets of one rank apart

From a review of the mix of requests by a reader who didn't write it. Change: guarantees take half of the capacity at most; priorities count up to 15; shares are kept by rank and target; targets count from 50 ms; a request is counted after the check of the quarantine, whether or not the router chooses its model; urgencies are clamped before they are converted. Tests: ranks in one order, targets told apart, zero targets, urgency by rank on the request's way, and no refusal beside free slots. Left: a VM that has seen no urgent request yet ranks its own first; above a tolerance of 64 long prompts reach the last urgency.

--- a/src/call_work.cpp
+++ b/src/call_work.cpp
@@ -35,8 +35,8 @@
   const double Level =
       config::UrgencyPerDoubling * std::log2(1 + Work.Prompt * Tolerance) +
       config::BaseUrgency;
-  return std::min(static_cast<unsigned>(std::max(Level, 0.0)),
-                  config::MaxUrgency);
+  return static_cast<unsigned>(
+      std::clamp(Level, 0.0, static_cast<double>(config::MaxUrgency)));
 }
 
 } // namespace clementinelane
--- a/src/request_mix.cpp
+++ b/src/request_mix.cpp
@@ -9,26 +9,26 @@
 
 namespace {
 
-/// Priorities of routes that are told apart for one priority of a customer.
-constexpr unsigned RouteRanks = 16;
-/// Shares of ranks that stopped are dropped below this many requests.
+/// Shares of requests that stopped are dropped below this many.
 constexpr double MinShareRequests = 0.01;
+/// No engine answers faster; a shorter target would outweigh all others.
+constexpr auto MinEngineTarget = std::chrono::milliseconds(50);
 
 double inverseOf(duration TargetLatency) {
   return 1 / std::chrono::duration<double>(
-                 std::max<duration>(TargetLatency, config::MinTimerDelay))
+                 std::max<duration>(TargetLatency, MinEngineTarget))
                  .count();
 }
 
-/// Time that a request of this rank may wait, in units of its target latency.
-double toleranceOf(request_rank Rank) {
-  return std::exp2(std::min(Rank.Priority + Rank.Route, config::MaxUrgency));
+double toleranceOf(request_rank Rank, duration TargetLatency) {
+  return std::exp2(std::min(Rank.Priority + Rank.Route, config::MaxUrgency)) /
+         inverseOf(TargetLatency);
 }
 
 } // namespace
 
 unsigned request_rank::order() const {
-  return RouteRanks * Priority + std::min(Route, RouteRanks - 1);
+  return (MaxPriority + 1) * Priority + Route;
 }
 
 void request_mix::recordRequest(std::string_view Service, request_rank Rank,
@@ -36,15 +36,11 @@
   const auto Found = Services.find(Service);
   shares &Shares =
       Found == Services.end() ? Services[std::string(Service)] : Found->second;
-  for (auto &[Each, Share] : Shares) {
-    Share.Requests *= config::RequestMixForgettingFactor;
-    Share.InverseTargets *= config::RequestMixForgettingFactor;
-  }
-  share &Own = Shares[Rank];
-  Own.Requests += 1;
-  Own.InverseTargets += inverseOf(TargetLatency);
-  std::erase_if(Shares, [](const auto &Entry) {
-    return Entry.second.Requests < MinShareRequests;
+  for (auto &[Kind, Requests] : Shares)
+    Requests *= config::RequestMixForgettingFactor;
+  Shares[{Rank, TargetLatency}] += 1;
+  std::erase_if(Shares, [](const auto &Share) {
+    return Share.second < MinShareRequests;
   });
 }
 
@@ -55,24 +51,24 @@
   const auto Found = Services.find(Service);
   if (Found == Services.end())
     return Price * inverseOf(TargetLatency);
-  double Requests = 0;
+  double All = 0;
   double Cost = 0;
-  for (const auto &[Each, Share] : Found->second) {
-    Requests += Share.Requests;
-    Cost += Share.InverseTargets *
+  for (const auto &[Kind, Requests] : Found->second) {
+    const auto &[Each, Target] = Kind;
+    All += Requests;
+    Cost += Requests * inverseOf(Target) *
             (Each <= Rank ? 1.0 : config::LessUrgentDelayWeight);
   }
-  return Price * Cost / Requests;
+  return Price * Cost / All;
 }
 
 double request_mix::tolerance(std::string_view Service, request_rank Rank,
                               duration TargetLatency) const {
-  const double Own = toleranceOf(Rank) / inverseOf(TargetLatency);
+  const double Own = toleranceOf(Rank, TargetLatency);
   double Least = Own;
   if (const auto Found = Services.find(Service); Found != Services.end())
-    for (const auto &[Each, Share] : Found->second)
-      Least = std::min(Least, toleranceOf(Each) * Share.Requests /
-                                  Share.InverseTargets);
+    for (const auto &[Kind, Requests] : Found->second)
+      Least = std::min(Least, toleranceOf(Kind.first, Kind.second));
   return Own / Least;
 }
 
--- a/src/request_mix.h
+++ b/src/request_mix.h
@@ -6,12 +6,15 @@
 #include <map>
 #include <string>
 #include <string_view>
+#include <utility>
 
 namespace clementinelane {
 
 /// Urgency of a request as configured; lower values are more urgent. A
-/// customer's priority takes precedence over its route's.
+/// customer's priority takes precedence over its route's. Higher priorities
+/// than MaxPriority count as that.
 struct request_rank {
+  static constexpr unsigned MaxPriority = 15;
   unsigned Priority = 0; ///< the customer's, or the route's if it has none
   unsigned Route = 0;    ///< the route's
   auto operator<=>(const request_rank &) const = default;
@@ -33,23 +36,21 @@
   /// Counts a request for an engine of the service.
   void recordRequest(std::string_view Service, request_rank Rank,
                      duration TargetLatency);
-  /// Cost of delaying all other requests of the service by `Delay`, relative to
-  /// the value of an answer in time.
+  /// Cost of delaying the service's requests by `Delay`, relative to the value
+  /// of an answer in time.
   double delayCost(std::string_view Service, request_rank Rank,
                    duration TargetLatency, duration Delay) const;
   /// How many times longer than the most urgent requests of the service this
-  /// one may wait for an engine.
+  /// one may wait for an engine: by its target latency, doubled by each step of
+  /// its customer's and of its route's priority. 1 if this VM has seen no
+  /// others.
   double tolerance(std::string_view Service, request_rank Rank,
                    duration TargetLatency) const;
 
 private:
-  /// Requests of one rank, and the sum of their inverse targets; both are
-  /// weighted by age.
-  struct share {
-    double Requests = 0;
-    double InverseTargets = 0; ///< 1/s
-  };
-  using shares = std::map<request_rank, share>;
+  /// Requests by rank and target; each request lowers the weight of those
+  /// before it.
+  using shares = std::map<std::pair<request_rank, duration>, double>;
 
   std::map<std::string, shares, std::less<>> Services;
 };
--- a/src/routed_request.cpp
+++ b/src/routed_request.cpp
@@ -100,8 +100,10 @@
 }
 
 request_rank routed_request::rank() const {
-  return {Call.Customer.Priority.value_or(Call.Route->Priority),
-          Call.Route->Priority};
+  const unsigned Route = Call.Route->Priority;
+  return {std::min(Call.Customer.Priority.value_or(Route),
+                   request_rank::MaxPriority),
+          std::min(Route, request_rank::MaxPriority)};
 }
 
 mono_time routed_request::callerDeadline() const {
@@ -115,12 +117,12 @@
 
 void routed_request::begin(mono_time Now) {
   Context.Budget.recordRequest(Call.Service, Now);
-  if (choosesModel())
-    Context.Mix.recordRequest(Call.Service, rank(), Call.Route->TargetLatency);
   if (isQuarantined()) {
     refuseQuarantined(run_state::NotRun, Now);
     return;
   }
+  if (isStream())
+    Context.Mix.recordRequest(Call.Service, rank(), Call.Route->TargetLatency);
   if (passesGate(Now))
     beginSending(Now);
 }
--- a/src/service_shares.cpp
+++ b/src/service_shares.cpp
@@ -275,7 +275,11 @@
     Priority = Key.Priority;
     Levels.back().push_back({Offered, &Demand.Part});
   }
-  const double Guaranteed = Capacity * config::GuaranteedPriorityPart;
+  // However many priorities there are, the most urgent one gets half or more.
+  const double Guaranteed =
+      Capacity *
+      std::min(config::GuaranteedPriorityPart,
+               0.5 / std::max<double>(1, static_cast<double>(Levels.size())));
   double Reserved = 0;
   for (const auto &Level : Levels)
     Reserved += std::min(sumOf(Level), Guaranteed);
--- a/tests/request_mix_test.cpp
+++ b/tests/request_mix_test.cpp
@@ -75,6 +75,7 @@
   observeMix();
   BOOST_TEST(urgent(0ms) == 0);
   BOOST_TEST(batch(0ms) == 0);
+  BOOST_TEST(urgent(1ms) > 0);
 }
 
 BOOST_FIXTURE_TEST_CASE(requests_alike_pay_by_their_own_target, fixture) {
@@ -121,4 +122,23 @@
   Mix.recordRequest("engine", OfRoute, 2s);
   BOOST_TEST(Mix.delayCost("engine", OfCustomer, 2s, 1s) <
              Mix.delayCost("engine", OfRoute, 2s, 1s));
+  BOOST_TEST(OfCustomer.order() < OfRoute.order());
+  BOOST_TEST(OfRoute.order() < (request_rank{1, 1}.order()));
+}
+
+// Two routes of one priority, the one with the short target rarely used.
+BOOST_FIXTURE_TEST_CASE(targets_of_one_rank_are_told_apart, fixture) {
+  Mix.recordRequest("engine", Urgent, 1s);
+  for (int Each = 0; Each < 9; ++Each)
+    Mix.recordRequest("engine", Urgent, 4s);
+  BOOST_TEST(Mix.tolerance("engine", Urgent, 1s) == 1);
+  BOOST_TEST(Mix.tolerance("engine", Urgent, 4s) == 4);
+}
+
+// Failure: a route is configured with a target that no engine can meet.
+BOOST_FIXTURE_TEST_CASE(targets_of_zero_are_bounded, fixture) {
+  Mix.recordRequest("engine", Urgent, 0s);
+  Mix.recordRequest("engine", Batch, 4s);
+  BOOST_TEST(Mix.delayCost("engine", Urgent, 0s, 100ms) < 2);
+  BOOST_TEST(Mix.tolerance("engine", Urgent, 1s) <= 20);
 }
--- a/tests/routed_request_test.cpp
+++ b/tests/routed_request_test.cpp
@@ -921,8 +921,19 @@
 
 namespace {
 
+/// A peer has this many requests at each endpoint of the portal service.
+void occupyPortal(routed_fixture &Fixture, unsigned Running) {
+  load_digest Digest;
+  Digest.Vm = "busy";
+  Digest.Sequence = 1;
+  for (const char *Id : {"p1", "p2", "p3"})
+    Digest.Loads.push_back({digestHash(Id), double(Running), Running});
+  Fixture.Peers.applyDigest(Digest, Fixture.Now);
+}
+
 /// Peers report that the portal service is short of capacity.
-void makePortalShort(routed_fixture &Fixture) {
+void makePortalShort(routed_fixture &Fixture, unsigned Running = 6) {
+  occupyPortal(Fixture, Running);
   const std::uint32_t Portal = digestHash("portal");
   const share_key Key{Portal, digestHash("big"), 0};
   Fixture.Shares.applyPeer("peer", {{{Key, 300}}, {{Portal, 30, 300}}},
@@ -969,6 +980,33 @@
   }
 }
 
+// Load: one endpoint rejects requests while the others have free slots. Guards
+// against a refusal while there is room.
+BOOST_FIXTURE_TEST_CASE(rejections_beside_free_slots_hold_nothing_back,
+                        routed_fixture) {
+  makePortalShort(*this, 4);
+  for (int Each = 0; Each < 40; ++Each) {
+    const auto Request = begin(callOf(*this, "big"));
+    BOOST_TEST(!Out.Refused);
+    BOOST_TEST(Out.Attempts.size() == 1U);
+    Request->onCallerGone(Now);
+  }
+}
+
+// Load: long requests of a low priority beside short ones of a high one.
+BOOST_FIXTURE_TEST_CASE(engines_are_asked_by_rank, routed_fixture) {
+  const auto UrgencyOf = [this](unsigned Priority) {
+    routed_call Call = call(0);
+    Call.Customer.Priority = Priority;
+    const auto Request = begin(std::move(Call));
+    BOOST_REQUIRE(Out.Attempts.size() == 1U);
+    return Out.Attempts[0].Urgency;
+  };
+  const unsigned Urgent = UrgencyOf(0);
+  BOOST_TEST(UrgencyOf(3) > Urgent);
+  BOOST_TEST(UrgencyOf(0) == Urgent);
+}
+
 // A request whose turn comes soon waits here and is then sent.
 BOOST_FIXTURE_TEST_CASE(request_waits_for_its_share, routed_fixture) {
   makePortalShort(*this);
