--- a/tests/routers_fixture.h
+++ b/tests/routers_fixture.h
@@ -24,12 +24,11 @@
 
   struct vm {
     vm(boost::asio::io_context &Context, const runtime_clock &Clock,
-       unsigned Number, bool HasPeers)
+       unsigned Number, bool HasPeers, router_settings Settings)
         : Connector(Context),
           CallerPort(static_cast<std::uint16_t>(FirstVmPort + 10 * Number)),
           ReadyPort(static_cast<std::uint16_t>(CallerPort + 1)),
           MetricsPort(static_cast<std::uint16_t>(CallerPort + 2)) {
-      router_settings Settings;
       Settings.VmName = "vm" + std::to_string(Number);
       Settings.DataCentre = "hall-a";
       Settings.CallerAddress = on(CallerPort);
@@ -121,10 +120,12 @@
         .dump();
   }
 
-  void startRouter(bool HasPeers = true) {
+  /// `Settings`: its limits and bounds; names and addresses are set here.
+  void startRouter(bool HasPeers = true, const router_settings &Settings = {}) {
     Thread.run([&] {
-      Vms.push_back(std::make_unique<vm>(
-          Thread.Context, Clock, static_cast<unsigned>(Vms.size()), HasPeers));
+      Vms.push_back(std::make_unique<vm>(Thread.Context, Clock,
+                                         static_cast<unsigned>(Vms.size()),
+                                         HasPeers, Settings));
     });
     const std::uint16_t Port = Vms.back()->ReadyPort;
     while (!get(Port, "/api/readiness").starts_with("HTTP/1.1 200"))
