Leave connections unread that a VM's own link can't carry

What callers saw: while the load balancer sent most new connections to one VM, requests that this VM had read timed out or broke off, with other VMs idle.

Cause: a VM read whatever came. 66 of 74 VMs of the deployment have a link of 10 Mbit/s, which a request uses with some 30 KB; a third of the callers of one data centre fill it. From then on all requests of the VM wait behind each other on the link. Class: a resource of one VM that nobody watches, since load that is spread never uses it up.

Change: vm_capacity reserves for each accepted connection what a request sends on average, returns what it didn't send, and charges what it sent beyond. Without capacity new connections are closed unread, which callers may retry elsewhere in any case, and answers end kept connections, whose requests couldn't be left unread. One connection in half a second is accepted all the same. Descriptors likewise.

--- a/src/active_request.cpp
+++ b/src/active_request.cpp
@@ -10,6 +10,12 @@
 
 namespace {
 
+/// Bytes of a write beside its data: packet headers and framing.
+constexpr double WriteOverheadBytes = 60;
+/// Bytes of an exchange beside its writes: the packets that open and close its
+/// connection, and the head of the answer.
+constexpr double ExchangeOverheadBytes = 500;
+
 constexpr std::array<std::string_view, 2> SideNames{"old", "new"};
 constexpr std::array<std::string_view, 3> SourceNames{"nobody", "own", "told"};
 
@@ -23,7 +29,9 @@
 router::active_request::active_request(
     router &Router, std::shared_ptr<caller_exchange> Exchange, routed_call Call)
     : Router(Router), Exchange(std::move(Exchange)),
-      Request(std::move(Call), Router.Requests, *this), Timer(Router.Context) {}
+      Request(std::move(Call), Router.Requests, *this),
+      ChargedBytes(Router.reservedFor(*this->Exchange)), Timer(Router.Context) {
+}
 
 /// Runs one step of the request, then rearms its timer.
 template <typename Step> void router::active_request::runStep(Step &&Do) {
@@ -122,10 +130,12 @@
                   {"config", std::to_string(call().Table->Version)}});
   Router.Metrics.attemptStarted(call().Route->Name, Spec.Number > 1);
   AttemptAt = Router.now();
+  std::string Bytes = Router.Platform.encodeAttempt(call(), Spec);
+  countSent(ExchangeOverheadBytes + static_cast<double>(Bytes.size()));
   Attempt = startExchange(Router.Connector,
                           {{Spec.Endpoint.Address, Spec.Peer},
                            call().Head.Method,
-                           Router.Platform.encodeAttempt(call(), Spec),
+                           std::move(Bytes),
                            Spec.ConnectTimeout},
                           attemptEvents());
 }
@@ -141,6 +151,7 @@
 }
 
 void router::active_request::writeStream(std::string_view Bytes) {
+  countSent(WriteOverheadBytes + static_cast<double>(Bytes.size()));
   Exchange->write(Bytes);
 }
 
@@ -156,6 +167,7 @@
 
 void router::active_request::sendResponse(const endpoint_response &Response,
                                           std::string_view Body) {
+  countSent(WriteOverheadBytes + static_cast<double>(Body.size()));
   finish(Response.isSuccess() ? "served" : "endpoint_failed");
   Exchange->answer(Response.Status, Response.Fields, Body);
 }
@@ -221,10 +233,20 @@
                    std::to_string(Millis.count())}});
 }
 
+void router::active_request::countSent(double Bytes) {
+  SentBytes += Bytes;
+  if (SentBytes <= ChargedBytes)
+    return;
+  Router.Capacity.charge(SentBytes - ChargedBytes, Router.now());
+  ChargedBytes = SentBytes;
+}
+
 void router::active_request::finish(std::string_view Outcome) {
   if (IsEnded)
     return;
   IsEnded = true;
+  countSent(ExchangeOverheadBytes);
+  Router.Capacity.requestEnded(SentBytes, ChargedBytes, Router.now());
   Timer.cancel();
   Router.Metrics.requestEnded(call().Route->Name, Outcome,
                               Router.now() - call().ArrivedAt);
--- a/src/active_request_p.h
+++ b/src/active_request_p.h
@@ -43,12 +43,15 @@
   template <typename Step> void runStep(Step &&Do);
   void armTimer();
   void finish(std::string_view Outcome);
+  void countSent(double Bytes);
 
   router &Router;
   std::shared_ptr<caller_exchange> Exchange;
   routed_request Request;
   std::shared_ptr<http_exchange> Attempt;
   mono_time AttemptAt{};
+  double SentBytes = 0; ///< to the caller and to endpoints
+  double ChargedBytes;  ///< to the VM's capacity
   boost::asio::steady_timer Timer;
   bool IsEnded = false;
 };
--- a/src/caller_server.cpp
+++ b/src/caller_server.cpp
@@ -19,6 +19,7 @@
 
 struct caller_server::shared_state {
   handler Handler;
+  connection_policy *Policy = nullptr;
   server_limits Limits;
   bool IsClosing = false;  ///< answers send Connection: close
   bool ClosesIdle = false; ///< idle connections are closed
@@ -287,6 +288,7 @@
   bool IsHeaderTimerArmed = false;
   bool IsContinueSent = false;
   bool KeepsAlive = true;
+  bool IsFirstRequest = true;
   bool IsAnswerComplete = false;
   std::string Pending;
   std::deque<std::string> WriteQueue;
@@ -298,9 +300,9 @@
 class caller_server::connection::exchange final : public caller_exchange {
 public:
   exchange(std::shared_ptr<connection> Connection, http_head Head,
-           std::string Body)
+           std::string Body, bool IsFirst)
       : Connection(std::move(Connection)), Head(std::move(Head)),
-        Body(std::move(Body)) {}
+        Body(std::move(Body)), IsFirst(IsFirst) {}
   ~exchange() override {
     if (!IsEnded)
       abortAnswer();
@@ -310,6 +312,7 @@
 
   const http_head &head() const override { return Head; }
   const std::string &body() const override { return Body; }
+  bool isFirst() const override { return IsFirst; }
 
   void answer(unsigned Status, std::vector<http_field> Fields,
               std::string_view Content) override {
@@ -372,7 +375,9 @@
   }
 
   std::string headText(unsigned Status, std::vector<http_field> Fields) {
-    if (Connection->State->IsClosing || Head.Version < 11)
+    const shared_state &State = *Connection->State;
+    if (State.IsClosing || Head.Version < 11 ||
+        (State.Policy && !State.Policy->keepsConnection()))
       Connection->KeepsAlive = false;
     if (!Connection->KeepsAlive)
       Fields.push_back({"Connection", "close"});
@@ -385,6 +390,7 @@
   std::shared_ptr<connection> Connection;
   http_head Head;
   std::string Body;
+  bool IsFirst;
   bool IsChunked = true;
   bool IsEnded = false;
 };
@@ -394,17 +400,20 @@
   Timer.cancel();
   KeepsAlive = Reader->keepAlive();
   State->Handler(std::make_shared<exchange>(
-      shared_from_this(), std::move(Reader->head()), Reader->takeBody()));
+      shared_from_this(), std::move(Reader->head()), Reader->takeBody(),
+      std::exchange(IsFirstRequest, false)));
 }
 
 caller_server::caller_server(asio::io_context &Context,
-                             std::string_view Address, handler Handler)
+                             std::string_view Address, handler Handler,
+                             connection_policy *Policy)
     : Acceptor(Context), State(std::make_shared<shared_state>()) {
   const auto Endpoint = parseAddress(Address);
   if (!Endpoint)
     throw std::invalid_argument("invalid listen address: " +
                                 std::string(Address));
   State->Handler = std::move(Handler);
+  State->Policy = Policy;
   Acceptor.open(Endpoint->protocol());
   Acceptor.set_option(asio::socket_base::reuse_address(true));
   Acceptor.bind(*Endpoint);
@@ -451,7 +460,8 @@
       [this](const error_code &Error, asio::ip::tcp::socket Socket) {
         if (Error == asio::error::operation_aborted || !Acceptor.is_open())
           return;
-        if (!Error)
+        // Otherwise the socket is closed here, with its bytes unread.
+        if (!Error && (!State->Policy || State->Policy->acceptsConnection()))
           std::make_shared<connection>(std::move(Socket), State)->open();
         accept();
       });
--- a/src/caller_server.h
+++ b/src/caller_server.h
@@ -19,6 +19,8 @@
   virtual ~caller_exchange() = default;
   virtual const http_head &head() const = 0;
   virtual const std::string &body() const = 0;
+  /// Whether it is the first request of its connection.
+  virtual bool isFirst() const = 0;
   /// Sends a complete answer.
   virtual void answer(unsigned Status, std::vector<http_field> Fields,
                       std::string_view Body) = 0;
@@ -41,6 +43,16 @@
   std::chrono::milliseconds IdleTimeout{15'000};
 };
 
+/// Decides on callers' connections when the resources of a server are in use.
+class connection_policy {
+public:
+  virtual ~connection_policy() = default;
+  /// Whether to accept a new connection; otherwise it is closed unread.
+  virtual bool acceptsConnection() = 0;
+  /// Whether a connection is kept open after an answer.
+  virtual bool keepsConnection() = 0;
+};
+
 /// HTTP/1.1 server on Boost.Beast's parser. Reads complete requests within
 /// limits, one at a time on a connection, and detects a caller's disconnect
 /// during its request.
@@ -48,9 +60,10 @@
 public:
   using handler = std::function<void(std::shared_ptr<caller_exchange>)>;
 
-  /// Throws if the address can't be bound.
+  /// Throws if the address can't be bound. Without a policy all connections are
+  /// accepted and kept.
   caller_server(boost::asio::io_context &Context, std::string_view Address,
-                handler Handler);
+                handler Handler, connection_policy *Policy = nullptr);
   /// Closes all connections.
   ~caller_server();
   caller_server(const caller_server &) = delete;
--- a/src/router.cpp
+++ b/src/router.cpp
@@ -10,6 +10,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cmath>
 #include <utility>
 
 namespace clementinelane {
@@ -40,6 +41,12 @@
               static_cast<double>(std::max<std::size_t>(1, Vms))};
 }
 
+vm_resources resourcesOf(const router_settings &Settings) {
+  constexpr double BytesPerMegabit = 1e6 / 8;
+  return {Settings.LinkMegabits * BytesPerMegabit,
+          static_cast<std::size_t>(Settings.FileDescriptors)};
+}
+
 /// Tunnels for other VMs at once. They cost descriptors and two buffers of
 /// config::SocketReadBytes each.
 constexpr std::size_t MaxTunnels = 512;
@@ -80,6 +87,7 @@
                       Peers->multicast(Choice.paths().nearPeers(),
                                        peer_message::Returns, Bytes);
                   }),
+      Capacity(resourcesOf(Settings)),
       Requests{Choice,
                Budget,
                Cascade,
@@ -136,8 +144,9 @@
   const auto HandleReady = [this](const std::shared_ptr<caller_exchange> &E) {
     answerReady(*E);
   };
-  Callers =
-      std::make_unique<caller_server>(Context, Settings.CallerAddress, Handle);
+  connection_policy &Policy = *this; // a private base
+  Callers = std::make_unique<caller_server>(Context, Settings.CallerAddress,
+                                            Handle, &Policy);
   Ready = std::make_unique<caller_server>(Context, Settings.ReadyAddress,
                                           HandleReady);
   if (!MetricsAddress.empty())
@@ -150,9 +159,9 @@
         [this](peer_message Kind, const std::string &Sender,
                std::string_view Bytes) { onMessage(Kind, Sender, Bytes); });
     Relay.connect(*Peers);
-    tunnel_policy &Policy = *this; // a private base
+    tunnel_policy &TunnelPolicy = *this; // a private base
     Tunnels = std::make_unique<tunnel_server>(
-        Context, Clock, Settings.PeerAddress, Connector, Policy);
+        Context, Clock, Settings.PeerAddress, Connector, TunnelPolicy);
   }
   Platform.start(*this);
   if (Peers)
@@ -163,6 +172,7 @@
 void router::apply(const router_settings &Value) {
   Settings = Value;
   Gate.setEnabled(Settings.CustomerShares);
+  Capacity.setResources(resourcesOf(Settings));
   Lease.setTerm(keyLease(Settings));
   Budget.setLimits(limitsOf(Settings, knownVms()));
   for (auto &[Service, Shift] : Shifts)
@@ -189,6 +199,23 @@
 
 // --- requests ----------------------------------------------------------------
 
+std::size_t router::openSockets() const {
+  return Callers->connections() + ActiveRequests.size() +
+         (Tunnels ? 2 * Tunnels->openTunnels() : 0);
+}
+
+bool router::acceptsConnection() {
+  return Capacity.tryAccept(openSockets(), now());
+}
+
+double router::reservedFor(const caller_exchange &Exchange) const {
+  return Exchange.isFirst() ? Capacity.meanRequestBytes() : 0;
+}
+
+bool router::keepsConnection() {
+  return Capacity.mayKeep(openSockets(), now());
+}
+
 void router::onRequest(std::shared_ptr<caller_exchange> Exchange) {
   routed_call Call;
   Call.Head = Exchange->head();
@@ -196,6 +223,7 @@
   Call.ArrivedAt = now();
   Call.Table = Table;
   const auto RefuseNow = [&](error_kind Kind) {
+    Capacity.requestEnded(0, reservedFor(*Exchange), Call.ArrivedAt);
     refuse(*Exchange, {Kind, run_state::NotRun, answerOf(Kind).RetryAfter},
            Call.Metadata.Id);
   };
@@ -297,6 +325,7 @@
       Peers ? static_cast<double>(Peers->sendErrors()) : 0.0;
   Gauges.LostSessionNotes = static_cast<double>(Runs.lostUpdates());
   Gauges.UnansweredLookups = static_cast<double>(Runs.unansweredLookups());
+  Gauges.UnreadConnections = static_cast<double>(Capacity.unread());
   Gauges.IsReady = isReady() ? 1 : 0;
   Exchange.answer(200, {{"Content-Type", std::string(MetricsType)}},
                   Metrics.text(Gauges));
@@ -759,6 +788,7 @@
   tickRuns(Now);
   logEstimates(Now);
   Relay.expire(Now);
+  logUnread(Now);
   updateReadiness();
   if (StoppingAt)
     advanceStop();
@@ -882,6 +912,19 @@
                 {"answers", std::to_string(Its.EffectiveAnswers)}});
 }
 
+void router::logUnread(mono_time Now) {
+  const std::uint64_t Count = Capacity.unread();
+  if (Count == UnreadLogged || Now - UnreadLoggedAt < config::UnreadLogPeriod)
+    return;
+  logs::warning("connections_left_unread",
+                {{"count", std::to_string(Count - UnreadLogged)},
+                 {"open", std::to_string(Callers->connections())},
+                 {"request_bytes",
+                  std::to_string(std::lround(Capacity.meanRequestBytes()))}});
+  UnreadLogged = Count;
+  UnreadLoggedAt = Now;
+}
+
 void router::updateReadiness() {
   if (isReady() == WasReady)
     return;
--- a/src/router.h
+++ b/src/router.h
@@ -16,6 +16,7 @@
 #include "router_settings.h"
 #include "run_registry.h"
 #include "tunnel_server.h"
+#include "vm_capacity.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -33,7 +34,8 @@
 class router final : public platform_events,
                      private run_transport,
                      private run_records,
-                     private tunnel_policy {
+                     private tunnel_policy,
+                     private connection_policy {
 public:
   router(boost::asio::io_context &Context, const runtime_clock &Clock,
          const router_settings &Settings, platform_port &Platform,
@@ -99,6 +101,11 @@
   void answerReady(caller_exchange &Exchange) const;
   void answerMetrics(caller_exchange &Exchange);
   bool isReady() const;
+  bool acceptsConnection() override;
+  bool keepsConnection() override;
+  std::size_t openSockets() const;
+  /// Bytes that Capacity reserved for the request.
+  double reservedFor(const caller_exchange &Exchange) const;
   /// Number of VMs in the fleet, including this one.
   std::size_t knownVms() const;
   bool areKeysValid(mono_time Now) const { return Lease.isValid(Now); }
@@ -159,6 +166,7 @@
   void releaseRequest(std::uint64_t Request);
   duration ageOf(std::int64_t WallMs) const;
   void updateReadiness();
+  void logUnread(mono_time Now);
   void advanceStop();
   void publishStrandedSessions(std::string_view Service,
                                const version_shift &Shift);
@@ -192,6 +200,7 @@
   mono_time EstimatesLoggedAt{};
   std::map<std::string, std::unique_ptr<version_shift>, std::less<>> Shifts;
   std::map<std::string, status_times, std::less<>> StatusTimes;
+  vm_capacity Capacity;
   request_context Requests;
   router_metrics Metrics;
   std::set<std::shared_ptr<active_request>> ActiveRequests;
@@ -217,6 +226,8 @@
   bool HasClosedIdle = false;
   std::vector<std::uint32_t> LostGroups; ///< as last sent to the peers
   bool WasReady = false;
+  std::uint64_t UnreadLogged = 0; ///< connections left unread, as last logged
+  mono_time UnreadLoggedAt{};
   bool ArePeersKnown = false;
   bool AreStatusesKnown = false;
   std::uint64_t RandomState;
--- a/src/router_metrics.cpp
+++ b/src/router_metrics.cpp
@@ -68,11 +68,15 @@
 };
 
 using g = router_metrics::gauges;
-constexpr std::array<gauge_row, 23> GaugeRows{{
+constexpr std::array<gauge_row, 24> GaugeRows{{
     {"clementine_open_requests", "requests currently being processed",
      &g::OpenRequests},
     {"clementine_caller_connections", "connections of callers",
      &g::Connections},
+    {"clementine_connections_unread",
+     "callers' connections closed unread since the start, because this VM's "
+     "resources were in use",
+     &g::UnreadConnections},
     {"clementine_endpoints", "endpoints in the directory", &g::Endpoints},
     {"clementine_endpoints_avoided", "endpoints avoided after failures",
      &g::AvoidedEndpoints},
--- a/src/router_metrics.h
+++ b/src/router_metrics.h
@@ -55,6 +55,7 @@
     double UnsentDatagrams = 0;
     double LostSessionNotes = 0;
     double UnansweredLookups = 0;
+    double UnreadConnections = 0;
     double IsReady = 0;
   };
   std::string text(const gauges &Gauges) const;
--- a/src/router_settings.h
+++ b/src/router_settings.h
@@ -20,6 +20,8 @@
   std::string ReadyAddress;  ///< listen address for the load balancer's probes
   std::string PeerAddress;   ///< receives datagrams of other routers
   std::string PlatformAddress;
+  double LinkMegabits = 0;    ///< a second, of this VM's link; 0: unknown
+  double FileDescriptors = 0; ///< 0: unknown
   double Cores = 0; ///< CPU cores of this VM, may be a fraction; 0: unknown
   /// A revoked key may be accepted for at most this long.
   std::chrono::milliseconds RevocationBound{5'000};
--- /dev/null
+++ b/src/vm_capacity.cpp
@@ -0,0 +1,74 @@
+#include "vm_capacity.h"
+
+#include <algorithm>
+
+namespace clementinelane {
+
+namespace {
+
+/// Part of the link for requests. The rest absorbs packet headers,
+/// retransmissions and the datagrams between routers.
+constexpr double UsableLinkPart = 0.5;
+/// Requests may come this far ahead of the link's rate.
+constexpr double BurstSeconds = 0.25;
+/// Of one request in the mean.
+constexpr double MinMeanWeight = 0.02;
+/// Descriptors for the store, peers, probes and logs.
+constexpr double UsableDescriptorPart = 0.9;
+/// An accepted request opens a connection to an endpoint.
+constexpr std::size_t DescriptorsPerRequest = 2;
+/// A VM without capacity accepts a connection this often: it counts as down
+/// for load balancers otherwise, and learns nothing.
+constexpr auto MaxAcceptGap = std::chrono::milliseconds(500);
+
+} // namespace
+
+double vm_capacity::usableRate() const {
+  return UsableLinkPart * Resources.LinkBytesPerSecond;
+}
+
+void vm_capacity::refill(mono_time Now) {
+  const double Seconds =
+      std::chrono::duration<double>(Now - RefilledAt).count();
+  RefilledAt = Now;
+  Available = std::min(BurstSeconds * usableRate(),
+                       Available + std::max(0.0, Seconds) * usableRate());
+}
+
+bool vm_capacity::hasCapacity(std::size_t OpenDescriptors) const {
+  if (Resources.LinkBytesPerSecond > 0 && Available < MeanBytes)
+    return false;
+  return Resources.Descriptors == 0 ||
+         static_cast<double>(OpenDescriptors + DescriptorsPerRequest) <=
+             UsableDescriptorPart * static_cast<double>(Resources.Descriptors);
+}
+
+bool vm_capacity::tryAccept(std::size_t OpenDescriptors, mono_time Now) {
+  refill(Now);
+  if (!hasCapacity(OpenDescriptors) && Now - AcceptedAt < MaxAcceptGap) {
+    ++Unread;
+    return false;
+  }
+  AcceptedAt = Now;
+  Available -= MeanBytes;
+  return true;
+}
+
+bool vm_capacity::mayKeep(std::size_t OpenDescriptors, mono_time Now) {
+  refill(Now);
+  return hasCapacity(OpenDescriptors);
+}
+
+void vm_capacity::charge(double Bytes, mono_time Now) {
+  refill(Now);
+  Available -= Bytes;
+}
+
+void vm_capacity::requestEnded(double Bytes, double Charged, mono_time Now) {
+  refill(Now);
+  Available += Charged - Bytes;
+  MeanBytes += MeanWeight * (Bytes - MeanBytes);
+  MeanWeight = std::max(MinMeanWeight, MeanWeight / (1 + MeanWeight));
+}
+
+} // namespace clementinelane
