--- a/tests/standin/platform/store.cpp
+++ b/tests/standin/platform/store.cpp
@@ -33,11 +33,6 @@
 
 bool isKeyed(const std::string &Topic) { return Topic.starts_with("keyed."); }
 
-void answerJson(caller_exchange &Exchange, unsigned Status,
-                const nlohmann::json &Body) {
-  Exchange.answer(Status, {{"Content-Type", "application/json"}}, Body.dump());
-}
-
 constexpr std::array<std::pair<std::string_view, store_fault>, 5> FaultNames{{
     {"none", store_fault::None},
     {"busy", store_fault::Busy},
@@ -81,6 +76,25 @@
   Kept.Records.clear();
 }
 
+void platform_store::restoreCopy() {
+  Topics = Copy;
+  ++Era;
+  for (const waiting &Each : std::exchange(Waiting, {}))
+    Each.Exchange->abortAnswer();
+}
+
+void platform_store::answer(caller_exchange &Exchange, unsigned Status,
+                            std::vector<http_field> Fields,
+                            std::string_view Body) const {
+  Fields.push_back({"Store-Era", std::to_string(Era)});
+  Exchange.answer(Status, std::move(Fields), Body);
+}
+
+void platform_store::answerJson(caller_exchange &Exchange, unsigned Status,
+                                std::string_view Json) const {
+  answer(Exchange, Status, {{"Content-Type", "application/json"}}, Json);
+}
+
 void platform_store::add(const std::string &Name, std::string Record) {
   topic &Topic = Topics[Name];
   if (isKeyed(Name) && !Record.empty()) {
@@ -121,6 +135,10 @@
         newest(queryValue(Target, "topic"), queryValue(Target, "key"))
             .value_or(""));
     return true;
+  } else if (Target.starts_with("/standin/copy")) {
+    keepCopy();
+  } else if (Target.starts_with("/standin/restore")) {
+    restoreCopy();
   } else if (Target.starts_with("/standin/compact")) {
     compact(queryValue(Target, "topic"));
   } else {
@@ -136,7 +154,7 @@
 bool platform_store::isFaulty(const exchange_ptr &Exchange) {
   switch (Fault) {
   case store_fault::Busy:
-    Exchange->answer(503, {}, {});
+    answer(*Exchange, 503, {}, {});
     return true;
   case store_fault::Silent:
     Unanswered.push_back(Exchange);
@@ -160,7 +178,7 @@
   else if (Target.starts_with("/api/log-newest"))
     listNewest(Exchange);
   else
-    Exchange->answer(404, {}, {});
+    answer(*Exchange, 404, {}, {});
 }
 
 void platform_store::append(const exchange_ptr &Exchange) {
@@ -169,7 +187,8 @@
   const topic &Topic = Topics[Name];
   if (const std::string At = queryValue(Target, "at");
       !At.empty() && std::stoull(At) != Topic.end()) {
-    answerJson(*Exchange, 412, {{"end_offset", Topic.end()}});
+    answerJson(*Exchange, 412,
+               nlohmann::json{{"end_offset", Topic.end()}}.dump());
     return;
   }
   const std::uint64_t First = Topic.end();
@@ -185,8 +204,10 @@
     Exchange->abortAnswer();
     return;
   }
-  answerJson(*Exchange, 200,
-             {{"offset", First}, {"end_offset", Topics[Name].end()}});
+  answerJson(
+      *Exchange, 200,
+      nlohmann::json{{"offset", First}, {"end_offset", Topics[Name].end()}}
+          .dump());
 }
 
 void platform_store::read(const exchange_ptr &Exchange) {
@@ -195,8 +216,9 @@
   const std::uint64_t From = queryNumber(Target, "source");
   const std::uint64_t Wait = queryNumber(Target, "wait_timeout_ms");
   topic &Topic = Topics[Name];
-  if (From < Topic.First) {
-    answerJson(*Exchange, 410, {{"first_offset", Topic.First}});
+  if (From < Topic.First || From > Topic.end()) {
+    answerJson(*Exchange, 410,
+               nlohmann::json{{"first_offset", Topic.First}}.dump());
     return;
   }
   if (From < Topic.end() || Wait == 0) {
@@ -225,7 +247,7 @@
   std::string Body = bigEndian(Topic.end(), 8) + bigEndian(Topic.First, 8);
   for (std::uint64_t At = std::max(From, Topic.First); At < Topic.end(); ++At)
     Body += Topic.Records[At - Topic.First];
-  Exchange.answer(200, {}, Body);
+  answer(Exchange, 200, {}, Body);
 }
 
 void platform_store::listNewest(const exchange_ptr &Exchange) {
@@ -236,9 +258,10 @@
                      {"value", base64(Record.first)},
                      {"offset", Record.second}});
   answerJson(*Exchange, 200,
-             {{"items", std::move(Items)},
-              {"has_more", false},
-              {"end_offset", Topic.end()}});
+             nlohmann::json{{"items", std::move(Items)},
+                            {"has_more", false},
+                            {"end_offset", Topic.end()}}
+                 .dump());
 }
 
 } // namespace clementinelane::standin
--- a/tests/standin/platform/store.h
+++ b/tests/standin/platform/store.h
@@ -24,6 +24,8 @@
 ///   POST /standin/fault?name=NAME       none, busy, silent, reset,
 ///                                       lose_answers
 ///   POST /standin/compact?topic=T       drops the history
+///   POST /standin/copy                  keeps a copy of all topics
+///   POST /standin/restore               goes back to it, in the next era
 class platform_store {
 public:
   platform_store(boost::asio::io_context &Context, std::string_view Address);
@@ -32,6 +34,12 @@
            const std::string &Value);
   void remove(const std::string &Topic, const std::string &Key);
   void compact(const std::string &Topic);
+  /// Keeps a copy of all topics.
+  void keepCopy() { Copy = Topics; }
+  /// Goes back to the copy: later records are lost, and their offsets are given
+  /// out again. Pending reads are cut off.
+  void restoreCopy();
+  std::uint64_t era() const { return Era; }
   void setFault(store_fault Value) { Fault = Value; }
   /// Returns the newest value of a key.
   std::optional<std::string> newest(const std::string &Topic,
@@ -52,6 +60,10 @@
     std::unique_ptr<boost::asio::steady_timer> Timer;
   };
 
+  void answer(caller_exchange &Exchange, unsigned Status,
+              std::vector<http_field> Fields, std::string_view Body) const;
+  void answerJson(caller_exchange &Exchange, unsigned Status,
+                  std::string_view Json) const;
   void handleRequest(const exchange_ptr &Exchange);
   bool isFaulty(const exchange_ptr &Exchange);
   bool handleControl(const exchange_ptr &Exchange);
@@ -65,6 +77,8 @@
 
   boost::asio::io_context &Context;
   std::map<std::string, topic> Topics;
+  std::map<std::string, topic> Copy;
+  std::uint64_t Era = 1; ///< rises with each restored copy
   std::list<waiting> Waiting;
   std::vector<exchange_ptr> Unanswered;
   store_fault Fault = store_fault::None;
