Make the store's era part of every position in a topic

What callers saw: after the store had come back from a copy some seconds old, 72 of 74 VMs kept handling requests by the configuration from before for 12 s and longer: keys that had been added were refused, one that had been revoked was served.

Cause: a position in a topic was an offset alone. After the drill offsets are given out again. The readers asked the store from beyond its end, got 410 and listed the topic. All others asked a reader from their old offset, got no records and an end below their own, and took that for "up to date" until offsets had grown past it; what was written below was never read. Class: a position compared across two logs.

Ruled out: versions passed over, old records from the relay (no such lines).

Change: the era is read from every answer of the store. A newer one, from an answer, a relayed reply, a query or an announcement, makes all followers list anew and drops what the relay cached. Answers, replies and announcements of an older era confirm nothing. Positions of an old era get the listing.

Not yet: what VMs wrote themselves, roll-outs, evacuations and leaves over an era.

--- a/src/platform.h
+++ b/src/platform.h
@@ -42,6 +42,10 @@
                             std::optional<std::string_view> Bytes) = 0;
   /// Addresses of all registered routers.
   virtual void onPeers(const std::vector<std::string> &Addresses) = 0;
+  /// The store has gone back to an older copy, in a new era: what was read and
+  /// written since that copy may be missing until it is written again. All
+  /// topics are listed anew after this call.
+  virtual void onStoreEra(std::uint64_t Era) = 0;
   /// A call to the store finished; for metrics.
   virtual void onStoreCall(std::string_view Call, bool IsOk) = 0;
 };
--- a/src/read_relay.cpp
+++ b/src/read_relay.cpp
@@ -16,7 +16,8 @@
 using json = nlohmann::json;
 using std::chrono::milliseconds;
 
-/// Number of fields of a query, a reply and a record, in wire order.
+/// Number of fields of a query, a reply and a record, in wire order. The era of
+/// queries, replies and announcements may be missing.
 constexpr std::size_t QueryFields = 4;
 constexpr std::size_t ReplyFields = 7;
 constexpr std::size_t RecordFields = 4;
@@ -28,6 +29,10 @@
   return Bytes;
 }
 
+std::uint64_t eraAt(const json &Body, std::size_t Field) {
+  return Body.size() > Field ? Body[Field].get<std::uint64_t>() : 0;
+}
+
 std::size_t sizeOf(const topic_record &Record) {
   return Record.Key.size() + (Record.Value ? Record.Value->size() : 0);
 }
@@ -64,7 +69,7 @@
 
 std::string encodeRelayQuery(const relay_query &Query) {
   return toBytes({Query.QueryId, static_cast<unsigned>(Query.Topic), Query.From,
-                  Query.IsListing ? 1 : 0});
+                  Query.IsListing ? 1 : 0, Query.Era});
 }
 
 std::optional<relay_query> decodeRelayQuery(std::string_view Bytes) {
@@ -75,9 +80,10 @@
     const auto Topic = Body[1].get<std::size_t>();
     if (Topic >= RelayedTopics)
       return std::nullopt;
-    return relay_query{
-        Body[0].get<std::uint64_t>(), static_cast<relayed_topic>(Topic),
-        Body[2].get<std::uint64_t>(), Body[3].get<unsigned>() != 0};
+    return relay_query{Body[0].get<std::uint64_t>(),
+                       static_cast<relayed_topic>(Topic),
+                       Body[2].get<std::uint64_t>(),
+                       Body[3].get<unsigned>() != 0, eraAt(Body, QueryFields)};
   } catch (const json::exception &) {
     return std::nullopt; // the caller counts malformed queries
   }
@@ -99,7 +105,7 @@
   return toBytes({Reply.QueryId, Reply.HasGap ? 1 : 0, Reply.HasListing ? 1 : 0,
                   Reply.End, Reply.Age.count(),
                   std::chrono::floor<milliseconds>(Now - CompressedAt).count(),
-                  json::binary({Bytes, Bytes + Compressed.size()})});
+                  json::binary({Bytes, Bytes + Compressed.size()}), Reply.Era});
 }
 
 std::string encodeRelayReply(const relay_reply &Reply, mono_time Now) {
@@ -122,6 +128,7 @@
         Now - milliseconds(Body[5].get<std::uint32_t>());
     if (!decompressRecords(Body[6].get_binary(), CompressedAt, Reply.Records))
       return std::nullopt;
+    Reply.Era = eraAt(Body, ReplyFields);
     return Reply;
   } catch (const json::exception &) {
     return std::nullopt; // the caller counts malformed replies
@@ -133,6 +140,29 @@
   PendingQueries.clear();
 }
 
+void read_relay::setEra(std::uint64_t Value) {
+  if (Value <= Era)
+    return;
+  const bool WasKnown = std::exchange(Era, Value) != 0;
+  if (!WasKnown)
+    return;
+  for (std::size_t Each = 0; Each < RelayedTopics; ++Each) {
+    const auto RequestedAt = Topics[Each].RequestedAt;
+    Topics[Each] = topic_cache{};
+    Topics[Each].RequestedAt = RequestedAt;
+    Compressed[Each] = {};
+  }
+  ReplyConfirmedAt.reset();
+}
+
+// Failure: a router that hasn't heard of a new era asks from an old position,
+// or answers with one. Offsets of different eras can't be compared.
+bool read_relay::isOfOldEra(std::uint64_t Value) {
+  if (Value > Era && EraHandler)
+    EraHandler(Value);
+  return Value != 0 && Value < Era;
+}
+
 void read_relay::confirm(relayed_topic Topic, std::uint64_t End,
                          mono_time SentAt) {
   topic_cache &Cache = at(Topic);
@@ -155,7 +185,7 @@
       Topic == relayed_topic::Orders || Topic == relayed_topic::Statuses;
   if (IsUrgent && Peers && isReader(Now))
     Peers->sendAnnouncement(
-        toBytes({static_cast<unsigned>(Topic), at(Topic).End}));
+        toBytes({static_cast<unsigned>(Topic), at(Topic).End, Era}));
 }
 
 // Failure: an announcement datagram is lost, and its receiver learns of an
@@ -175,7 +205,7 @@
     if (!Body.is_array() || Body.size() < AnnouncementFields)
       return;
     const auto Topic = Body[0].get<std::size_t>();
-    if (Topic >= RelayedTopics)
+    if (Topic >= RelayedTopics || isOfOldEra(eraAt(Body, AnnouncementFields)))
       return;
     topic_cache &Cache = Topics[Topic];
     Cache.AnnouncedEnd =
@@ -292,6 +322,7 @@
   if (!Reader)
     return false;
   Pending.Query.QueryId = ++LastQueryId;
+  Pending.Query.Era = Era;
   Pending.SentAt = Now;
   ++Pending.Attempts;
   const std::string Bytes = encodeRelayQuery(Pending.Query);
@@ -314,13 +345,14 @@
 bool read_relay::requestUpdates(relayed_topic Topic, std::uint64_t From,
                                 bool HasStoreFailed, mono_time Now,
                                 update_handler Handler) {
-  return send({{0, Topic, From, false}, {}, std::move(Handler)}, HasStoreFailed,
-              Now);
+  return send({{0, Topic, From, false, Era}, {}, std::move(Handler)},
+              HasStoreFailed, Now);
 }
 
 bool read_relay::requestListing(relayed_topic Topic, std::uint64_t From,
                                 mono_time Now, update_handler Handler) {
-  return send({{0, Topic, From, true}, {}, std::move(Handler)}, false, Now);
+  return send({{0, Topic, From, true, Era}, {}, std::move(Handler)}, false,
+              Now);
 }
 
 const read_relay::compressed_page &
@@ -362,9 +394,10 @@
     Cache.RequestedAt = Now;
   relay_reply Reply;
   Reply.QueryId = Query.QueryId;
+  Reply.Era = Era;
   Reply.End = Cache.End;
   Reply.HasGap =
-      !Cache.ConfirmedAt ||
+      !Cache.ConfirmedAt || isOfOldEra(Query.Era) ||
       (Query.IsListing ? !Cache.IsComplete : Query.From < Cache.First);
   // Rounded up, so a confirmation is never reported younger than it is.
   if (Cache.ConfirmedAt)
@@ -401,8 +434,18 @@
   const auto Found = PendingQueries.find(Reply->QueryId);
   if (Found == PendingQueries.end())
     return;
+  const std::uint64_t AskedEra = Found->second.Query.Era;
+  if (isOfOldEra(Reply->Era)) {
+    end(Reply->QueryId, std::nullopt);
+    return;
+  }
   const mono_time ConfirmedAt = Found->second.SentAt - Reply->Age;
   const bool IsOld = Now - ConfirmedAt > config::MaxRelayedAge;
+  // The position that was asked from is of an earlier era.
+  if (AskedEra != 0 && AskedEra != Era) {
+    end(Reply->QueryId, topic_update{{}, 0, ConfirmedAt, true});
+    return;
+  }
   // Failure: the store loses its history. The readers list the topics again,
   // and all other routers lack the records from before that listing, so they
   // fetch the listing.
--- a/src/read_relay.h
+++ b/src/read_relay.h
@@ -42,6 +42,7 @@
   relayed_topic Topic = relayed_topic::Orders;
   std::uint64_t From = 0; ///< the first record that the sender lacks
   bool IsListing = false; ///< newest record of each key from there on
+  std::uint64_t Era = 0;  ///< of the store, as the sender knows it; 0: unknown
 };
 
 /// What the queried router knows of the topic.
@@ -53,6 +54,7 @@
   /// Time since it sent the read that confirmed its records as complete.
   std::chrono::milliseconds Age{0};
   std::vector<topic_record> Records; ///< those that fit, in log order
+  std::uint64_t Era = 0; ///< of the store, in which its offsets hold
 };
 
 std::string encodeRelayQuery(const relay_query &Query);
@@ -122,6 +124,13 @@
   void onAnnouncement(std::function<void(relayed_topic)> Handler) {
     AnnouncementHandler = std::move(Handler);
   }
+  /// Sets the callback for an era that is newer than this router's.
+  void onEra(std::function<void(std::uint64_t Era)> Handler) {
+    EraHandler = std::move(Handler);
+  }
+  /// The store is in this era: what is cached and announced from before is
+  /// dropped, as offsets are given out again.
+  void setEra(std::uint64_t Value);
   /// Stops sending queries and drops the pending ones without calling their
   /// handlers.
   void disconnect();
@@ -210,6 +219,7 @@
   static void eraseRecord(topic_cache &Cache, std::uint64_t Offset);
   static void evictOldest(topic_cache &Cache);
   bool send(pending_query Pending, bool HasStoreFailed, mono_time Now);
+  bool isOfOldEra(std::uint64_t Value);
   bool retryOtherReader(pending_query &Pending, const relay_reply &Reply,
                         mono_time Now);
   const compressed_page &compressedPage(relayed_topic Topic, std::uint64_t From,
@@ -226,6 +236,8 @@
   std::array<compressed_page, RelayedTopics> Compressed;
   std::map<std::uint64_t, pending_query> PendingQueries;
   std::uint64_t LastQueryId = 0;
+  std::uint64_t Era = 0; ///< of the store; 0: unknown
+  std::function<void(std::uint64_t Era)> EraHandler;
   std::optional<mono_time> ReplyConfirmedAt; ///< newest confirmation in a reply
   /// Count of unusable or missing replies, which selects the next reader to
   /// query.
--- a/src/router.cpp
+++ b/src/router.cpp
@@ -326,6 +326,7 @@
   Gauges.LostSessionNotes = static_cast<double>(Runs.lostUpdates());
   Gauges.UnansweredLookups = static_cast<double>(Runs.unansweredLookups());
   Gauges.UnreadConnections = static_cast<double>(Capacity.unread());
+  Gauges.StoreEra = static_cast<double>(StoreEra);
   Gauges.IsReady = isReady() ? 1 : 0;
   Exchange.answer(200, {{"Content-Type", std::string(MetricsType)}},
                   Metrics.text(Gauges));
@@ -365,6 +366,8 @@
   updateReadiness();
 }
 
+void router::onStoreEra(std::uint64_t Era) { StoreEra = Era; }
+
 void router::onRoutesConfirmed(mono_time SentAt) {
   Lease.renew(SentAt);
   updateReadiness();
--- a/src/router.h
+++ b/src/router.h
@@ -67,6 +67,7 @@
   void onQuarantine(std::string_view Key,
                     std::optional<std::string_view> Bytes) override;
   void onPeers(const std::vector<std::string> &Addresses) override;
+  void onStoreEra(std::uint64_t Era) override;
   void onStoreCall(std::string_view Call, bool IsOk) override {
     Metrics.platformCall(Call, IsOk);
   }
@@ -223,6 +224,7 @@
   boost::asio::steady_timer Tick;
   mono_time ReportedAt{};
   std::optional<mono_time> StoppingAt;
+  std::uint64_t StoreEra = 0; ///< 0: has not changed since the start
   bool HasClosedIdle = false;
   std::vector<std::uint32_t> LostGroups; ///< as last sent to the peers
   bool WasReady = false;
--- a/src/router_metrics.cpp
+++ b/src/router_metrics.cpp
@@ -68,7 +68,7 @@
 };
 
 using g = router_metrics::gauges;
-constexpr std::array<gauge_row, 24> GaugeRows{{
+constexpr std::array<gauge_row, 25> GaugeRows{{
     {"clementine_open_requests", "requests currently being processed",
      &g::OpenRequests},
     {"clementine_caller_connections", "connections of callers",
@@ -113,6 +113,10 @@
      "sets of prompt parts that no endpoint may get, since endpoints crashed "
      "as they began to answer them",
      &g::QuarantinedParts},
+    {"clementine_store_era",
+     "era of the platform's store since it last went back to a copy; 0: it "
+     "hasn't since the start",
+     &g::StoreEra},
     {"clementine_configuration_version", "version of the configuration in use",
      &g::ConfigurationVersion},
     {"clementine_key_lease_age_seconds",
--- a/tests/read_relay_test.cpp
+++ b/tests/read_relay_test.cpp
@@ -497,3 +497,180 @@
     BOOST_TEST(Fetch.Update->Records.size() == 1U);
   }
 }
+
+namespace {
+
+/// Sets the store's era at all VMs but those of `Behind`; they learn of it only
+/// from peers.
+void setEra(fleet &Fleet, std::uint64_t Era,
+            const std::set<std::string> &Behind = {}) {
+  for (auto &[Address, Vm] : Fleet.Vms) {
+    Vm->Relay.onEra(
+        [Relay = &Vm->Relay](std::uint64_t Value) { Relay->setEra(Value); });
+    if (!Behind.contains(Address))
+      Vm->Relay.setEra(Era);
+  }
+}
+
+std::string addressOf(fleet &Fleet, const read_relay &Relay) {
+  for (const auto &[Address, Vm] : Fleet.Vms)
+    if (&Vm->Relay == &Relay)
+      return Address;
+  return {};
+}
+
+void listAt(fleet &Fleet, const std::set<std::string> &Readers,
+            std::uint64_t End) {
+  const std::vector<topic_record> Records{record(0, "a"), record(1, "b")};
+  for (const std::string &Address : Readers) {
+    read_relay &Reader = Fleet.Vms.at(Address)->Relay;
+    Reader.cacheListing(relayed_topic::Orders, Records, End);
+    Reader.confirm(relayed_topic::Orders, End, Fleet.Now);
+  }
+}
+
+} // namespace
+
+// The store goes back to a copy. A router that hasn't heard of it asks from its
+// old position, which is beyond the end, and must not take that for up to date.
+BOOST_AUTO_TEST_CASE(position_of_an_old_era_needs_a_listing) {
+  fleet Fleet(5);
+  setEra(Fleet, 1);
+  Fleet.confirm(10);
+  read_relay &Follower = Fleet.follower();
+  const auto Readers = Fleet.readers();
+  const std::string Address = addressOf(Fleet, Follower);
+  Fleet.AnnouncementsLost.insert(Address);
+  setEra(Fleet, 2, {Address});
+  listAt(Fleet, Readers, 2);
+  const relay_fetch Old(Fleet, Follower, 10);
+  BOOST_REQUIRE(Old.Update);
+  BOOST_TEST(Old.Update->NeedsListing);
+  BOOST_TEST(Old.Update->Records.empty());
+  const relay_fetch New(Fleet, Follower, 2);
+  BOOST_REQUIRE(New.Update);
+  BOOST_TEST(!New.Update->NeedsListing);
+}
+
+// A reader that hasn't heard of the new era confirms nothing, and learns of it
+// from the query.
+BOOST_AUTO_TEST_CASE(reader_of_an_old_era_confirms_nothing) {
+  fleet Fleet(5);
+  setEra(Fleet, 1);
+  Fleet.confirm(10);
+  read_relay &Follower = Fleet.follower();
+  const auto Readers = Fleet.readers();
+  setEra(Fleet, 2, Readers);
+  const relay_fetch Fetch(Fleet, Follower, 10);
+  BOOST_TEST(Fetch.HasEnded);
+  BOOST_TEST(!Fetch.Update);
+  BOOST_TEST(!Follower.hasRecentReply(Fleet.Now));
+}
+
+// A reply that is on its way while the store goes back is of the old era.
+BOOST_AUTO_TEST_CASE(late_reply_of_an_old_era_is_dropped) {
+  fleet Fleet(5);
+  setEra(Fleet, 1);
+  Fleet.confirm(10);
+  read_relay &Follower = Fleet.follower();
+  Fleet.DelaysReplies = true;
+  const relay_fetch Fetch(Fleet, Follower, 10);
+  setEra(Fleet, 2);
+  Fleet.deliver();
+  BOOST_TEST(Fetch.HasEnded);
+  BOOST_TEST(!Fetch.Update);
+}
+
+// Eras rise twice while a router is cut off; an announcement tells it.
+BOOST_AUTO_TEST_CASE(announcement_tells_of_a_new_era) {
+  fleet Fleet(5);
+  setEra(Fleet, 1);
+  Fleet.confirm(10);
+  read_relay &Follower = Fleet.follower();
+  const std::string Address = addressOf(Fleet, Follower);
+  const auto Readers = Fleet.readers();
+  std::uint64_t Heard = 0;
+  setEra(Fleet, 2, {Address});
+  setEra(Fleet, 3, {Address});
+  Follower.onEra([&](std::uint64_t Era) { Heard = Era; });
+  listAt(Fleet, Readers, 2);
+  BOOST_TEST(Heard == 3U);
+}
+
+// Readers and followers over eras, with every order of writes, restored copies
+// and reads of a few steps: a router that was told that it is up to date has
+// the newest value of each key.
+BOOST_AUTO_TEST_CASE(up_to_date_means_newest_values_over_eras) {
+  constexpr unsigned Steps = 7;
+  constexpr unsigned Kinds = 4;
+  unsigned Cases = 1;
+  for (unsigned Each = 0; Each < Steps; ++Each)
+    Cases *= Kinds;
+  unsigned Proofs = 0;
+  for (unsigned Case = 0; Case < Cases; ++Case) {
+    fleet Fleet(3);
+    setEra(Fleet, 1);
+    std::vector<int> Log{0};
+    std::vector<int> Copy = Log;
+    std::uint64_t Era = 1;
+    const auto Readers = Fleet.readers();
+    read_relay &Follower = Fleet.follower();
+    std::optional<std::uint64_t> Next;
+    int Value = -1;
+    const auto ReadAtReaders = [&] {
+      setEra(Fleet, Era, {addressOf(Fleet, Follower)});
+      Follower.onEra([&](std::uint64_t Heard) {
+        Follower.setEra(Heard);
+        Next.reset(); // as platform_adapter restarts its followers
+      });
+      const topic_record Newest =
+          record(Log.size() - 1, "key", std::to_string(Log.back()));
+      for (const std::string &Address : Readers)
+        Fleet.Vms.at(Address)->Relay.cacheListing(relayed_topic::Orders,
+                                                  {&Newest, 1}, Log.size());
+      Fleet.confirm(Log.size());
+    };
+    const auto Take = [&](const std::optional<read_relay::topic_update> &Update,
+                          bool IsListing) {
+      if (!Update || Update->NeedsListing) {
+        Next.reset();
+        return;
+      }
+      for (const topic_record &Record : Update->Records)
+        Value = std::stoi(*Record.Value);
+      Next = std::max(Update->End, IsListing ? 0 : Next.value_or(0));
+      ++Proofs;
+      if (Value != Log.back())
+        BOOST_ERROR("case " << Case << ": up to date with " << Value
+                            << " instead of " << Log.back());
+    };
+    const auto FollowerReads = [&] {
+      if (Next)
+        Follower.requestUpdates(relayed_topic::Orders, *Next, false, Fleet.Now,
+                                [&](auto Update) { Take(Update, false); });
+      else
+        Follower.requestListing(relayed_topic::Orders, 0, Fleet.Now,
+                                [&](auto Update) { Take(Update, true); });
+    };
+    unsigned Left = Case;
+    for (unsigned Step = 0; Step < Steps; ++Step, Left /= Kinds) {
+      switch (Left % Kinds) {
+      case 0:
+        Log.push_back(static_cast<int>(Step) + 1);
+        break;
+      case 1:
+        Copy = Log;
+        break;
+      case 2:
+        Log = Copy;
+        ++Era;
+        break;
+      default:
+        break;
+      }
+      ReadAtReaders();
+      FollowerReads();
+    }
+  }
+  BOOST_TEST(Proofs > Cases);
+}
