Drop handlers that are queued when their owner is destroyed

Cause: an operation that has completed can't be cancelled any more; its handler runs although its owner is destroyed. A timer that expires just before the router's end ran the tick on it. The same class in the accept loops of both servers, the datagram socket and its timer.

Timers of platform_adapter don't yet.

--- a/src/caller_server.cpp
+++ b/src/caller_server.cpp
@@ -456,15 +456,15 @@
 }
 
 void caller_server::accept() {
-  Acceptor.async_accept(
-      [this](const error_code &Error, asio::ip::tcp::socket Socket) {
-        if (Error == asio::error::operation_aborted || !Acceptor.is_open())
-          return;
-        // Otherwise the socket is closed here, with its bytes unread.
-        if (!Error && (!State->Policy || State->Policy->acceptsConnection()))
-          std::make_shared<connection>(std::move(Socket), State)->open();
-        accept();
-      });
+  Acceptor.async_accept(Life.guard([this](const error_code &Error,
+                                          asio::ip::tcp::socket Socket) {
+    if (Error == asio::error::operation_aborted || !Acceptor.is_open())
+      return;
+    // Otherwise the socket is closed here, with its bytes unread.
+    if (!Error && (!State->Policy || State->Policy->acceptsConnection()))
+      std::make_shared<connection>(std::move(Socket), State)->open();
+    accept();
+  }));
 }
 
 } // namespace clementinelane
--- a/src/caller_server.h
+++ b/src/caller_server.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "http_framing.h"
+#include "lifetime.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -85,6 +86,7 @@
 
   boost::asio::ip::tcp::acceptor Acceptor;
   std::shared_ptr<shared_state> State;
+  lifetime Life;
 };
 
 } // namespace clementinelane
--- a/src/connect_probes.h
+++ b/src/connect_probes.h
@@ -2,6 +2,7 @@
 
 #include "clock.h"
 #include "endpoint_connector.h"
+#include "lifetime.h"
 
 #include <functional>
 #include <memory>
@@ -23,7 +24,7 @@
 private:
   endpoint_connector &Connector;
   /// Expires with this object; pending probes then skip their callback.
-  std::shared_ptr<const bool> Life = std::make_shared<const bool>(true);
+  lifetime Life;
 };
 
 } // namespace clementinelane
--- a/src/peer_datagrams.cpp
+++ b/src/peer_datagrams.cpp
@@ -79,7 +79,7 @@
 void peer_datagrams::receive() {
   Socket.async_receive_from(
       boost::asio::buffer(Buffer), Sender,
-      [this](const error_code &Error, std::size_t Count) {
+      Life.guard([this](const error_code &Error, std::size_t Count) {
         if (Error == boost::asio::error::operation_aborted)
           return;
         if (!Error && Count > 0) {
@@ -91,7 +91,7 @@
                   std::string_view(Buffer.data() + 1, Count - 1));
         }
         receive();
-      });
+      }));
 }
 
 void peer_datagrams::dropSilentPeers(mono_time Now) {
@@ -171,10 +171,10 @@
   if (Outbox.isEmpty())
     return;
   OutboxTimer.expires_after(config::PeerBatchInterval);
-  OutboxTimer.async_wait([this](const error_code &Error) {
+  OutboxTimer.async_wait(Life.guard([this](const error_code &Error) {
     if (!Error)
       sendPortion();
-  });
+  }));
 }
 
 void peer_datagrams::sendTo(const std::string &Address, peer_message Kind,
--- a/src/peer_datagrams.h
+++ b/src/peer_datagrams.h
@@ -2,6 +2,7 @@
 
 #include "config.h"
 #include "datagram_outbox.h"
+#include "lifetime.h"
 #include "read_relay.h"
 
 #include <boost/asio/io_context.hpp>
@@ -108,6 +109,7 @@
   std::size_t NextPeer = 0;       ///< where the next send() continues
   std::size_t BroadcastCount = 0; ///< varies the first recipient of broadcasts
   handler Handler;
+  lifetime Life;
 };
 
 } // namespace clementinelane
--- a/src/router.cpp
+++ b/src/router.cpp
@@ -720,12 +720,13 @@
     return;
   RunsTimer.expires_after(
       std::max<duration>(*At - now(), config::MinTimerDelay));
-  RunsTimer.async_wait([this](const boost::system::error_code &Error) {
-    if (Error)
-      return;
-    Runs.expire(now());
-    armRunsTimer();
-  });
+  RunsTimer.async_wait(
+      Life.guard([this](const boost::system::error_code &Error) {
+        if (Error)
+          return;
+        Runs.expire(now());
+        armRunsTimer();
+      }));
 }
 
 void router::tickRuns(mono_time Now) {
@@ -771,12 +772,12 @@
 
 void router::armTick() {
   Tick.expires_after(config::RouterTickInterval);
-  Tick.async_wait([this](const boost::system::error_code &Error) {
+  Tick.async_wait(Life.guard([this](const boost::system::error_code &Error) {
     if (Error)
       return;
     tick();
     armTick();
-  });
+  }));
 }
 
 void router::tick() {
--- a/src/router.h
+++ b/src/router.h
@@ -6,6 +6,7 @@
 #include "endpoint_choice.h"
 #include "endpoint_connector.h"
 #include "key_lease.h"
+#include "lifetime.h"
 #include "peer_datagrams.h"
 #include "peer_loads.h"
 #include "platform.h"
@@ -233,6 +234,7 @@
   bool ArePeersKnown = false;
   bool AreStatusesKnown = false;
   std::uint64_t RandomState;
+  lifetime Life;
 };
 
 } // namespace clementinelane
--- a/src/tunnel_server.cpp
+++ b/src/tunnel_server.cpp
@@ -311,13 +311,14 @@
 std::size_t tunnel_server::openTunnels() const { return State->Tunnels.size(); }
 
 void tunnel_server::accept() {
-  Acceptor.async_accept([this](const error_code &Error, tcp::socket Socket) {
-    if (Error == asio::error::operation_aborted || !Acceptor.is_open())
-      return;
-    if (!Error)
-      std::make_shared<tunnel>(std::move(Socket), State)->start();
-    accept();
-  });
+  Acceptor.async_accept(
+      Life.guard([this](const error_code &Error, tcp::socket Socket) {
+        if (Error == asio::error::operation_aborted || !Acceptor.is_open())
+          return;
+        if (!Error)
+          std::make_shared<tunnel>(std::move(Socket), State)->start();
+        accept();
+      }));
 }
 
 } // namespace clementinelane
--- a/src/tunnel_server.h
+++ b/src/tunnel_server.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "endpoint_connector.h"
+#include "lifetime.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -64,6 +65,7 @@
 
   boost::asio::ip::tcp::acceptor Acceptor;
   std::shared_ptr<shared_state> State;
+  lifetime Life;
 };
 
 } // namespace clementinelane
