Return reserved capacity that no request uses, and bound a VM's debt

Found by a review of the limit on connections, not seen by callers.

Change: the reservation stays with its connection and goes back when it ends unused or its request is refused; bytes of an attempt count once it is connected; debt is bounded to a second of the link; the burst bounds what must be free; after a failed accept the server waits; a connection with a further request in its buffer is kept.

vm_capacity_test has a case for link, debt, mean and release. The others have no test yet.

--- a/src/active_request.cpp
+++ b/src/active_request.cpp
@@ -30,8 +30,7 @@
     router &Router, std::shared_ptr<caller_exchange> Exchange, routed_call Call)
     : Router(Router), Exchange(std::move(Exchange)),
       Request(std::move(Call), Router.Requests, *this),
-      ChargedBytes(Router.reservedFor(*this->Exchange)), Timer(Router.Context) {
-}
+      ChargedBytes(this->Exchange->takeReservation()), Timer(Router.Context) {}
 
 /// Runs one step of the request, then rearms its timer.
 template <typename Step> void router::active_request::runStep(Step &&Do) {
@@ -92,7 +91,10 @@
            Self->Router.Platform.isResponseTo(Head, Self->call().Metadata.Id);
   };
   Events.OnSent = [With] {
-    With([](active_request &Self, mono_time Now) { Self.Request.onSent(Now); });
+    With([](active_request &Self, mono_time Now) {
+      Self.countSent(Self.AttemptBytes);
+      Self.Request.onSent(Now);
+    });
   };
   Events.OnHead = [With](const http_head &Head) {
     With([&Head](active_request &Self, mono_time Now) {
@@ -131,7 +133,7 @@
   Router.Metrics.attemptStarted(call().Route->Name, Spec.Number > 1);
   AttemptAt = Router.now();
   std::string Bytes = Router.Platform.encodeAttempt(call(), Spec);
-  countSent(ExchangeOverheadBytes + static_cast<double>(Bytes.size()));
+  AttemptBytes = ExchangeOverheadBytes + static_cast<double>(Bytes.size());
   Attempt = startExchange(Router.Connector,
                           {{Spec.Endpoint.Address, Spec.Peer},
                            call().Head.Method,
--- a/src/active_request_p.h
+++ b/src/active_request_p.h
@@ -50,8 +50,9 @@
   routed_request Request;
   std::shared_ptr<http_exchange> Attempt;
   mono_time AttemptAt{};
-  double SentBytes = 0; ///< to the caller and to endpoints
-  double ChargedBytes;  ///< to the VM's capacity
+  double SentBytes = 0;    ///< to the caller and to endpoints
+  double AttemptBytes = 0; ///< of the attempt in flight
+  double ChargedBytes;     ///< to the VM's capacity
   boost::asio::steady_timer Timer;
   bool IsEnded = false;
 };
--- a/src/caller_server.cpp
+++ b/src/caller_server.cpp
@@ -45,10 +45,15 @@
 class caller_server::connection final
     : public std::enable_shared_from_this<connection> {
 public:
-  connection(asio::ip::tcp::socket Socket, std::shared_ptr<shared_state> State)
+  connection(asio::ip::tcp::socket Socket, std::shared_ptr<shared_state> State,
+             double Reserved)
       : Socket(std::move(Socket)), Timer(this->Socket.get_executor()),
-        State(std::move(State)) {}
-  ~connection() { State->Connections.erase(this); }
+        State(std::move(State)), Reserved(Reserved) {}
+  ~connection() {
+    State->Connections.erase(this);
+    if (Reserved > 0 && State->Policy)
+      State->Policy->releaseReservation(Reserved);
+  }
   connection(const connection &) = delete;
   connection &operator=(const connection &) = delete;
 
@@ -288,7 +293,7 @@
   bool IsHeaderTimerArmed = false;
   bool IsContinueSent = false;
   bool KeepsAlive = true;
-  bool IsFirstRequest = true;
+  double Reserved; ///< by the policy, until a request takes it
   bool IsAnswerComplete = false;
   std::string Pending;
   std::deque<std::string> WriteQueue;
@@ -300,9 +305,9 @@
 class caller_server::connection::exchange final : public caller_exchange {
 public:
   exchange(std::shared_ptr<connection> Connection, http_head Head,
-           std::string Body, bool IsFirst)
+           std::string Body)
       : Connection(std::move(Connection)), Head(std::move(Head)),
-        Body(std::move(Body)), IsFirst(IsFirst) {}
+        Body(std::move(Body)) {}
   ~exchange() override {
     if (!IsEnded)
       abortAnswer();
@@ -312,7 +317,9 @@
 
   const http_head &head() const override { return Head; }
   const std::string &body() const override { return Body; }
-  bool isFirst() const override { return IsFirst; }
+  double takeReservation() override {
+    return std::exchange(Connection->Reserved, 0);
+  }
 
   void answer(unsigned Status, std::vector<http_field> Fields,
               std::string_view Content) override {
@@ -377,7 +384,8 @@
   std::string headText(unsigned Status, std::vector<http_field> Fields) {
     const shared_state &State = *Connection->State;
     if (State.IsClosing || Head.Version < 11 ||
-        (State.Policy && !State.Policy->keepsConnection()))
+        (State.Policy && Connection->Pending.empty() &&
+         !State.Policy->keepsConnection()))
       Connection->KeepsAlive = false;
     if (!Connection->KeepsAlive)
       Fields.push_back({"Connection", "close"});
@@ -390,7 +398,6 @@
   std::shared_ptr<connection> Connection;
   http_head Head;
   std::string Body;
-  bool IsFirst;
   bool IsChunked = true;
   bool IsEnded = false;
 };
@@ -400,14 +407,14 @@
   Timer.cancel();
   KeepsAlive = Reader->keepAlive();
   State->Handler(std::make_shared<exchange>(
-      shared_from_this(), std::move(Reader->head()), Reader->takeBody(),
-      std::exchange(IsFirstRequest, false)));
+      shared_from_this(), std::move(Reader->head()), Reader->takeBody()));
 }
 
 caller_server::caller_server(asio::io_context &Context,
                              std::string_view Address, handler Handler,
                              connection_policy *Policy)
-    : Acceptor(Context), State(std::make_shared<shared_state>()) {
+    : Acceptor(Context), AcceptTimer(Context),
+      State(std::make_shared<shared_state>()) {
   const auto Endpoint = parseAddress(Address);
   if (!Endpoint)
     throw std::invalid_argument("invalid listen address: " +
@@ -424,6 +431,7 @@
 // Pending requests are reported as disconnected, and no connection calls the
 // handler again, since its owner is destroyed with the server.
 caller_server::~caller_server() {
+  State->Policy = nullptr;
   const auto Connections = State->Connections;
   for (connection *Connection : Connections)
     Connection->disconnect();
@@ -460,11 +468,26 @@
                                           asio::ip::tcp::socket Socket) {
     if (Error == asio::error::operation_aborted || !Acceptor.is_open())
       return;
-    // Otherwise the socket is closed here, with its bytes unread.
-    if (!Error && (!State->Policy || State->Policy->acceptsConnection()))
-      std::make_shared<connection>(std::move(Socket), State)->open();
+    if (Error) {
+      acceptLater();
+      return;
+    }
+    const auto Reserved =
+        State->Policy ? State->Policy->acceptConnection() : std::optional(0.0);
+    if (Reserved)
+      std::make_shared<connection>(std::move(Socket), State, *Reserved)->open();
     accept();
   }));
 }
 
+// Failure: no descriptor is free, and the connection that waits fails again at
+// once.
+void caller_server::acceptLater() {
+  AcceptTimer.expires_after(config::AcceptRetryDelay);
+  AcceptTimer.async_wait(Life.guard([this](const error_code &Error) {
+    if (!Error)
+      accept();
+  }));
+}
+
 } // namespace clementinelane
--- a/src/caller_server.h
+++ b/src/caller_server.h
@@ -5,9 +5,11 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <cstddef>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string_view>
 
@@ -20,8 +22,9 @@
   virtual ~caller_exchange() = default;
   virtual const http_head &head() const = 0;
   virtual const std::string &body() const = 0;
-  /// Whether it is the first request of its connection.
-  virtual bool isFirst() const = 0;
+  /// What the policy reserved for the connection, once: 0 for its further
+  /// requests. The caller returns it to the policy's owner.
+  virtual double takeReservation() = 0;
   /// Sends a complete answer.
   virtual void answer(unsigned Status, std::vector<http_field> Fields,
                       std::string_view Body) = 0;
@@ -48,8 +51,10 @@
 class connection_policy {
 public:
   virtual ~connection_policy() = default;
-  /// Whether to accept a new connection; otherwise it is closed unread.
-  virtual bool acceptsConnection() = 0;
+  /// What to reserve for a new connection; none: it is closed unread.
+  virtual std::optional<double> acceptConnection() = 0;
+  /// A connection ended without having used its reservation.
+  virtual void releaseReservation(double Reserved) = 0;
   /// Whether a connection is kept open after an answer.
   virtual bool keepsConnection() = 0;
 };
@@ -83,8 +88,10 @@
   class connection;
   struct shared_state;
   void accept();
+  void acceptLater();
 
   boost::asio::ip::tcp::acceptor Acceptor;
+  boost::asio::steady_timer AcceptTimer;
   std::shared_ptr<shared_state> State;
   lifetime Life;
 };
--- a/src/config.h
+++ b/src/config.h
@@ -913,6 +913,8 @@
 constexpr std::size_t AssumedVms = 32;
 /// Interval of checks of roll-outs, shutdown and lapsed endpoints.
 constexpr auto RouterTickInterval = 100ms;
+/// Pause after a connection couldn't be accepted.
+constexpr auto AcceptRetryDelay = 20ms;
 /// Log lines about connections left unread.
 constexpr auto UnreadLogPeriod = 1s;
 /// Time from the stop signal until idle connections are closed and new requests
--- a/src/router.cpp
+++ b/src/router.cpp
@@ -204,12 +204,12 @@
          (Tunnels ? 2 * Tunnels->openTunnels() : 0);
 }
 
-bool router::acceptsConnection() {
+std::optional<double> router::acceptConnection() {
   return Capacity.tryAccept(openSockets(), now());
 }
 
-double router::reservedFor(const caller_exchange &Exchange) const {
-  return Exchange.isFirst() ? Capacity.meanRequestBytes() : 0;
+void router::releaseReservation(double Reserved) {
+  Capacity.release(Reserved, now());
 }
 
 bool router::keepsConnection() {
@@ -223,7 +223,7 @@
   Call.ArrivedAt = now();
   Call.Table = Table;
   const auto RefuseNow = [&](error_kind Kind) {
-    Capacity.requestEnded(0, reservedFor(*Exchange), Call.ArrivedAt);
+    Capacity.release(Exchange->takeReservation(), Call.ArrivedAt);
     refuse(*Exchange, {Kind, run_state::NotRun, answerOf(Kind).RetryAfter},
            Call.Metadata.Id);
   };
--- a/src/router.h
+++ b/src/router.h
@@ -103,11 +103,10 @@
   void answerReady(caller_exchange &Exchange) const;
   void answerMetrics(caller_exchange &Exchange);
   bool isReady() const;
-  bool acceptsConnection() override;
+  std::optional<double> acceptConnection() override;
+  void releaseReservation(double Reserved) override;
   bool keepsConnection() override;
   std::size_t openSockets() const;
-  /// Bytes that Capacity reserved for the request.
-  double reservedFor(const caller_exchange &Exchange) const;
   /// Number of VMs in the fleet, including this one.
   std::size_t knownVms() const;
   bool areKeysValid(mono_time Now) const { return Lease.isValid(Now); }
--- a/src/vm_capacity.cpp
+++ b/src/vm_capacity.cpp
@@ -11,6 +11,7 @@
 constexpr double UsableLinkPart = 0.5;
 /// Requests may come this far ahead of the link's rate.
 constexpr double BurstSeconds = 0.25;
+constexpr double MaxDebtSeconds = 1;
 /// Of one request in the mean.
 constexpr double MinMeanWeight = 0.02;
 /// Descriptors for the store, peers, probes and logs.
@@ -27,33 +28,41 @@
   return UsableLinkPart * Resources.LinkBytesPerSecond;
 }
 
+double vm_capacity::burst() const { return BurstSeconds * usableRate(); }
+
+// Load: large requests on kept connections, which are charged but can't be left
+// unread. Harm prevented: the VM refuses connections long after they are sent.
 void vm_capacity::refill(mono_time Now) {
   const double Seconds =
       std::chrono::duration<double>(Now - RefilledAt).count();
   RefilledAt = Now;
-  Available = std::min(BurstSeconds * usableRate(),
-                       Available + std::max(0.0, Seconds) * usableRate());
+  Available = std::clamp(Available + std::max(0.0, Seconds) * usableRate(),
+                         -MaxDebtSeconds * usableRate(), burst());
 }
 
 bool vm_capacity::hasCapacity(std::size_t OpenDescriptors) const {
-  if (Resources.LinkBytesPerSecond > 0 && Available < MeanBytes)
+  if (Resources.LinkBytesPerSecond > 0 &&
+      Available < std::min(MeanBytes, burst()))
     return false;
   return Resources.Descriptors == 0 ||
          static_cast<double>(OpenDescriptors + DescriptorsPerRequest) <=
              UsableDescriptorPart * static_cast<double>(Resources.Descriptors);
 }
 
-bool vm_capacity::tryAccept(std::size_t OpenDescriptors, mono_time Now) {
+std::optional<double> vm_capacity::tryAccept(std::size_t OpenDescriptors,
+                                             mono_time Now) {
   refill(Now);
   if (!hasCapacity(OpenDescriptors) && Now - AcceptedAt < MaxAcceptGap) {
     ++Unread;
-    return false;
+    return std::nullopt;
   }
   AcceptedAt = Now;
   Available -= MeanBytes;
-  return true;
+  return MeanBytes;
 }
 
+void vm_capacity::release(double Bytes, mono_time Now) { charge(-Bytes, Now); }
+
 bool vm_capacity::mayKeep(std::size_t OpenDescriptors, mono_time Now) {
   refill(Now);
   return hasCapacity(OpenDescriptors);
@@ -65,8 +74,7 @@
 }
 
 void vm_capacity::requestEnded(double Bytes, double Charged, mono_time Now) {
-  refill(Now);
-  Available += Charged - Bytes;
+  release(Charged - Bytes, Now);
   MeanBytes += MeanWeight * (Bytes - MeanBytes);
   MeanWeight = std::max(MinMeanWeight, MeanWeight / (1 + MeanWeight));
 }
--- a/src/vm_capacity.h
+++ b/src/vm_capacity.h
@@ -4,6 +4,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 
 namespace clementinelane {
 
@@ -27,8 +28,11 @@
   explicit vm_capacity(vm_resources Resources) : Resources(Resources) {}
 
   void setResources(vm_resources Value) { Resources = Value; }
-  /// Whether to accept a connection; reserves the bytes of its first request.
-  bool tryAccept(std::size_t OpenDescriptors, mono_time Now);
+  /// Bytes reserved for the first request of a new connection; none if the
+  /// connection is not to be accepted.
+  std::optional<double> tryAccept(std::size_t OpenDescriptors, mono_time Now);
+  /// Returns bytes that were reserved or charged and not sent.
+  void release(double Bytes, mono_time Now);
   /// Whether connections stay open after an answer. Requests on them can't be
   /// left unread, so without capacity their callers have to connect again.
   bool mayKeep(std::size_t OpenDescriptors, mono_time Now);
@@ -38,7 +42,6 @@
   /// charged.
   void requestEnded(double Bytes, double Charged, mono_time Now);
 
-  /// What tryAccept() reserves.
   double meanRequestBytes() const { return MeanBytes; }
   /// Connections left unread since the start.
   std::uint64_t unread() const { return Unread; }
@@ -50,6 +53,7 @@
   double usableRate() const;
   void refill(mono_time Now);
   bool hasCapacity(std::size_t OpenDescriptors) const;
+  double burst() const;
 
   vm_resources Resources;
   double MeanBytes = InitialRequestBytes;
--- a/tests/vm_capacity_test.cpp
+++ b/tests/vm_capacity_test.cpp
@@ -34,10 +34,11 @@
       : LinkBytes(LinkBytes), Capacity({IsLimited ? LinkBytes : 0, 0}) {}
 
   bool offer(double Bytes, mono_time Now) {
-    if (!Capacity.tryAccept(Open.size(), Now))
+    const auto Reserved = Capacity.tryAccept(Open.size(), Now);
+    if (!Reserved)
       return false;
     // A stream of a second.
-    Open.push_back({Now, Bytes, Bytes * 0.005, 0, Capacity.meanRequestBytes()});
+    Open.push_back({Now, Bytes, Bytes * 0.005, 0, *Reserved});
     return true;
   }
 
@@ -172,7 +173,7 @@
 // A connection more would leave none for the store and the peers.
 BOOST_AUTO_TEST_CASE(connections_are_left_unread_before_descriptors_run_out) {
   vm_capacity Capacity({0, 100});
-  BOOST_TEST(Capacity.tryAccept(80, at(0s)));
+  BOOST_TEST(!!Capacity.tryAccept(80, at(0s)));
   BOOST_TEST(!Capacity.tryAccept(90, at(100ms)));
   BOOST_TEST(!Capacity.mayKeep(90, at(100ms)));
   BOOST_TEST(Capacity.mayKeep(80, at(100ms)));
@@ -184,5 +185,42 @@
   vm_capacity Capacity({});
   Capacity.charge(1000 * Megabyte, at(0s));
   for (int Each = 0; Each < 1000; ++Each)
-    BOOST_TEST(Capacity.tryAccept(100'000, at(0s)));
+    BOOST_TEST(!!Capacity.tryAccept(100'000, at(0s)));
+}
+
+// A VM whose link becomes known, by new settings, has no debt from before.
+BOOST_AUTO_TEST_CASE(link_set_later_begins_without_debt) {
+  vm_capacity Capacity({});
+  Capacity.charge(1000 * Megabyte, at(0s));
+  Capacity.setResources({1.25 * Megabyte, 0});
+  BOOST_TEST(!!Capacity.tryAccept(0, at(1s)));
+  BOOST_TEST(!!Capacity.tryAccept(0, at(1s)));
+}
+
+// A few large uploads on kept connections: the VM accepts again soon after.
+BOOST_AUTO_TEST_CASE(debt_of_large_requests_is_bounded) {
+  vm_capacity Capacity({1.25 * Megabyte, 0});
+  Capacity.charge(100 * Megabyte, at(0s));
+  BOOST_TEST(Capacity.mayKeep(0, at(3s)));
+}
+
+// Requests that are larger on average than a burst would otherwise never fit.
+BOOST_AUTO_TEST_CASE(mean_above_the_burst_does_not_stop_an_idle_vm) {
+  vm_capacity Capacity({1.25 * Megabyte, 0});
+  Capacity.requestEnded(0.5 * Megabyte, 0, at(0s));
+  BOOST_TEST(!!Capacity.tryAccept(0, at(10s)));
+  BOOST_TEST(Capacity.mayKeep(0, at(20s)));
+}
+
+// A released reservation, of a refused request or a silent connection, changes
+// neither the capacity nor the mean.
+BOOST_AUTO_TEST_CASE(released_reservations_leave_no_trace) {
+  vm_capacity Capacity({1.25 * Megabyte, 0});
+  const double Mean = Capacity.meanRequestBytes();
+  for (int Each = 0; Each < 1000; ++Each) {
+    const auto Reserved = Capacity.tryAccept(0, at(1s));
+    BOOST_REQUIRE(Reserved);
+    Capacity.release(*Reserved, at(1s));
+  }
+  BOOST_TEST(Capacity.meanRequestBytes() == Mean);
 }
