Keep what was known of endpoints and evacuations over a new era

What callers would see: after the store has come back from an older copy, requests go to endpoints that are leaving or gone and to evacuated data centres, and endpoints that the copy lacks get none until they register again.

Cause: the restored list replaced all entries and orders as if it were the newest word.

Change: the directory hears of a new era. Of the list that follows, entries whose incarnation was known as leaving, was removed lately or is older than a known one, also one at the same address, count as leaving until they write their entries, restart or are removed. Removals are remembered for a bounded time and number. A ready endpoint that the list lacks, or lists in an earlier life, stays for the grace, unless another one has its address. An evacuation that the restored orders lack holds for a while, and as long as the store is unreachable; the orders decide once they name it. findByAddress() prefers an endpoint that isn't leaving. An endpoint that restarts at another's address replaces an older one there, as a new one does.

setEvacuated() takes the time now, so the calls in slow_start_test pass it. The lines in router.cpp are compiled only.

--- a/src/config.h
+++ b/src/config.h
@@ -677,6 +677,14 @@
 /// Endpoints whose entries expired while the registry was down register again
 /// within about 2 s of its return; later they are removed.
 constexpr auto LapsedEntryGrace = 2200ms;
+/// How long the removal of an endpoint is remembered. The store may come back
+/// from a copy 30 s old, after an outage, and list the endpoint again.
+constexpr auto RemovedEntryTtl = 60s;
+/// Some 100 bytes each.
+constexpr std::size_t MaxRemovedEntries = 4096;
+/// How long a data centre stays evacuated whose order the store has lost. The
+/// operator writes its orders again within seconds.
+constexpr auto LostEvacuationGrace = 10s;
 
 /// VMs that send to a cold endpoint: two, since one may fail or have no
 /// requests. More VMs would send more within a second, since each rounds its
--- a/src/endpoint_directory.h
+++ b/src/endpoint_directory.h
@@ -38,6 +38,12 @@
 /// and endpoints that announce that they are leaving, take effect at once. An
 /// endpoint announces it in its entry or, whatever the entry says, in its
 /// answers.
+///
+/// Failure: the registry goes back to an older copy. Its list lacks endpoints
+/// that are alive, and has those that left since as ready. After the list of a
+/// new era, what was known before holds until an endpoint writes its entry
+/// again or restarts: the first stay for the grace period, the others count as
+/// leaving. An evacuation whose order was lost stays for a while.
 class endpoint_directory {
 public:
   /// `Grace`: how long entries that expired in an outage stay after its end.
@@ -51,10 +57,16 @@
   /// The registry became unreachable, or reachable again.
   void onSourceLost(mono_time Now);
   void onSourceRestored(mono_time Now);
-  /// Sets the evacuated data centres; their endpoints aren't usable.
-  void setEvacuated(std::set<std::string, std::less<>> DataCentres) {
-    Evacuated = std::move(DataCentres);
-  }
+  /// The registry went back to an older copy; the next list and the next
+  /// evacuations are what the copy has.
+  void onStoreEra(mono_time Now);
+  /// Sets the ordered evacuations. Endpoints of evacuated data centres aren't
+  /// usable.
+  void setEvacuated(std::set<std::string, std::less<>> DataCentres,
+                    mono_time Now);
+  /// Ends evacuations whose order was lost and not written again in time.
+  /// Returns their data centres.
+  std::vector<std::string> expireEvacuations(mono_time Now);
   const std::set<std::string, std::less<>> &evacuated() const {
     return Evacuated;
   }
@@ -77,6 +89,7 @@
   /// Endpoints of `Service` that accept new work.
   std::vector<const endpoint_info *> usable(std::string_view Service) const;
   const endpoint_info *find(std::string_view Id) const;
+  /// One that isn't leaving, if there are several.
   const endpoint_info *findByAddress(std::string_view Address) const;
   std::vector<const endpoint_info *> all() const;
   /// All endpoints of a data centre, including those that aren't usable.
@@ -89,17 +102,35 @@
     endpoint_info Info;
     std::optional<mono_time> KeptUntil;
   };
-  void removeReplaced(const endpoint_info &By);
-  void remove(std::map<std::string, entry, std::less<>>::iterator Entry,
-              mono_time Now);
+  struct removal {
+    std::uint64_t Incarnation = 0;
+    mono_time At{};
+  };
+  using entries = std::map<std::string, entry, std::less<>>;
+
+  void put(endpoint_info Info);
+  bool isNewLife(const endpoint_info &Info) const;
+  void removeReplaced(const endpoint_info &By, mono_time Now);
+  void remove(entries::iterator Entry, bool IsLapse, mono_time Now);
+  bool isLapse(mono_time Now) const;
+  entries::iterator erase(entries::iterator Entry, mono_time Now);
+  std::optional<std::uint64_t> outdatedUntil(const endpoint_info &Listed) const;
 
   duration Grace;
-  std::map<std::string, entry, std::less<>> Entries;
+  entries Entries;
+  std::map<std::string, removal, std::less<>> Removed; ///< lately
+  /// Listed endpoints that count as leaving up to this incarnation, until they
+  /// write their entries.
+  std::map<std::string, std::uint64_t, std::less<>> Outdated;
   endpoint_leaves Leaves;
   std::set<std::string, std::less<>> Evacuated;
+  std::map<std::string, mono_time, std::less<>>
+      LostEvacuations; ///< and until when they hold
   std::optional<mono_time> SourceRestoredAt;
   bool IsSourceLost = false;
   bool IsSynced = false;
+  bool IsRestoredListDue = false;
+  bool AreRestoredOrdersDue = false;
 };
 
 } // namespace clementinelane
--- a/src/router.cpp
+++ b/src/router.cpp
@@ -366,7 +366,10 @@
   updateReadiness();
 }
 
-void router::onStoreEra(std::uint64_t Era) { StoreEra = Era; }
+void router::onStoreEra(std::uint64_t Era) {
+  StoreEra = Era;
+  Directory.onStoreEra(now());
+}
 
 void router::onRoutesConfirmed(mono_time SentAt) {
   Lease.renew(SentAt);
@@ -434,28 +437,32 @@
   }
 }
 
-// Endpoints of a restored data centre have been idle, and may be cold before
-// their directory entries say so.
 void router::onEvacuations(std::set<std::string, std::less<>> Ordered) {
   const auto Before = Directory.evacuated();
-  if (Ordered == Before)
+  Directory.setEvacuated(std::move(Ordered), now());
+  const auto &After = Directory.evacuated();
+  if (After == Before)
     return;
-  for (const std::string &Centre : Ordered) {
+  for (const std::string &Centre : After) {
     if (Before.contains(Centre))
       continue;
     logs::info("data_centre_evacuated", {{"data_centre", Centre}});
     if (!Settings.Regions.empty() && !Settings.Regions.contains(Centre))
       logs::warning("data_centre_unknown", {{"data_centre", Centre}});
   }
-  Directory.setEvacuated(std::move(Ordered));
   for (const std::string &Centre : Before)
-    if (!Directory.evacuated().contains(Centre)) {
-      logs::info("data_centre_taken_back", {{"data_centre", Centre}});
-      Choice.markDataCentreCold(Centre, now());
-    }
+    if (!After.contains(Centre))
+      onTakenBack(Centre);
   updateAllEndpoints();
 }
 
+// Endpoints of a restored data centre have been idle, and may be cold before
+// their directory entries say so.
+void router::onTakenBack(const std::string &DataCentre) {
+  logs::info("data_centre_taken_back", {{"data_centre", DataCentre}});
+  Choice.markDataCentreCold(DataCentre, now());
+}
+
 version_shift *router::shiftOf(std::string_view Service) {
   const auto Found = Shifts.find(Service);
   return Found == Shifts.end() ? nullptr : Found->second.get();
@@ -777,7 +784,10 @@
 
 void router::tick() {
   const mono_time Now = now();
-  if (Directory.expire(Now))
+  const auto TakenBack = Directory.expireEvacuations(Now);
+  for (const std::string &Centre : TakenBack)
+    onTakenBack(Centre);
+  if (Directory.expire(Now) || !TakenBack.empty())
     updateAllEndpoints();
   Choice.eraseRemoved();
   Budget.setLimits(limitsOf(Settings, knownVms()));
--- a/src/router.h
+++ b/src/router.h
@@ -114,6 +114,7 @@
   version_shift &ensureShift(std::string_view Service);
   void configure(version_shift &Shift) const;
   duration maxRouteTimeout() const;
+  void onTakenBack(const std::string &DataCentre);
   void updateEndpoints(std::string_view Service);
   void updateAllEndpoints();
   void armTick();
--- a/tests/slow_start_test.cpp
+++ b/tests/slow_start_test.cpp
@@ -290,11 +290,11 @@
 // Guards against sending work to an evacuated data centre, and against
 // excluding it after it is readmitted.
 BOOST_FIXTURE_TEST_CASE(evacuated_data_centre_gets_nothing, choice_fixture) {
-  Directory.setEvacuated({"hall-a"});
+  Directory.setEvacuated({"hall-a"}, Now);
   for (int Each = 0; Each < 20; ++Each)
     BOOST_TEST(choose()->DataCentre == "hall-b");
-  Directory.setEvacuated({"hall-a", "hall-b"});
+  Directory.setEvacuated({"hall-a", "hall-b"}, Now);
   BOOST_TEST(!choose().has_value());
-  Directory.setEvacuated({});
+  Directory.setEvacuated({}, Now);
   BOOST_TEST(choose().has_value());
 }
