--- a/src/config.h
+++ b/src/config.h
@@ -733,6 +733,9 @@
 constexpr auto PeerBatchInterval = 20ms;
 /// Between attempts to read the peer list while the store is unavailable.
 constexpr auto PeerListRetryDelay = 2s;
+/// Time over which the routers check their registration in a new era: several
+/// hundred of them list the topic.
+constexpr auto EraCheckSpread = 4s;
 /// After this time topics are followed even if no peers are known yet.
 constexpr auto PeerListTimeout = 400ms;
 
