--- a/src/version_shift.cpp
+++ b/src/version_shift.cpp
@@ -12,6 +12,10 @@
 
 namespace {
 
+/// Orders remembered after they were replaced; a copy of the store is only some
+/// seconds old.
+constexpr std::size_t MaxReplacedOrders = 16;
+
 /// Standard deviations by which the traffic until the deadline may exceed its
 /// forecast.
 constexpr double ExposureSigmas = 2;
@@ -86,6 +90,8 @@
     EndedAt = ReadAt;
   if (Order)
     Replaced.push_back(*std::move(Order));
+  if (Replaced.size() > MaxReplacedOrders)
+    Replaced.erase(Replaced.begin());
   Order = Value;
   IsOfOldEra = false;
   OrderedAt = ReadAt;
