--- a/src/vm_capacity.cpp
+++ b/src/vm_capacity.cpp
@@ -24,6 +24,12 @@
 
 } // namespace
 
+void vm_capacity::setResources(vm_resources Value) {
+  if (usableRate() <= 0)
+    Available = 0; // nothing was limited by it
+  Resources = Value;
+}
+
 double vm_capacity::usableRate() const {
   return UsableLinkPart * Resources.LinkBytesPerSecond;
 }
@@ -36,8 +42,9 @@
   const double Seconds =
       std::chrono::duration<double>(Now - RefilledAt).count();
   RefilledAt = Now;
-  Available = std::clamp(Available + std::max(0.0, Seconds) * usableRate(),
-                         -MaxDebtSeconds * usableRate(), burst());
+  const double Bounded = std::max(Available, -MaxDebtSeconds * usableRate());
+  Available =
+      std::min(burst(), Bounded + std::max(0.0, Seconds) * usableRate());
 }
 
 bool vm_capacity::hasCapacity(std::size_t OpenDescriptors) const {
--- a/src/vm_capacity.h
+++ b/src/vm_capacity.h
@@ -27,7 +27,7 @@
 public:
   explicit vm_capacity(vm_resources Resources) : Resources(Resources) {}
 
-  void setResources(vm_resources Value) { Resources = Value; }
+  void setResources(vm_resources Value);
   /// Bytes reserved for the first request of a new connection; none if the
   /// connection is not to be accepted.
   std::optional<double> tryAccept(std::size_t OpenDescriptors, mono_time Now);
