--- a/review/standin/service.cpp
+++ b/review/standin/service.cpp
@@ -1,7 +1,8 @@
 // Stands in for a runner of a plain service, on plain sockets. While FILE
 // exists, it crashes when it begins to run a request to .../deadly; while
 // FILE-leaving-ID exists, all its answers say that it leaves. It is back two
-// seconds after it ended, under its id and with a new time of birth.
+// seconds after it ended, under its id and with a new time of birth. It answers
+// a request to .../bytes/N with N bytes.
 //   service ADDRESS PORT ID SERVICE ZONE STORE_PORT FILE RECORD
 
 #include "http.h"
@@ -88,14 +89,19 @@
   }
   const bool IsLeaving =
       std::filesystem::exists(Options.CrashFile + "-leaving-" + Options.Id);
-  const std::string Body = "served by " + Options.Id + "\n";
+  std::string Body = "served by " + Options.Id + "\n";
+  constexpr std::string_view Sized = "/bytes/";
+  if (const std::size_t At = Path.find(Sized); At != std::string::npos)
+    Body = std::string(std::stoul(Path.substr(At + Sized.size())), 'b');
   std::string Answer = "HTTP/1.1 200 OK\r\nX-Attempt-Id: " + Request +
                        "\r\nX-Instance-Signature: signed-by-" + Options.Id;
   if (IsLeaving)
     Answer += "\r\nServer-Leaving: 1";
   Answer += "\r\nContent-Length: " + std::to_string(Body.size()) +
             "\r\nConnection: close\r\n\r\n" + Body;
-  standin::sendAll(Socket, Answer);
+  const bool IsSent = standin::sendAll(Socket, Answer);
+  note(Options, (IsSent ? "answers " : "could not answer ") + Request +
+                    " with " + std::to_string(Body.size()) + " bytes");
   shutdown(Socket, SHUT_WR);
   close(Socket);
 }
