--- a/review/common.sh
+++ b/review/common.sh
@@ -101,6 +101,9 @@
   [[ $(ask 127.0.0.1 "$store_port" 'GET / HTTP/1.1\r\nHost: s\r\nConnection: close\r\n\r\n') == HTTP* ]]
 }
 
+# still_runs NAME: a machine is in touch only while its process runs.
+still_runs() { kill -0 "${started[$1]}" 2>/dev/null || cannot_run "$1 has ended"; }
+
 # runner_entry SERVICE ADDRESS ZONE
 runner_entry() {
   printf '{"service":"%s","address":"%s","zone":"%s","version":"v1","slots":64,"state":"ready","cold_remaining_ms":0,"sequence":1,"born":1790000000000}' "$@"
