--- a/review/standin/runner.cpp
+++ b/review/standin/runner.cpp
@@ -1,6 +1,6 @@
 // Stands in for a model runner, on plain sockets. Its answers are streams with
 // neither a length nor chunks, which end with their connection, as the
-// platform's terms allow.
+// platform's terms allow. A request that names its last event goes on after it.
 //   runner ADDRESS PORT ID EVENTS PAUSE_MS RECORD
 // Commands on standard input, one a line:
 //   silent   drops the opening packets of new connections until one was
@@ -64,11 +64,13 @@
   }
   Record.add("runner: " + Request + " begins to run");
   bool IsOpen = standin::sendAll(
-      Socket, "HTTP/1.1 200 OK\r\nX-Attempt-Id: " + Request +
-                  "\r\nX-Instance-Signature: signed-by-" + Options.Id +
-                  "\r\nContent-Type: text/event-stream\r\n"
-                  "Connection: close\r\n\r\n");
-  unsigned Sent = 0;
+      Socket,
+      "HTTP/1.1 200 OK\r\nX-Attempt-Id: " + Request +
+          "\r\nX-Instance-Signature: signed-by-" + Options.Id +
+          "\r\nX-Weight-Versions: 1\r\nContent-Type: text/event-stream\r\n"
+          "Connection: close\r\n\r\n");
+  const std::string Last = standin::fieldOf(Head, "Last-Event-Id");
+  unsigned Sent = Last.empty() ? 0 : static_cast<unsigned>(std::stoul(Last));
   while (IsOpen && Sent < Options.Events) {
     std::this_thread::sleep_for(Options.Pause);
     IsOpen = !isClosedByPeer(Socket) &&
