Keep streams while the VM's own link delays all connections

Callers of a VM that gets most connections of its data centre saw their streams end in the middle, though their endpoints were sound. The VM's link was full, so new connections timed out in all data centres and at peers. Overload of the endpoints is ruled out: other VMs reach them at the same time. Closing for lack of capacity is ruled out: each cut follows endpoint_silent.

reachability_tracker now remembers where connections were late or unanswered since the last prompt one. Two places or more speak for the own link; then no stream is given up for silence. A data centre that is cut off is one place, and connections to others are prompt.

stream_stays_while_the_own_link_is_full failed before (2 attempts, not 1).

--- a/src/endpoint_choice.cpp
+++ b/src/endpoint_choice.cpp
@@ -367,6 +367,7 @@
 // shows that it didn't go down, unless it had the time to restart.
 void endpoint_choice::connectedThroughPeer(const endpoint_info &Endpoint,
                                            mono_time Now) {
+  Reach.connectedThroughPeer();
   if (!Reach.isUnreachable(Endpoint.Id, Endpoint.DataCentre))
     return;
   Paths.markLost(Endpoint);
@@ -375,6 +376,14 @@
       SlowStart.retractRestart(digestHash(Info->Id), Now);
 }
 
+void endpoint_choice::tunnelFailed(std::string_view Peer,
+                                   const endpoint_info &Endpoint,
+                                   tunnel_failure Failure, mono_time Now) {
+  if (Failure == tunnel_failure::PeerUnavailable)
+    Reach.peersUnanswered();
+  Paths.tunnelFailed(Peer, Endpoint, Failure, Now);
+}
+
 bool endpoint_choice::hasLostGroupOf(const endpoint_info &Endpoint) const {
   const auto Lost = lostGroups();
   return std::find(Lost.begin(), Lost.end(),
--- a/src/endpoint_choice.h
+++ b/src/endpoint_choice.h
@@ -141,9 +141,16 @@
   /// a reset. `Peer`: the router that they go through; empty: direct.
   bool isPathSilent(const endpoint_info &Endpoint,
                     std::string_view Peer) const {
+    if (Reach.isOwnLinkSlow())
+      return false;
     return Peer.empty() ? Reach.isSilent(Endpoint.Id, Endpoint.DataCentre)
                         : !Paths.isLive(Peer);
   }
+  /// Whether this VM's own link delays its connections, so that a failed one
+  /// says nothing of the endpoint.
+  bool isOwnLinkSlow() const { return Reach.isOwnLinkSlow(); }
+  void tunnelFailed(std::string_view Peer, const endpoint_info &Endpoint,
+                    tunnel_failure Failure, mono_time Now);
   peer_paths &paths() { return Paths; }
   const peer_paths &paths() const { return Paths; }
   /// Draws a peer that may reach the endpoint.
--- a/src/reachability_tracker.cpp
+++ b/src/reachability_tracker.cpp
@@ -7,10 +7,24 @@
 
 namespace clementinelane {
 
+namespace {
+
+constexpr std::string_view PeersPlace = "peers";
+/// Connections that take longer are late whatever their distance.
+constexpr auto PromptConnectTime = config::EndpointConnectTimeout / 2;
+/// Places that are delayed at once until the own link is the likelier cause.
+constexpr std::size_t OwnLinkPlaces = 2;
+
+} // namespace
+
 void reachability_tracker::connected(std::string_view Id,
                                      std::string_view DataCentre,
                                      duration Elapsed) {
   forget(Id);
+  if (Elapsed < PromptConnectTime)
+    DelayedPlaces.clear();
+  else
+    DelayedPlaces.emplace(DataCentre);
   data_centre &Centre = Centres[std::string(DataCentre)];
   Centre.Unanswered.clear();
   const double Seconds = std::chrono::duration<double>(Elapsed).count();
@@ -31,6 +45,8 @@
   const auto [Endpoint, IsNew] = Unreachable.try_emplace(
       std::string(Id), unreachable_endpoint{std::string(DataCentre), Now});
   Endpoint->second.IsRefused = IsRefused;
+  if (!IsRefused)
+    DelayedPlaces.emplace(DataCentre);
   data_centre &Centre = Centres[std::string(DataCentre)];
   Centre.Unanswered.emplace(Id);
   Centre.IsRefused = IsRefused;
@@ -99,6 +115,14 @@
   return Found;
 }
 
+void reachability_tracker::peersUnanswered() {
+  DelayedPlaces.emplace(PeersPlace);
+}
+
+bool reachability_tracker::isOwnLinkSlow() const {
+  return DelayedPlaces.size() >= OwnLinkPlaces;
+}
+
 void reachability_tracker::forget(std::string_view Id) {
   if (const auto Found = Unreachable.find(Id); Found != Unreachable.end())
     Unreachable.erase(Found);
--- a/src/reachability_tracker.h
+++ b/src/reachability_tracker.h
@@ -25,6 +25,9 @@
 /// The connect timeout adapts to the data centre: mean connect time plus
 /// several deviations, so that a slow VM or a long distance isn't mistaken for
 /// an outage.
+/// Load: more traffic than this VM's link carries. Harm prevented: connections
+/// wait on the link for longer than the timeout, each verdict is wrong, and
+/// streams that still run are given up for connections that fail as well.
 class reachability_tracker {
 public:
   /// A connection was established after `Elapsed`.
@@ -59,6 +62,13 @@
             mono_time Now);
   /// Endpoints marked since the last call, up to config::MaxProbesPerRound.
   std::vector<std::string> takeNewlyUnreachable();
+  /// Peers that were asked to connect to an endpoint didn't respond.
+  void peersUnanswered();
+  /// A peer connected to an endpoint.
+  void connectedThroughPeer() { DelayedPlaces.clear(); }
+  /// Whether connections are late or unanswered wherever this VM opens them,
+  /// which its own link explains better than several outages.
+  bool isOwnLinkSlow() const;
   /// Drops the state of an endpoint that restarted.
   void forget(std::string_view Id);
   std::size_t countUnreachable() const { return Unreachable.size(); }
@@ -82,6 +92,9 @@
 
   std::map<std::string, unreachable_endpoint, std::less<>> Unreachable;
   std::map<std::string, data_centre, std::less<>> Centres;
+  /// Data centres, and PeersPlace, with late or unanswered connections since
+  /// the last prompt one.
+  std::set<std::string, std::less<>> DelayedPlaces;
 };
 
 } // namespace clementinelane
--- a/src/routed_request.cpp
+++ b/src/routed_request.cpp
@@ -732,12 +732,11 @@
     return;
   }
   ++TunnelFailures;
-  Context.Choice.paths().tunnelFailed(Attempt->Peer, Attempt->Endpoint,
-                                      Failure ==
-                                              exchange_failure::PeerUnavailable
-                                          ? tunnel_failure::PeerUnavailable
-                                          : tunnel_failure::EndpointUnreachable,
-                                      Now);
+  Context.Choice.tunnelFailed(Attempt->Peer, Attempt->Endpoint,
+                              Failure == exchange_failure::PeerUnavailable
+                                  ? tunnel_failure::PeerUnavailable
+                                  : tunnel_failure::EndpointUnreachable,
+                              Now);
   failAttempt(attempt_result::Untunnelled, false, nameOf(Failure), Now);
 }
 
--- a/src/router.cpp
+++ b/src/router.cpp
@@ -1094,11 +1094,10 @@
           return;
         }
         const bool IsPeerGone = *Failure == connect_failure::PeerUnavailable;
-        Choice.paths().tunnelFailed(Peer, Endpoint,
-                                    IsPeerGone
-                                        ? tunnel_failure::PeerUnavailable
-                                        : tunnel_failure::EndpointUnreachable,
-                                    now());
+        Choice.tunnelFailed(Peer, Endpoint,
+                            IsPeerGone ? tunnel_failure::PeerUnavailable
+                                       : tunnel_failure::EndpointUnreachable,
+                            now());
         Done(IsPeerGone ? std::nullopt : std::optional(false));
       });
 }
--- a/tests/reachability_tracker_test.cpp
+++ b/tests/reachability_tracker_test.cpp
@@ -75,6 +75,25 @@
   BOOST_TEST(!Reach.isUnreachable("b3", "hall-b"));
 }
 
+// The VM's own link is full: connections to all data centres are late or go
+// unanswered. One data centre alone is an outage of its own.
+BOOST_FIXTURE_TEST_CASE(delays_everywhere_are_of_the_own_link, fixture) {
+  Reach.connectFailed("b1", "hall-b", Now);
+  Reach.connectFailed("b2", "hall-b", Now);
+  BOOST_TEST(!Reach.isOwnLinkSlow());
+  connectRepeatedly(1, config::EndpointConnectTimeout);
+  BOOST_TEST(Reach.isOwnLinkSlow());
+  connectRepeatedly(1, 1ms);
+  BOOST_TEST(!Reach.isOwnLinkSlow());
+  Reach.connectFailed("b1", "hall-b", Now);
+  Reach.connectFailed("c1", "hall-c", Now, true); // refused: it was reached
+  BOOST_TEST(!Reach.isOwnLinkSlow());
+  Reach.peersUnanswered();
+  BOOST_TEST(Reach.isOwnLinkSlow());
+  Reach.connectedThroughPeer();
+  BOOST_TEST(!Reach.isOwnLinkSlow());
+}
+
 // Connections take a millisecond, but this VM pauses at times. A timeout
 // derived from fast connections alone would take a pause for an outage.
 BOOST_FIXTURE_TEST_CASE(connect_timeout_adapts_within_bounds, fixture) {
--- a/tests/routed_request_test.cpp
+++ b/tests/routed_request_test.cpp
@@ -753,6 +753,27 @@
   BOOST_TEST(*Out.Attempts[1].ResumeFrom == 2U);
 }
 
+// The VM's own link is full, so connections to all data centres go unanswered.
+// Guards against streams that are given up although they still run.
+BOOST_FIXTURE_TEST_CASE(stream_stays_while_the_own_link_is_full,
+                        routed_fixture) {
+  add("f1", "engine", "v1", "hall-b");
+  auto Request = stream();
+  const std::string First = Out.Attempts[0].Endpoint.Id;
+  const std::string Other = First == "f1" ? "e1" : "f1";
+  Request->onSent(Now);
+  Request->onHead(answerWithConfidence(90), Now);
+  Request->onBody(event(1), Now);
+  for (const std::string &Id : {First, Other})
+    Choice.attemptEnded(Id, 0, attempt_result::Unreachable, std::nullopt, Now);
+  Now += config::UnreachableStreamTimeout;
+  Request->onTick(Now);
+  BOOST_TEST(Out.Attempts.size() == 1U);
+  Choice.connected(*Directory.find("p1"), 1ms, Now); // the link is free again
+  Request->onTick(Now);
+  BOOST_TEST(Out.Attempts.size() == 2U);
+}
+
 // A booking waits at an endpoint that becomes unreachable. It may be running
 // there, so it is not moved.
 BOOST_FIXTURE_TEST_CASE(non_idempotent_call_stays_at_unreachable_endpoint,
