Stop listening while a VM has no capacity for another connection

Callers of a VM that gets most connections of its data centre were refused with 503 and 504, or lost their streams, though their connections beyond the VM's capacity were closed unread.

The server now closes its listener once the capacity doesn't allow another connection, until it does; connections are refused before anything is sent. One in half a second is accepted all the same, as before. The log line has the number of pauses.

--- a/src/caller_server.cpp
+++ b/src/caller_server.cpp
@@ -8,6 +8,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/error.hpp>
+#include <boost/system/system_error.hpp>
 #include <deque>
 #include <optional>
 #include <stdexcept>
@@ -419,15 +420,26 @@
   if (!Endpoint)
     throw std::invalid_argument("invalid listen address: " +
                                 std::string(Address));
+  this->Address = *Endpoint;
   State->Handler = std::move(Handler);
   State->Policy = Policy;
-  Acceptor.open(Endpoint->protocol());
-  Acceptor.set_option(asio::socket_base::reuse_address(true));
-  Acceptor.bind(*Endpoint);
-  Acceptor.listen(config::ListenBacklog);
+  error_code Error;
+  listen(Error);
+  if (Error)
+    throw boost::system::system_error(Error, std::string(Address));
   accept();
 }
 
+void caller_server::listen(error_code &Error) {
+  Acceptor.open(Address.protocol(), Error);
+  if (!Error)
+    Acceptor.set_option(asio::socket_base::reuse_address(true), Error);
+  if (!Error)
+    Acceptor.bind(Address, Error);
+  if (!Error)
+    Acceptor.listen(config::ListenBacklog, Error);
+}
+
 // Pending requests are reported as disconnected, and no connection calls the
 // handler again, since its owner is destroyed with the server.
 caller_server::~caller_server() {
@@ -476,10 +488,40 @@
         State->Policy ? State->Policy->acceptConnection() : std::optional(0.0);
     if (Reserved)
       std::make_shared<connection>(std::move(Socket), State, *Reserved)->open();
-    accept();
+    const duration Pause =
+        State->Policy ? State->Policy->acceptPause() : duration::zero();
+    if (Pause > duration::zero())
+      pauseListening(Pause);
+    else
+      accept();
+  }));
+}
+
+// Load: a load balancer sends this VM more connections than its link carries.
+// Harm prevented: callers send their requests before their connections are
+// closed unread, and these bytes fill the link. Without a listener connections
+// are refused before any of them is sent.
+void caller_server::pauseListening(duration Time) {
+  error_code Ignored; // there is nothing to undo
+  Acceptor.close(Ignored);
+  AcceptTimer.expires_after(Time);
+  AcceptTimer.async_wait(Life.guard([this](const error_code &Error) {
+    if (!Error)
+      resumeListening();
   }));
 }
 
+void caller_server::resumeListening() {
+  if (State->ClosesIdle)
+    return;
+  error_code Error;
+  listen(Error);
+  if (Error)
+    pauseListening(config::AcceptRetryDelay);
+  else
+    accept();
+}
+
 // Failure: no descriptor is free, and the connection that waits fails again at
 // once.
 void caller_server::acceptLater() {
--- a/src/caller_server.h
+++ b/src/caller_server.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "clock.h"
 #include "http_framing.h"
 #include "lifetime.h"
 
@@ -53,6 +54,8 @@
   virtual ~connection_policy() = default;
   /// What to reserve for a new connection; none: it is closed unread.
   virtual std::optional<double> acceptConnection() = 0;
+  /// For how long no further connection will be accepted; zero: one may be.
+  virtual duration acceptPause() = 0;
   /// A connection ended without having used its reservation.
   virtual void releaseReservation(double Reserved) = 0;
   /// Whether a connection is kept open after an answer.
@@ -87,9 +90,13 @@
 private:
   class connection;
   struct shared_state;
+  void listen(boost::system::error_code &Error);
   void accept();
   void acceptLater();
+  void pauseListening(duration Time);
+  void resumeListening();
 
+  boost::asio::ip::tcp::endpoint Address;
   boost::asio::ip::tcp::acceptor Acceptor;
   boost::asio::steady_timer AcceptTimer;
   std::shared_ptr<shared_state> State;
--- a/src/router.cpp
+++ b/src/router.cpp
@@ -208,6 +208,10 @@
   return Capacity.tryAccept(openSockets(), now());
 }
 
+duration router::acceptPause() {
+  return Capacity.acceptPause(openSockets(), now());
+}
+
 void router::releaseReservation(double Reserved) {
   Capacity.release(Reserved, now());
 }
@@ -929,15 +933,19 @@
 }
 
 void router::logUnread(mono_time Now) {
-  const std::uint64_t Count = Capacity.unread();
-  if (Count == UnreadLogged || Now - UnreadLoggedAt < config::UnreadLogPeriod)
+  const std::uint64_t Unread = Capacity.unread();
+  const std::uint64_t Pauses = Capacity.pauses();
+  if ((Unread == UnreadLogged && Pauses == PausesLogged) ||
+      Now - UnreadLoggedAt < config::UnreadLogPeriod)
     return;
   logs::warning("connections_left_unread",
-                {{"count", std::to_string(Count - UnreadLogged)},
+                {{"count", std::to_string(Unread - UnreadLogged)},
+                 {"pauses", std::to_string(Pauses - PausesLogged)},
                  {"open", std::to_string(Callers->connections())},
                  {"request_bytes",
                   std::to_string(std::lround(Capacity.meanRequestBytes()))}});
-  UnreadLogged = Count;
+  UnreadLogged = Unread;
+  PausesLogged = Pauses;
   UnreadLoggedAt = Now;
 }
 
--- a/src/router.h
+++ b/src/router.h
@@ -104,6 +104,7 @@
   void answerMetrics(caller_exchange &Exchange);
   bool isReady() const;
   std::optional<double> acceptConnection() override;
+  duration acceptPause() override;
   void releaseReservation(double Reserved) override;
   bool keepsConnection() override;
   std::size_t openSockets() const;
@@ -230,6 +231,7 @@
   std::vector<std::uint32_t> LostGroups; ///< as last sent to the peers
   bool WasReady = false;
   std::uint64_t UnreadLogged = 0; ///< connections left unread, as last logged
+  std::uint64_t PausesLogged = 0; ///< pauses of accepting, as last logged
   mono_time UnreadLoggedAt{};
   bool ArePeersKnown = false;
   bool AreStatusesKnown = false;
--- a/src/vm_capacity.cpp
+++ b/src/vm_capacity.cpp
@@ -21,6 +21,8 @@
 /// A VM without capacity accepts a connection this often: it counts as down
 /// for load balancers otherwise, and learns nothing.
 constexpr auto MaxAcceptGap = std::chrono::milliseconds(500);
+/// Each pause costs a few system calls.
+constexpr auto MinAcceptPause = std::chrono::milliseconds(10);
 
 } // namespace
 
@@ -68,6 +70,21 @@
   return MeanBytes;
 }
 
+duration vm_capacity::acceptPause(std::size_t OpenDescriptors, mono_time Now) {
+  refill(Now);
+  if (hasCapacity(OpenDescriptors))
+    return duration::zero();
+  ++Pauses;
+  const duration UntilGap = AcceptedAt + MaxAcceptGap - Now;
+  const double Missing = std::min(MeanBytes, burst()) - Available;
+  const duration UntilFree =
+      usableRate() > 0 && Missing > 0
+          ? std::chrono::duration_cast<duration>(
+                std::chrono::duration<double>(Missing / usableRate()))
+          : UntilGap;
+  return std::max<duration>(MinAcceptPause, std::min(UntilFree, UntilGap));
+}
+
 void vm_capacity::release(double Bytes, mono_time Now) { charge(-Bytes, Now); }
 
 bool vm_capacity::mayKeep(std::size_t OpenDescriptors, mono_time Now) {
--- a/src/vm_capacity.h
+++ b/src/vm_capacity.h
@@ -20,9 +20,10 @@
 /// Load: a load balancer that sends most new connections of a region to one
 /// VM. Harm prevented: all requests read there wait behind each other on the
 /// VM's link until they time out, while other VMs are idle. A connection that
-/// is closed unread costs its caller a round trip, and the next one reaches
-/// another VM. Each accepted connection reserves the bytes that a request
-/// sends on average; the end of the request returns what it didn't send.
+/// is refused or closed unread costs its caller a round trip, and the next one
+/// reaches another VM. Each accepted connection reserves the bytes that a
+/// request sends on average; the end of the request returns what it didn't
+/// send.
 class vm_capacity {
 public:
   explicit vm_capacity(vm_resources Resources) : Resources(Resources) {}
@@ -31,6 +32,8 @@
   /// Bytes reserved for the first request of a new connection; none if the
   /// connection is not to be accepted.
   std::optional<double> tryAccept(std::size_t OpenDescriptors, mono_time Now);
+  /// For how long tryAccept() will refuse connections; zero: it accepts one.
+  duration acceptPause(std::size_t OpenDescriptors, mono_time Now);
   /// Returns bytes that were reserved or charged and not sent.
   void release(double Bytes, mono_time Now);
   /// Whether connections stay open after an answer. Requests on them can't be
@@ -45,6 +48,8 @@
   double meanRequestBytes() const { return MeanBytes; }
   /// Connections left unread since the start.
   std::uint64_t unread() const { return Unread; }
+  /// Times at which no further connection was accepted, since the start.
+  std::uint64_t pauses() const { return Pauses; }
 
 private:
   /// Until requests have ended.
@@ -62,6 +67,7 @@
   mono_time RefilledAt{};
   mono_time AcceptedAt{};
   std::uint64_t Unread = 0;
+  std::uint64_t Pauses = 0;
 };
 
 } // namespace clementinelane
