Count no crash of an endpoint while the VM's own link is full

The same cause as of the streams given up: a connection that breaks while the VM's link is full was probed over that link, directly and through a peer. Both went unanswered, so the endpoint counted as crashed and all that was in flight there as suspects; three such reports quarantine a request on all VMs. Found by reading after the trace; shown by full_own_link_is_no_endpoint_crash, which failed before (one crash counted) and passes. Without an answer of any peer the endpoint now counts as alive if connections are late wherever this VM opens them. partitioned_connector can cut the links to peers too.

--- a/src/router.cpp
+++ b/src/router.cpp
@@ -1079,8 +1079,8 @@
         }
         Choice.connectFailed(Endpoint, *Failure == connect_failure::Refused,
                              now());
-        probeThroughPeer(Endpoint, [Finish](std::optional<bool> Is) {
-          Finish(Is.value_or(false));
+        probeThroughPeer(Endpoint, [this, Finish](std::optional<bool> Is) {
+          Finish(Is.value_or(Choice.isOwnLinkSlow()));
         });
       });
 }
--- a/tests/partitioned_connector.h
+++ b/tests/partitioned_connector.h
@@ -34,8 +34,11 @@
   std::shared_ptr<connect_operation> connect(const endpoint_path &Path,
                                              duration Timeout,
                                              handler Handler) override {
-    if (State != link_state::Up && Path.Peer.empty() && IsCut(Path.Endpoint))
+    const bool IsDirect = Path.Peer.empty();
+    if (State != link_state::Up && IsCut(IsDirect ? Path.Endpoint : Path.Peer))
       return fail(State == link_state::Refusing ? duration::zero() : Timeout,
+                  IsDirect ? failureOf(State)
+                           : connect_failure::PeerUnavailable,
                   std::move(Handler));
     return Tcp.connect(Path, Timeout, std::move(Handler));
   }
@@ -47,17 +50,21 @@
     boost::asio::steady_timer Timer;
   };
 
-  std::shared_ptr<connect_operation> fail(duration After, handler Handler) {
+  static connect_failure failureOf(link_state State) {
+    return State == link_state::Refusing ? connect_failure::Refused
+                                         : connect_failure::Unanswered;
+  }
+
+  std::shared_ptr<connect_operation>
+  fail(duration After, connect_failure Failure, handler Handler) {
     auto Operation = std::make_shared<failing>(Context);
     Operation->Timer.expires_after(After);
-    Operation->Timer.async_wait([this, Operation, Handle = std::move(Handler),
-                                 Failure = State == link_state::Refusing
-                                               ? connect_failure::Refused
-                                               : connect_failure::Unanswered](
-                                    const boost::system::error_code &Error) {
-      if (!Error)
-        Handle(Failure, boost::asio::ip::tcp::socket(Context));
-    });
+    Operation->Timer.async_wait(
+        [this, Operation, Handle = std::move(Handler),
+         Failure](const boost::system::error_code &Error) {
+          if (!Error)
+            Handle(Failure, boost::asio::ip::tcp::socket(Context));
+        });
     return Operation;
   }
 
--- a/tests/partitioned_vm_test.cpp
+++ b/tests/partitioned_vm_test.cpp
@@ -78,3 +78,22 @@
   BOOST_TEST(Rest.ends_with("0\r\n\r\n"));
   BOOST_TEST(hasMetric(0, "clementine_endpoint_crashes_total 0"));
 }
+
+// A VM's own link is full: new connections to endpoints and to peers go
+// unanswered. A connection that breaks meanwhile must not count as a crash of
+// its endpoint: three such reports would quarantine the request on all VMs.
+BOOST_FIXTURE_TEST_CASE(full_own_link_is_no_endpoint_crash, fixture) {
+  setBehaviour([](standin::endpoint_behaviour &Its) {
+    Its.Work = 50ms;
+    Its.CutAfter = 3;
+  });
+  raw_peer Caller(Vms[0]->CallerPort);
+  Caller.send(requestText("body"));
+  BOOST_REQUIRE(Caller.readThrough("id: 1\n"));
+  Thread.run([&] {
+    Vms[0]->Connector.setLinks(link_state::Silent,
+                               [](const std::string &) { return true; });
+  });
+  Caller.readAll();
+  BOOST_TEST(hasMetric(0, "clementine_endpoint_crashes_total 0"));
+}
