--- a/tests/vm_capacity_test.cpp
+++ b/tests/vm_capacity_test.cpp
@@ -170,6 +170,25 @@
   BOOST_TEST(Accepted <= 9U);
 }
 
+// Connections that come while there is no capacity are refused without being
+// accepted. A pause that is too long would waste the link, one that is too
+// short would receive requests that are left unread.
+BOOST_AUTO_TEST_CASE(pause_lasts_until_the_next_connection_fits) {
+  vm_capacity Capacity({1.25 * Megabyte, 0});
+  BOOST_TEST((Capacity.acceptPause(0, at(0s)) == duration::zero()));
+  duration Time{};
+  for (int Each = 0; Each < 100; ++Each) {
+    const duration Pause = Capacity.acceptPause(0, at(Time));
+    if (Pause > duration::zero())
+      BOOST_TEST(!Capacity.tryAccept(0, at(Time)));
+    Time += Pause;
+    BOOST_TEST(!!Capacity.tryAccept(0, at(Time)));
+  }
+  BOOST_TEST(Capacity.pauses() > 0U);
+  Capacity.charge(Megabyte, at(Time));
+  BOOST_TEST((Capacity.acceptPause(0, at(Time)) <= 500ms));
+}
+
 // A connection more would leave none for the store and the peers.
 BOOST_AUTO_TEST_CASE(connections_are_left_unread_before_descriptors_run_out) {
   vm_capacity Capacity({0, 100});
