--- a/src/router.cpp
+++ b/src/router.cpp
@@ -208,6 +208,10 @@
   return Capacity.tryAccept(openSockets(), now());
 }
 
+duration router::acceptPause() {
+  return Capacity.acceptPause(openSockets(), now());
+}
+
 void router::releaseReservation(double Reserved) {
   Capacity.release(Reserved, now());
 }
@@ -929,15 +933,19 @@
 }
 
 void router::logUnread(mono_time Now) {
-  const std::uint64_t Count = Capacity.unread();
-  if (Count == UnreadLogged || Now - UnreadLoggedAt < config::UnreadLogPeriod)
+  const std::uint64_t Unread = Capacity.unread();
+  const std::uint64_t Pauses = Capacity.pauses();
+  if ((Unread == UnreadLogged && Pauses == PausesLogged) ||
+      Now - UnreadLoggedAt < config::UnreadLogPeriod)
     return;
   logs::warning("connections_left_unread",
-                {{"count", std::to_string(Count - UnreadLogged)},
+                {{"count", std::to_string(Unread - UnreadLogged)},
+                 {"pauses", std::to_string(Pauses - PausesLogged)},
                  {"open", std::to_string(Callers->connections())},
                  {"request_bytes",
                   std::to_string(std::lround(Capacity.meanRequestBytes()))}});
-  UnreadLogged = Count;
+  UnreadLogged = Unread;
+  PausesLogged = Pauses;
   UnreadLoggedAt = Now;
 }
 
@@ -1071,8 +1079,8 @@
         }
         Choice.connectFailed(Endpoint, *Failure == connect_failure::Refused,
                              now());
-        probeThroughPeer(Endpoint, [Finish](std::optional<bool> Is) {
-          Finish(Is.value_or(false));
+        probeThroughPeer(Endpoint, [this, Finish](std::optional<bool> Is) {
+          Finish(Is.value_or(Choice.isOwnLinkSlow()));
         });
       });
 }
@@ -1094,11 +1102,10 @@
           return;
         }
         const bool IsPeerGone = *Failure == connect_failure::PeerUnavailable;
-        Choice.paths().tunnelFailed(Peer, Endpoint,
-                                    IsPeerGone
-                                        ? tunnel_failure::PeerUnavailable
-                                        : tunnel_failure::EndpointUnreachable,
-                                    now());
+        Choice.tunnelFailed(Peer, Endpoint,
+                            IsPeerGone ? tunnel_failure::PeerUnavailable
+                                       : tunnel_failure::EndpointUnreachable,
+                            now());
         Done(IsPeerGone ? std::nullopt : std::optional(false));
       });
 }
