--- a/src/router.cpp
+++ b/src/router.cpp
@@ -330,6 +330,7 @@
   Gauges.LostSessionNotes = static_cast<double>(Runs.lostUpdates());
   Gauges.UnansweredLookups = static_cast<double>(Runs.unansweredLookups());
   Gauges.UnreadConnections = static_cast<double>(Capacity.unread());
+  Gauges.AcceptPauses = static_cast<double>(Capacity.pauses());
   Gauges.StoreEra = static_cast<double>(StoreEra);
   Gauges.IsReady = isReady() ? 1 : 0;
   Exchange.answer(200, {{"Content-Type", std::string(MetricsType)}},
--- a/src/router_metrics.cpp
+++ b/src/router_metrics.cpp
@@ -68,7 +68,7 @@
 };
 
 using g = router_metrics::gauges;
-constexpr std::array<gauge_row, 25> GaugeRows{{
+constexpr std::array<gauge_row, 26> GaugeRows{{
     {"clementine_open_requests", "requests currently being processed",
      &g::OpenRequests},
     {"clementine_caller_connections", "connections of callers",
@@ -77,6 +77,10 @@
      "callers' connections closed unread since the start, because this VM's "
      "resources were in use",
      &g::UnreadConnections},
+    {"clementine_accept_pauses",
+     "times since the start that this VM didn't listen for callers, because "
+     "its resources were in use",
+     &g::AcceptPauses},
     {"clementine_endpoints", "endpoints in the directory", &g::Endpoints},
     {"clementine_endpoints_avoided", "endpoints avoided after failures",
      &g::AvoidedEndpoints},
--- a/src/router_metrics.h
+++ b/src/router_metrics.h
@@ -56,6 +56,7 @@
     double LostSessionNotes = 0;
     double UnansweredLookups = 0;
     double UnreadConnections = 0;
+    double AcceptPauses = 0;
     double StoreEra = 0;
     double IsReady = 0;
   };
