Doubt failures over a full link after it is free, and mend review findings

Failures from then are doubtful until the endpoint fails again. - A data centre that is cut off with its peers counted as two places, so its streams would not move. A peer now counts for its data centre; delays expire after a second, for VMs without other connections. - Endpoints that were tried over a full link were reported to all VMs as restarted. They no longer are. - A probe that was refused is an answer, whatever the link: a crash. - Without descriptors the listener stayed closed for up to 0.5 s; now 20 ms. - A request that is refused before it is routed returned its whole reservation, though its body had been received.

failures_over_a_slow_link_are_doubtful, silent_peers_of_a_cut_centre_are_not_the_own_link and delays_of_the_own_link_expire are new. stream_stays_while_the_own_link_is_full had asserted the first finding: it now wants a fresh failure before the stream moves. The last four have no test of their own.

--- a/src/endpoint_choice.cpp
+++ b/src/endpoint_choice.cpp
@@ -331,7 +331,7 @@
     [[fallthrough]];
   case attempt_result::Broken: {
     if (const endpoint_info *Info = Directory.find(Id);
-        Info && !Paths.isLost(*Info))
+        Info && saysOfEndpoint(*Info, Now))
       SlowStart.markRestarted(State.DigestHash, Info->Service, Now);
     updateAverage(State.FailureRate, 1);
     if (Result == attempt_result::Broken && State.ConsecutiveFailures == 0) {
@@ -356,9 +356,9 @@
 // back at its old address, cold.
 void endpoint_choice::connected(const endpoint_info &Endpoint, duration Elapsed,
                                 mono_time Now) {
-  if (Reach.isUnreachable(Endpoint.Id) && !Paths.isLost(Endpoint))
+  if (Reach.isUnreachable(Endpoint.Id) && saysOfEndpoint(Endpoint, Now))
     SlowStart.markRestarted(digestHash(Endpoint.Id), Endpoint.Service, Now);
-  Reach.connected(Endpoint.Id, Endpoint.DataCentre, Elapsed);
+  Reach.connected(Endpoint.Id, Endpoint.DataCentre, Elapsed, Now);
   Paths.markDirect(Endpoint);
 }
 
@@ -376,11 +376,28 @@
       SlowStart.retractRestart(digestHash(Info->Id), Now);
 }
 
+namespace {
+
+/// Stands for the peers of this data centre among the delayed ones.
+constexpr std::string_view NearPeers = "near peers";
+
+} // namespace
+
+bool endpoint_choice::saysOfEndpoint(const endpoint_info &Endpoint,
+                                     mono_time Now) const {
+  return !Paths.isLost(Endpoint) && !Reach.isOwnLinkSlow(Now) &&
+         !Reach.isDoubtful(Endpoint.Id);
+}
+
 void endpoint_choice::tunnelFailed(std::string_view Peer,
                                    const endpoint_info &Endpoint,
                                    tunnel_failure Failure, mono_time Now) {
-  if (Failure == tunnel_failure::PeerUnavailable)
-    Reach.peersUnanswered();
+  // Peers of another data centre are silent with it if it is cut off. Those of
+  // this one are no more likely to be than its endpoints.
+  if (Failure == tunnel_failure::PeerUnavailable) {
+    const std::string_view Centre = Paths.dataCentreOf(Peer);
+    Reach.peerUnanswered(Centre == DataCentre ? NearPeers : Centre, Now);
+  }
   Paths.tunnelFailed(Peer, Endpoint, Failure, Now);
 }
 
@@ -394,7 +411,7 @@
 void endpoint_choice::connectFailed(const endpoint_info &Endpoint,
                                     bool IsRefused, mono_time Now) {
   Reach.connectFailed(Endpoint.Id, Endpoint.DataCentre, Now, IsRefused);
-  if (!Paths.isLost(Endpoint))
+  if (saysOfEndpoint(Endpoint, Now))
     SlowStart.markRestarted(digestHash(Endpoint.Id), Endpoint.Service, Now);
 }
 
@@ -510,7 +527,7 @@
     Due.push_back(*Directory.find(Id));
     // It may be back at any moment, and other VMs may not have noticed the
     // outage.
-    if (!Paths.isLost(Due.back()))
+    if (saysOfEndpoint(Due.back(), Now))
       SlowStart.markRestarted(digestHash(Id), Due.back().Service, Now);
   }
   // One random endpoint of those that are excluded only because their data
--- a/src/endpoint_choice.h
+++ b/src/endpoint_choice.h
@@ -139,16 +139,16 @@
   }
   /// Whether established connections to the endpoint have probably died without
   /// a reset. `Peer`: the router that they go through; empty: direct.
-  bool isPathSilent(const endpoint_info &Endpoint,
-                    std::string_view Peer) const {
-    if (Reach.isOwnLinkSlow())
+  bool isPathSilent(const endpoint_info &Endpoint, std::string_view Peer,
+                    mono_time Now) const {
+    if (Reach.isOwnLinkSlow(Now))
       return false;
     return Peer.empty() ? Reach.isSilent(Endpoint.Id, Endpoint.DataCentre)
                         : !Paths.isLive(Peer);
   }
   /// Whether this VM's own link delays its connections, so that a failed one
   /// says nothing of the endpoint.
-  bool isOwnLinkSlow() const { return Reach.isOwnLinkSlow(); }
+  bool isOwnLinkSlow(mono_time Now) const { return Reach.isOwnLinkSlow(Now); }
   void tunnelFailed(std::string_view Peer, const endpoint_info &Endpoint,
                     tunnel_failure Failure, mono_time Now);
   peer_paths &paths() { return Paths; }
@@ -186,6 +186,8 @@
   std::size_t countAvoided(mono_time Now) const;
 
 private:
+  /// Whether failed connections to the endpoint are its own fault.
+  bool saysOfEndpoint(const endpoint_info &Endpoint, mono_time Now) const;
   struct state {
     bool IsReplaced = false; ///< until it returns with another incarnation
     std::uint64_t Incarnation = 0;
--- a/src/peer_paths.cpp
+++ b/src/peer_paths.cpp
@@ -38,6 +38,11 @@
                 [Now](const auto &Entry) { return Entry.second <= Now; });
 }
 
+std::string_view peer_paths::dataCentreOf(std::string_view Peer) const {
+  const auto Found = Peers.find(Peer);
+  return Found == Peers.end() ? std::string_view{} : Found->second.DataCentre;
+}
+
 std::vector<std::string> peer_paths::nearPeers() const {
   std::vector<std::string> Found;
   for (const auto &[Address, Peer] : Peers)
--- a/src/peer_paths.h
+++ b/src/peer_paths.h
@@ -47,6 +47,8 @@
   void expire(mono_time Now, duration Ttl);
   /// Whether digests of the peer arrive.
   bool isLive(std::string_view Peer) const { return Peers.contains(Peer); }
+  /// Data centre of a live peer; empty if it isn't one.
+  std::string_view dataCentreOf(std::string_view Peer) const;
   /// Addresses of the live peers of this VM's data centre.
   std::vector<std::string> nearPeers() const;
 
--- a/src/reachability_tracker.cpp
+++ b/src/reachability_tracker.cpp
@@ -9,22 +9,23 @@
 
 namespace {
 
-constexpr std::string_view PeersPlace = "peers";
 /// Connections that take longer are late whatever their distance.
 constexpr auto PromptConnectTime = config::EndpointConnectTimeout / 2;
-/// Places that are delayed at once until the own link is the likelier cause.
-constexpr std::size_t OwnLinkPlaces = 2;
+/// Data centres that are delayed at once until the own link is the likelier
+/// cause, and how long a delay counts.
+constexpr std::size_t OwnLinkCentres = 2;
+constexpr auto DelayTtl = std::chrono::seconds(1);
 
 } // namespace
 
 void reachability_tracker::connected(std::string_view Id,
                                      std::string_view DataCentre,
-                                     duration Elapsed) {
+                                     duration Elapsed, mono_time Now) {
   forget(Id);
   if (Elapsed < PromptConnectTime)
-    DelayedPlaces.clear();
+    DelayedAt.clear();
   else
-    DelayedPlaces.emplace(DataCentre);
+    recordDelay(DataCentre, Now);
   data_centre &Centre = Centres[std::string(DataCentre)];
   Centre.Unanswered.clear();
   const double Seconds = std::chrono::duration<double>(Elapsed).count();
@@ -45,11 +46,13 @@
   const auto [Endpoint, IsNew] = Unreachable.try_emplace(
       std::string(Id), unreachable_endpoint{std::string(DataCentre), Now});
   Endpoint->second.IsRefused = IsRefused;
-  if (!IsRefused)
-    DelayedPlaces.emplace(DataCentre);
+  Endpoint->second.IsDoubtful = false;
   data_centre &Centre = Centres[std::string(DataCentre)];
   Centre.Unanswered.emplace(Id);
   Centre.IsRefused = IsRefused;
+  Centre.IsDoubtful = false;
+  if (!IsRefused)
+    recordDelay(DataCentre, Now);
 }
 
 bool reachability_tracker::isCentreUnreachable(
@@ -67,10 +70,15 @@
 bool reachability_tracker::isSilent(std::string_view Id,
                                     std::string_view DataCentre) const {
   if (const auto Found = Unreachable.find(Id); Found != Unreachable.end())
-    return !Found->second.IsRefused;
+    return !Found->second.IsRefused && !Found->second.IsDoubtful;
   const auto Centre = Centres.find(DataCentre);
   return Centre != Centres.end() && isCentreUnreachable(DataCentre) &&
-         !Centre->second.IsRefused;
+         !Centre->second.IsRefused && !Centre->second.IsDoubtful;
+}
+
+bool reachability_tracker::isDoubtful(std::string_view Id) const {
+  const auto Found = Unreachable.find(Id);
+  return Found != Unreachable.end() && Found->second.IsDoubtful;
 }
 
 duration
@@ -115,12 +123,29 @@
   return Found;
 }
 
-void reachability_tracker::peersUnanswered() {
-  DelayedPlaces.emplace(PeersPlace);
+void reachability_tracker::peerUnanswered(std::string_view DataCentre,
+                                          mono_time Now) {
+  recordDelay(DataCentre, Now);
+}
+
+// Endpoints that failed while the own link is slow stay marked when it is free
+// again, until a connection succeeds. Streams to them may well be alive.
+void reachability_tracker::recordDelay(std::string_view DataCentre,
+                                       mono_time Now) {
+  DelayedAt.insert_or_assign(std::string(DataCentre), Now);
+  if (!isOwnLinkSlow(Now))
+    return;
+  for (auto &[Id, Endpoint] : Unreachable)
+    Endpoint.IsDoubtful = true;
+  for (auto &[Name, Centre] : Centres)
+    Centre.IsDoubtful = true;
 }
 
-bool reachability_tracker::isOwnLinkSlow() const {
-  return DelayedPlaces.size() >= OwnLinkPlaces;
+bool reachability_tracker::isOwnLinkSlow(mono_time Now) const {
+  const auto Recent = std::count_if(
+      DelayedAt.begin(), DelayedAt.end(),
+      [Now](const auto &Entry) { return Now - Entry.second <= DelayTtl; });
+  return static_cast<std::size_t>(Recent) >= OwnLinkCentres;
 }
 
 void reachability_tracker::forget(std::string_view Id) {
--- a/src/reachability_tracker.h
+++ b/src/reachability_tracker.h
@@ -32,7 +32,7 @@
 public:
   /// A connection was established after `Elapsed`.
   void connected(std::string_view Id, std::string_view DataCentre,
-                 duration Elapsed);
+                 duration Elapsed, mono_time Now);
   /// A connection was refused or timed out.
   void connectFailed(std::string_view Id, std::string_view DataCentre,
                      mono_time Now, bool IsRefused = false);
@@ -52,6 +52,9 @@
   bool isUnreachable(std::string_view Id) const {
     return Unreachable.contains(Id);
   }
+  /// Whether the endpoint is unreachable by failures that the own link
+  /// explains.
+  bool isDoubtful(std::string_view Id) const;
   /// Timeout for the next connection to that data centre.
   duration connectTimeout(std::string_view DataCentre) const;
 
@@ -62,13 +65,13 @@
             mono_time Now);
   /// Endpoints marked since the last call, up to config::MaxProbesPerRound.
   std::vector<std::string> takeNewlyUnreachable();
-  /// Peers that were asked to connect to an endpoint didn't respond.
-  void peersUnanswered();
+  /// A peer of that data centre didn't respond.
+  void peerUnanswered(std::string_view DataCentre, mono_time Now);
   /// A peer connected to an endpoint.
-  void connectedThroughPeer() { DelayedPlaces.clear(); }
+  void connectedThroughPeer() { DelayedAt.clear(); }
   /// Whether connections are late or unanswered wherever this VM opens them,
   /// which its own link explains better than several outages.
-  bool isOwnLinkSlow() const;
+  bool isOwnLinkSlow(mono_time Now) const;
   /// Drops the state of an endpoint that restarted.
   void forget(std::string_view Id);
   std::size_t countUnreachable() const { return Unreachable.size(); }
@@ -77,8 +80,9 @@
   struct unreachable_endpoint {
     std::string DataCentre;
     mono_time ProbedAt;
-    bool IsRefused = false; ///< at the last failure
-    bool IsNew = true;      ///< not yet returned by takeNewlyUnreachable()
+    bool IsRefused = false;  ///< at the last failure
+    bool IsDoubtful = false; ///< failed while the own link was slow
+    bool IsNew = true;       ///< not yet returned by takeNewlyUnreachable()
   };
   struct data_centre {
     unsigned Samples = 0;
@@ -86,15 +90,17 @@
     double DeviationSeconds = 0;
     /// Endpoints that failed since the last success.
     std::set<std::string, std::less<>> Unanswered;
-    bool IsRefused = false; ///< at the last failure
+    bool IsRefused = false;  ///< at the last failure
+    bool IsDoubtful = false; ///< failed while the own link was slow
   };
+  void recordDelay(std::string_view DataCentre, mono_time Now);
   bool isCentreUnreachable(std::string_view DataCentre) const;
 
   std::map<std::string, unreachable_endpoint, std::less<>> Unreachable;
   std::map<std::string, data_centre, std::less<>> Centres;
-  /// Data centres, and PeersPlace, with late or unanswered connections since
-  /// the last prompt one.
-  std::set<std::string, std::less<>> DelayedPlaces;
+  /// Last late or unanswered connection to each data centre, to an endpoint or
+  /// a peer, since the last prompt one.
+  std::map<std::string, mono_time, std::less<>> DelayedAt;
 };
 
 } // namespace clementinelane
--- a/src/routed_request.cpp
+++ b/src/routed_request.cpp
@@ -940,7 +940,7 @@
   }
   if (!isStream() || !Call.Route->isRetryable() ||
       Now - Attempt->LastReceivedAt < config::UnreachableStreamTimeout ||
-      !Context.Choice.isPathSilent(Attempt->Endpoint, Attempt->Peer))
+      !Context.Choice.isPathSilent(Attempt->Endpoint, Attempt->Peer, Now))
     return;
   if (mayAttempt(Now) && Context.Budget.available(Call.Service, Now) >= 1)
     failAttempt(attempt_result::Broken, true, "endpoint_silent", Now);
--- a/src/router.cpp
+++ b/src/router.cpp
@@ -227,7 +227,9 @@
   Call.ArrivedAt = now();
   Call.Table = Table;
   const auto RefuseNow = [&](error_kind Kind) {
-    Capacity.release(Exchange->takeReservation(), Call.ArrivedAt);
+    Capacity.charge(static_cast<double>(Exchange->body().size()) -
+                        Exchange->takeReservation(),
+                    Call.ArrivedAt);
     refuse(*Exchange, {Kind, run_state::NotRun, answerOf(Kind).RetryAfter},
            Call.Metadata.Id);
   };
@@ -1080,9 +1082,11 @@
         }
         Choice.connectFailed(Endpoint, *Failure == connect_failure::Refused,
                              now());
-        probeThroughPeer(Endpoint, [this, Finish](std::optional<bool> Is) {
-          Finish(Is.value_or(Choice.isOwnLinkSlow()));
-        });
+        const bool IsPrompt = *Failure == connect_failure::Refused;
+        probeThroughPeer(
+            Endpoint, [this, Finish, IsPrompt](std::optional<bool> Is) {
+              Finish(Is.value_or(!IsPrompt && Choice.isOwnLinkSlow(now())));
+            });
       });
 }
 
--- a/src/vm_capacity.cpp
+++ b/src/vm_capacity.cpp
@@ -21,6 +21,8 @@
 /// A VM without capacity accepts a connection this often: it counts as down
 /// for load balancers otherwise, and learns nothing.
 constexpr auto MaxAcceptGap = std::chrono::milliseconds(500);
+/// Without descriptors: one may become free at any moment.
+constexpr auto DescriptorPause = std::chrono::milliseconds(20);
 /// Each pause costs a few system calls.
 constexpr auto MinAcceptPause = std::chrono::milliseconds(10);
 
@@ -81,7 +83,7 @@
       usableRate() > 0 && Missing > 0
           ? std::chrono::duration_cast<duration>(
                 std::chrono::duration<double>(Missing / usableRate()))
-          : UntilGap;
+          : duration(DescriptorPause);
   return std::max<duration>(MinAcceptPause, std::min(UntilFree, UntilGap));
 }
 
--- a/tests/reachability_tracker_test.cpp
+++ b/tests/reachability_tracker_test.cpp
@@ -17,7 +17,7 @@
   }
   void connectRepeatedly(int Times, duration Elapsed) {
     for (int Each = 0; Each < Times; ++Each)
-      Reach.connected("a9", "hall-a", Elapsed);
+      Reach.connected("a9", "hall-a", Elapsed, Now);
   }
 };
 
@@ -34,7 +34,7 @@
   BOOST_TEST(Reach.isUnreachable("b3", "hall-b"));
   BOOST_TEST(Reach.isUnreachableByCentre("b3", "hall-b"));
   BOOST_TEST(!Reach.isUnreachable("a1", "hall-a"));
-  Reach.connected("b3", "hall-b", 1ms);
+  Reach.connected("b3", "hall-b", 1ms, Now);
   BOOST_TEST(!Reach.isUnreachable("b3", "hall-b"));
   BOOST_TEST(Reach.isUnreachable("b1", "hall-b"));
 }
@@ -44,7 +44,7 @@
 BOOST_FIXTURE_TEST_CASE(successful_connect_clears_the_centre, fixture) {
   for (const char *Id : {"a1", "a2", "a3", "a4"}) {
     Reach.connectFailed(Id, "hall-a", Now);
-    Reach.connected("a9", "hall-a", 1ms);
+    Reach.connected("a9", "hall-a", 1ms, Now);
   }
   BOOST_TEST(!Reach.isUnreachable("a5", "hall-a"));
   BOOST_TEST(Reach.countUnreachable() == 4U);
@@ -80,18 +80,52 @@
 BOOST_FIXTURE_TEST_CASE(delays_everywhere_are_of_the_own_link, fixture) {
   Reach.connectFailed("b1", "hall-b", Now);
   Reach.connectFailed("b2", "hall-b", Now);
-  BOOST_TEST(!Reach.isOwnLinkSlow());
+  BOOST_TEST(!Reach.isOwnLinkSlow(Now));
   connectRepeatedly(1, config::EndpointConnectTimeout);
-  BOOST_TEST(Reach.isOwnLinkSlow());
+  BOOST_TEST(Reach.isOwnLinkSlow(Now));
   connectRepeatedly(1, 1ms);
-  BOOST_TEST(!Reach.isOwnLinkSlow());
+  BOOST_TEST(!Reach.isOwnLinkSlow(Now));
   Reach.connectFailed("b1", "hall-b", Now);
   Reach.connectFailed("c1", "hall-c", Now, true); // refused: it was reached
-  BOOST_TEST(!Reach.isOwnLinkSlow());
-  Reach.peersUnanswered();
-  BOOST_TEST(Reach.isOwnLinkSlow());
+  BOOST_TEST(!Reach.isOwnLinkSlow(Now));
+  Reach.peerUnanswered("hall-c", Now);
+  BOOST_TEST(Reach.isOwnLinkSlow(Now));
   Reach.connectedThroughPeer();
-  BOOST_TEST(!Reach.isOwnLinkSlow());
+  BOOST_TEST(!Reach.isOwnLinkSlow(Now));
+}
+
+// A data centre is cut off, with the peers in it: that is one outage, and its
+// streams must move.
+BOOST_FIXTURE_TEST_CASE(silent_peers_of_a_cut_centre_are_not_the_own_link,
+                        fixture) {
+  Reach.connectFailed("b1", "hall-b", Now);
+  Reach.connectFailed("b2", "hall-b", Now);
+  Reach.peerUnanswered("hall-b", Now);
+  BOOST_TEST(!Reach.isOwnLinkSlow(Now));
+  BOOST_TEST(Reach.isSilent("b1", "hall-b"));
+}
+
+// The own link is free again, but endpoints that failed before are still
+// marked: streams to them are not given up until they fail once more.
+BOOST_FIXTURE_TEST_CASE(failures_over_a_slow_link_are_doubtful, fixture) {
+  Reach.connectFailed("b1", "hall-b", Now);
+  BOOST_TEST(Reach.isSilent("b1", "hall-b"));
+  Reach.connectFailed("c1", "hall-c", Now);
+  connectRepeatedly(1, 1ms);
+  BOOST_TEST(!Reach.isOwnLinkSlow(Now));
+  BOOST_TEST(!Reach.isSilent("b1", "hall-b"));
+  BOOST_TEST(Reach.isUnreachable("b1", "hall-b"));
+  Reach.connectFailed("b1", "hall-b", Now);
+  BOOST_TEST(Reach.isSilent("b1", "hall-b"));
+}
+
+// A quiet VM has no prompt connection that would show that its link is free.
+BOOST_FIXTURE_TEST_CASE(delays_of_the_own_link_expire, fixture) {
+  Reach.connectFailed("b1", "hall-b", Now);
+  Reach.connectFailed("c1", "hall-c", Now);
+  BOOST_TEST(Reach.isOwnLinkSlow(Now));
+  Now += 2s;
+  BOOST_TEST(!Reach.isOwnLinkSlow(Now));
 }
 
 // Connections take a millisecond, but this VM pauses at times. A timeout
--- a/tests/routed_request_test.cpp
+++ b/tests/routed_request_test.cpp
@@ -771,6 +771,9 @@
   BOOST_TEST(Out.Attempts.size() == 1U);
   Choice.connected(*Directory.find("p1"), 1ms, Now); // the link is free again
   Request->onTick(Now);
+  BOOST_TEST(Out.Attempts.size() == 1U); // the failures were the link's
+  Choice.attemptEnded(First, 0, attempt_result::Unreachable, std::nullopt, Now);
+  Request->onTick(Now);
   BOOST_TEST(Out.Attempts.size() == 2U);
 }
 
