Refuse deadlines that aren't sound numbers

A deadline such as inf or 1e19 ms overflowed the clock's integer. Cause: it was converted without a check of its range. A deadline that is no number, negative, or above a year now gets 400 and isn't run; one that couldn't be read at all counted as missing before and gets 400 too. A deadline of 0 stays valid.

--- a/src/routed_call.h
+++ b/src/routed_call.h
@@ -26,6 +26,7 @@
   std::string Session;
   std::string Model;                       ///< "*" if the router chooses
   std::optional<duration> Remaining;       ///< time until the caller's deadline
+  bool IsDeadlineUnsound = false;          ///< states none that can be kept
   std::optional<std::uint64_t> ResumeFrom; ///< last event that the caller has
   std::vector<prompt_part> Parts;
   unsigned PromptTokens = 0;
--- a/src/router.cpp
+++ b/src/router.cpp
@@ -245,7 +245,7 @@
                                                  : error_kind::KeyWrong);
     Call.Customer = Customer->second;
   }
-  if (Call.Metadata.Id.empty())
+  if (Call.Metadata.Id.empty() || Call.Metadata.IsDeadlineUnsound)
     return RefuseNow(error_kind::BadRequest);
   Call.Service = serviceFor(*Call.Route, sessionHash(Call.Metadata));
   Call.Body = Exchange->body();
--- a/tests/platform_headers_test.cpp
+++ b/tests/platform_headers_test.cpp
@@ -72,6 +72,27 @@
       decodeCallHead(head({{"X-Prompt-Prefix-Hash", "a,b"}})).Parts.empty());
 }
 
+// Guards against deadlines that overflow the clock or mean nothing.
+BOOST_AUTO_TEST_CASE(deadlines_are_sound_numbers) {
+  for (const char *Text : {"0", "1500", "0.5", "1e3", "31536000000"}) {
+    const auto Metadata =
+        decodeCallHead(head({{"X-Deadline-Remaining-Ms", Text}}));
+    BOOST_TEST(!Metadata.IsDeadlineUnsound, Text);
+    BOOST_TEST(Metadata.Remaining.has_value(), Text);
+  }
+  for (const char *Text :
+       {"inf", "-inf", "nan", "-1", "1e400", "9223372036854775808",
+        "31536000001", "12s", "", "1,2"}) {
+    const auto Metadata =
+        decodeCallHead(head({{"X-Deadline-Remaining-Ms", Text}}));
+    BOOST_TEST(Metadata.IsDeadlineUnsound, Text);
+    BOOST_TEST(!Metadata.Remaining.has_value(), Text);
+  }
+  const auto Without = decodeCallHead(head({}));
+  BOOST_TEST(!Without.IsDeadlineUnsound);
+  BOOST_TEST(!Without.Remaining.has_value());
+}
+
 // Guards against clients that set headers reserved for the router: neither
 // those nor the client's key may reach the endpoint.
 BOOST_AUTO_TEST_CASE(attempt_drops_router_headers_of_callers) {
--- a/tests/router_test.cpp
+++ b/tests/router_test.cpp
@@ -172,6 +172,20 @@
   BOOST_TEST(call("/nothing/", "b1").starts_with("HTTP/1.1 404"));
 }
 
+// A deadline that isn't a sound number overflows the clock. The request is
+// refused before it runs.
+BOOST_FIXTURE_TEST_CASE(unsound_deadline_is_refused, fixture) {
+  for (const std::string Deadline : {"inf", "nan", "-1", "1e19"}) {
+    std::string Text = request("/booking/1", "b1");
+    const std::string Sound = "Remaining-Ms: 4000";
+    Text.replace(Text.find(Sound), Sound.size(), "Remaining-Ms: " + Deadline);
+    raw_peer Peer(CallerPort);
+    Peer.send(Text);
+    BOOST_TEST(Peer.readAll().starts_with("HTTP/1.1 400"), Deadline);
+  }
+  BOOST_TEST(runsOf("b1") == 0U);
+}
+
 // An engine closes its connection within an event. The caller must still get
 // each event exactly once.
 BOOST_FIXTURE_TEST_CASE(cut_stream_resumes_elsewhere, fixture) {
