Quarantine: a success clears the crashes before it and none after

Callers saw: a request that was served once and crashes endpoints from some moment on was never quarantined, and ended endpoints for as long as it came.

Cause: a success took the request out of all suspicion until 1,024 other requests were served, at that VM. Class: a verdict without a time, which outlives what it rests on. A success was also unknown to other VMs.

Change: a success clears the crashes known so far. Notes between VMs bear the ages of crashes and the crashes that the request survived; each VM compares an age with its own latest success, so clocks may differ, and a delay only makes a crash look later. Ages from the store follow wall clocks and prove no order. Readers tell all VMs of suspects with two crashes, and of requests that were quarantined, so that a success elsewhere ends a quarantine. A record in the store that counts survived crashes is written again. Notes of older VMs, without the new fields, count as crashes of now. An older VM takes a note of survived crashes alone for a release. Notes per datagram go from 200 to 80, for the new fields.

Note that served_request_is_not_quarantined lets no time pass between its success and its crashes, which so count as not later.

Ruled out: holding crashes that are close together as one, as for parts of prompts: retries follow within milliseconds, and the third crash must hold.

--- a/src/config.h
+++ b/src/config.h
@@ -1098,7 +1098,8 @@
 constexpr auto SuspectTtl = 1h;
 /// Some 100 bytes each. A crashed engine leaves up to a hundred suspects.
 constexpr std::size_t MaxSuspects = 4096;
-/// Latest completed requests, which are never suspects; 50 bytes each.
+/// Latest completed requests and when they did; some 100 bytes each. A crash
+/// before its request completed doesn't count.
 constexpr std::size_t MaxServedRequests = 1024;
 /// Longer than notes take to arrive, so that all crashes of a request are known
 /// before other requests are cleared of them.
@@ -1113,7 +1114,7 @@
 /// for VMs that were paused or partitioned.
 constexpr auto QuarantineResendInterval = 1s;
 /// Notes per datagram, which stays below 32 KiB with all their crashes.
-constexpr std::size_t MaxCrashNotes = 200;
+constexpr std::size_t MaxCrashNotes = 80;
 /// Until a write to the store is retried, and until a second router writes what
 /// the first should have written.
 constexpr auto QuarantineSaveRetryDelay = 2s;
--- a/src/request_quarantine.cpp
+++ b/src/request_quarantine.cpp
@@ -12,8 +12,19 @@
 
 using json = nlohmann::json;
 
-/// Fields of a note, in wire order.
-constexpr std::size_t NoteFields = 3;
+/// Fields of a note, in wire order: request, time of the latest crash, crashes,
+/// their ages, survived ones. Notes of older VMs end after the crashes.
+constexpr std::size_t OldNoteFields = 3;
+constexpr std::size_t NoteFields = 5;
+
+std::vector<std::chrono::milliseconds> decodeAges(const json &Body) {
+  std::vector<std::chrono::milliseconds> Ages;
+  for (const json &Each : Body)
+    Ages.emplace_back(std::clamp<std::int64_t>(
+        Each.get<std::int64_t>(), 0,
+        std::chrono::milliseconds(config::QuarantineTtl).count()));
+  return Ages;
+}
 
 } // namespace
 
@@ -23,8 +34,13 @@
 
 std::string encodeCrashNotes(std::span<const crash_note> Notes) {
   auto Body = json::array();
-  for (const crash_note &Note : Notes)
-    Body.push_back({Note.Request, Note.LastMs, Note.Crashes});
+  for (const crash_note &Note : Notes) {
+    auto Ages = json::array();
+    for (const auto Age : Note.Ages)
+      Ages.push_back(Age.count());
+    Body.push_back({Note.Request, Note.LastMs, Note.Crashes, std::move(Ages),
+                    Note.Survived});
+  }
   std::string Bytes;
   json::to_msgpack(Body, Bytes);
   return Bytes;
@@ -38,12 +54,20 @@
       return std::nullopt;
     std::vector<crash_note> Notes;
     for (const json &Note : Body) {
-      if (!Note.is_array() || Note.size() < NoteFields ||
+      if (!Note.is_array() || Note.size() < OldNoteFields ||
           Note[2].size() > config::MaxCrashesPerRequest)
         return std::nullopt;
-      Notes.push_back({Note[0].get<std::uint64_t>(),
-                       Note[2].get<std::vector<std::uint64_t>>(),
-                       Note[1].get<std::int64_t>()});
+      crash_note Read{Note[0].get<std::uint64_t>(),
+                      Note[2].get<std::vector<std::uint64_t>>(),
+                      Note[1].get<std::int64_t>()};
+      if (Note.size() >= NoteFields) {
+        if (Note[3].size() > config::MaxCrashesPerRequest ||
+            Note[4].size() > config::MaxCrashesPerRequest)
+          return std::nullopt;
+        Read.Ages = decodeAges(Note[3]);
+        Read.Survived = Note[4].get<std::vector<std::uint64_t>>();
+      }
+      Notes.push_back(std::move(Read));
     }
     return Notes;
   } catch (const json::exception &) {
@@ -53,8 +77,7 @@
 
 bool request_quarantine::isQuarantined(std::uint64_t Request) const {
   const auto Found = Entries.find(Request);
-  return Found != Entries.end() && Found->second.IsQuarantined &&
-         !Served.contains(Request);
+  return Found != Entries.end() && Found->second.IsQuarantined;
 }
 
 duration request_quarantine::timeLeft(std::uint64_t Request,
@@ -66,87 +89,182 @@
                             Found->second.LastAt + config::QuarantineTtl - Now);
 }
 
+std::optional<mono_time>
+request_quarantine::lastServed(std::uint64_t Request) const {
+  const auto Found = ServedIndex.find(Request);
+  return Found == ServedIndex.end() ? std::nullopt
+                                    : std::optional(Found->second->At);
+}
+
+void request_quarantine::rememberServed(std::uint64_t Request, mono_time Now) {
+  if (const auto Found = ServedIndex.find(Request);
+      Found != ServedIndex.end()) {
+    Found->second->At = Now;
+    Served.splice(Served.end(), Served, Found->second);
+    return;
+  }
+  ServedIndex.emplace(Request, Served.insert(Served.end(), {Request, Now}));
+  if (Served.size() <= config::MaxServedRequests)
+    return;
+  ServedIndex.erase(Served.front().Request);
+  Served.pop_front();
+}
+
 // Load: identical requests from many callers. Some are in flight at endpoints
 // that crash for another reason; quarantining them would reject all of these
 // callers.
-void request_quarantine::markServed(std::uint64_t Request) {
-  Entries.erase(Request);
-  if (!Served.insert(Request).second)
-    return;
-  ServedOrder.push_back(Request);
-  if (ServedOrder.size() <= config::MaxServedRequests)
+void request_quarantine::markServed(std::uint64_t Request, mono_time Now) {
+  rememberServed(Request, Now);
+  const auto Found = Entries.find(Request);
+  if (Found == Entries.end() || Found->second.Crashes.empty())
     return;
-  Served.erase(ServedOrder.front());
-  ServedOrder.pop_front();
+  entry &Entry = Found->second;
+  for (const crash &Each : std::vector<crash>(Entry.Crashes))
+    survive(Entry, Each.Id);
+  Entry.IsLocal = true;
+  noteChange(Entry, Now);
+  updateQuarantined(Request, Entry, Now);
 }
 
 bool request_quarantine::wasInFlight(const entry &Entry, std::uint64_t Crash) {
+  const auto Has = [Crash](const std::vector<std::uint64_t> &Ids) {
+    return std::find(Ids.begin(), Ids.end(), Crash) != Ids.end();
+  };
   return std::any_of(Entry.Crashes.begin(), Entry.Crashes.end(),
                      [Crash](const auto &Each) { return Each.Id == Crash; }) ||
-         std::find(Entry.Cleared.begin(), Entry.Cleared.end(), Crash) !=
-             Entry.Cleared.end();
+         Has(Entry.Cleared) || Has(Entry.Survived);
+}
+
+void request_quarantine::noteChange(entry &Entry, mono_time Now) {
+  Entry.ChangedAt = Now;
+  Entry.SendsLeft = config::CrashNoteRepeats;
+  Entry.NextSendAt = Now;
+}
+
+// Failure: VMs that know of different survived crashes replace each other's
+// without end. Only one that counted until now replaces the oldest.
+bool request_quarantine::survive(entry &Entry, std::uint64_t Crash) {
+  const bool DidCount = std::erase_if(Entry.Crashes, [Crash](const auto &Each) {
+                          return Each.Id == Crash;
+                        }) > 0;
+  if (std::find(Entry.Survived.begin(), Entry.Survived.end(), Crash) !=
+      Entry.Survived.end())
+    return DidCount;
+  if (Entry.Survived.size() >= config::MaxCrashesPerRequest) {
+    if (!DidCount)
+      return false;
+    Entry.Survived.erase(Entry.Survived.begin());
+  }
+  Entry.Survived.push_back(Crash);
+  return DidCount;
 }
 
 request_quarantine::entry *
 request_quarantine::addCrashes(std::uint64_t Request,
-                               std::span<const std::uint64_t> Crashes,
-                               mono_time LastAt, mono_time Now) {
-  if (Served.contains(Request) || Crashes.empty())
+                               std::span<const crash> Crashes, mono_time Now) {
+  if (Crashes.empty())
     return nullptr;
   entry &Entry = Entries[Request];
-  for (const std::uint64_t Id : Crashes) {
-    if (wasInFlight(Entry, Id) ||
+  const auto ServedAt = lastServed(Request);
+  for (const crash &Each : Crashes) {
+    const bool IsSurvived =
+        std::find(Entry.Survived.begin(), Entry.Survived.end(), Each.Id) !=
+        Entry.Survived.end();
+    if (IsSurvived) {
+      // The sender doesn't know it yet.
+      Entry.SendsLeft = std::max(Entry.SendsLeft, 1U);
+      continue;
+    }
+    if (ServedAt && Each.At <= *ServedAt) {
+      survive(Entry, Each.Id);
+      Entry.IsLocal = true;
+      noteChange(Entry, Now);
+      continue;
+    }
+    if (wasInFlight(Entry, Each.Id) ||
         Entry.Crashes.size() >= config::MaxCrashesPerRequest)
       continue;
-    Entry.Crashes.push_back({Id, Now});
+    Entry.Crashes.push_back(Each);
     // Only a new crash extends the quarantine. Quarantined requests are
     // rebroadcast continually, and would otherwise never expire.
-    Entry.LastAt = std::max(Entry.LastAt, LastAt);
-    Entry.ChangedAt = Now;
-    Entry.SendsLeft = config::CrashNoteRepeats;
-    Entry.NextSendAt = Now;
+    Entry.LastAt = std::max(Entry.LastAt, Each.At);
+    noteChange(Entry, Now);
   }
   return &Entry;
 }
 
-void request_quarantine::quarantineAtThreshold(std::uint64_t Request,
-                                               entry &Entry) {
-  if (Entry.IsQuarantined ||
-      Entry.Crashes.size() < config::QuarantineCrashThreshold)
+void request_quarantine::addSurvived(std::uint64_t Request,
+                                     std::span<const std::uint64_t> Survived,
+                                     mono_time Now) {
+  if (Survived.empty())
     return;
-  Entry.IsQuarantined = true;
-  if (QuarantinedHandler)
-    QuarantinedHandler(noteOf(Request, Entry));
+  const auto [Found, IsNew] = Entries.try_emplace(Request);
+  entry &Entry = Found->second;
+  if (IsNew)
+    Entry.LastAt = Now;
+  for (const std::uint64_t Crash : Survived)
+    if (survive(Entry, Crash))
+      noteChange(Entry, Now);
+  updateQuarantined(Request, Entry, Now);
+}
+
+void request_quarantine::updateQuarantined(std::uint64_t Request, entry &Entry,
+                                           mono_time Now) {
+  const bool Was = Entry.IsQuarantined;
+  Entry.IsQuarantined =
+      Entry.Crashes.size() >= config::QuarantineCrashThreshold;
+  Entry.WasQuarantined = Entry.WasQuarantined || Entry.IsQuarantined;
+  if (Entry.IsQuarantined && !Was && QuarantinedHandler)
+    QuarantinedHandler(noteOf(Request, Entry, Now));
 }
 
 void request_quarantine::recordCrash(std::uint64_t Crash,
                                      std::span<const std::uint64_t> Requests,
                                      mono_time Now) {
+  const crash Seen{Crash, Now, Now};
   for (const std::uint64_t Request : Requests)
-    if (entry *Entry = addCrashes(Request, {&Crash, 1}, Now, Now)) {
+    if (entry *Entry = addCrashes(Request, {&Seen, 1}, Now)) {
       Entry->IsLocal = true;
-      quarantineAtThreshold(Request, *Entry);
+      updateQuarantined(Request, *Entry, Now);
     }
   evictExcess();
 }
 
 void request_quarantine::applyPeerCrashNote(const crash_note &Note,
                                             mono_time Now) {
-  if (Note.Crashes.empty())
+  if (Note.isRelease()) {
     releaseRequest(Note.Request);
-  if (entry *Entry = addCrashes(Note.Request, Note.Crashes, Now, Now))
-    quarantineAtThreshold(Note.Request, *Entry);
+    return;
+  }
+  addSurvived(Note.Request, Note.Survived, Now);
+  std::vector<crash> Crashes;
+  for (std::size_t Each = 0; Each < Note.Crashes.size(); ++Each)
+    Crashes.push_back(
+        {Note.Crashes[Each],
+         Now - (Each < Note.Ages.size() ? Note.Ages[Each]
+                                        : std::chrono::milliseconds(0)),
+         Now});
+  if (entry *Entry = addCrashes(Note.Request, Crashes, Now))
+    updateQuarantined(Note.Request, *Entry, Now);
   evictExcess();
 }
 
+// Wall clocks differ between VMs, so an age from the store proves no order: the
+// crashes count as later than any success of this VM.
 void request_quarantine::applyStoredNote(const crash_note &Note, duration Age,
                                          mono_time Now) {
   if (Age >= config::QuarantineTtl)
     return;
-  if (entry *Entry = addCrashes(Note.Request, Note.Crashes, Now - Age, Now)) {
-    Entry->SavedCrashes = Note.Crashes.size();
-    quarantineAtThreshold(Note.Request, *Entry);
+  addSurvived(Note.Request, Note.Survived, Now);
+  const mono_time Before = Entries[Note.Request].LastAt;
+  std::vector<crash> Crashes;
+  for (const std::uint64_t Id : Note.Crashes)
+    Crashes.push_back({Id, Now, Now});
+  if (entry *Entry = addCrashes(Note.Request, Crashes, Now)) {
+    Entry->LastAt = std::max(Before, Now - Age);
+    updateQuarantined(Note.Request, *Entry, Now);
   }
+  Entries[Note.Request].Stored = Note.Crashes;
   evictExcess();
 }
 
@@ -170,31 +288,44 @@
   }
 }
 
-crash_note request_quarantine::noteOf(std::uint64_t Request,
-                                      const entry &Entry) {
+crash_note request_quarantine::noteOf(std::uint64_t Request, const entry &Entry,
+                                      mono_time Now) {
   crash_note Note;
   Note.Request = Request;
-  for (const crash &Each : Entry.Crashes)
+  Note.Survived = Entry.Survived;
+  for (const crash &Each : Entry.Crashes) {
     Note.Crashes.push_back(Each.Id);
+    // Rounded down: a crash must not look earlier than it was.
+    Note.Ages.push_back(
+        std::max(std::chrono::milliseconds(0),
+                 std::chrono::floor<std::chrono::milliseconds>(Now - Each.At)));
+  }
   return Note;
 }
 
-// Datagrams may be lost, so each note is sent several times. Quarantined
-// requests are rebroadcast continually, for VMs that were paused or
-// partitioned.
+// Datagrams may be lost, so each note is sent several times. Requests that are
+// or were quarantined are rebroadcast continually, for VMs that were paused or
+// partitioned. Suspects near the threshold are sent to all, since a VM that
+// served them since then clears them.
 request_quarantine::outgoing_notes
 request_quarantine::takeOutgoing(bool IsReader, mono_time Now) {
   outgoing_notes Outgoing;
   for (auto &[Request, Entry] : Entries) {
-    const bool IsForAll = Entry.IsQuarantined && IsReader;
-    const bool IsForReaders = Entry.IsLocal && Entry.SendsLeft > 0;
-    if (Entry.NextSendAt > Now || Entry.Crashes.empty() ||
+    const bool IsNews = Entry.SendsLeft > 0;
+    const bool IsForAll =
+        IsReader &&
+        (Entry.WasQuarantined ||
+         (IsNews && (!Entry.Survived.empty() ||
+                     Entry.Crashes.size() >= config::StoreCrashThreshold)));
+    const bool IsForReaders = Entry.IsLocal && IsNews;
+    if (Entry.NextSendAt > Now ||
+        (Entry.Crashes.empty() && Entry.Survived.empty()) ||
         !(IsForAll || IsForReaders))
       continue;
     auto &Notes = IsForAll ? Outgoing.Quarantined : Outgoing.Suspects;
     if (Notes.size() >= config::MaxCrashNotes)
       break; // the rest follows with the next call
-    Notes.push_back(noteOf(Request, Entry));
+    Notes.push_back(noteOf(Request, Entry, Now));
     Entry.SendsLeft -= Entry.SendsLeft > 0 ? 1 : 0;
     Entry.NextSendAt =
         Now + (Entry.SendsLeft > 0 ? duration(config::CrashNoteInterval)
@@ -203,19 +334,32 @@
   return Outgoing;
 }
 
+/// Whether the store lacks a crash that counts, or counts one that doesn't.
+bool request_quarantine::isSaveDue(const entry &Entry) {
+  const auto Has = [](const std::vector<std::uint64_t> &Ids, std::uint64_t Id) {
+    return std::find(Ids.begin(), Ids.end(), Id) != Ids.end();
+  };
+  const bool LacksCrash =
+      Entry.Crashes.size() >= config::StoreCrashThreshold &&
+      std::any_of(
+          Entry.Crashes.begin(), Entry.Crashes.end(),
+          [&](const crash &Each) { return !Has(Entry.Stored, Each.Id); });
+  return LacksCrash ||
+         std::any_of(Entry.Stored.begin(), Entry.Stored.end(),
+                     [&](std::uint64_t Id) { return Has(Entry.Survived, Id); });
+}
+
 std::vector<crash_note> request_quarantine::takeUnsaved(duration MinAge,
                                                         mono_time Now) {
   std::vector<crash_note> Unsaved;
   for (auto &[Request, Entry] : Entries) {
     const bool IsDue =
-        Entry.Crashes.size() >= config::StoreCrashThreshold &&
-        Entry.Crashes.size() > Entry.SavedCrashes &&
-        Now - Entry.ChangedAt >= MinAge &&
+        isSaveDue(Entry) && Now - Entry.ChangedAt >= MinAge &&
         Now - Entry.SaveStartedAt >= config::QuarantineSaveRetryDelay;
     if (!IsDue || Unsaved.size() >= config::MaxCrashNotes)
       continue;
     Entry.SaveStartedAt = Now;
-    Unsaved.push_back(noteOf(Request, Entry));
+    Unsaved.push_back(noteOf(Request, Entry, Now));
   }
   return Unsaved;
 }
@@ -299,7 +443,7 @@
     const duration Life = Entry.IsQuarantined ? duration(config::QuarantineTtl)
                                               : config::SuspectTtl;
     const bool IsExpired = Now - Entry.LastAt >= Life;
-    if (IsExpired && Entry.SavedCrashes > 0)
+    if (IsExpired && !Entry.Stored.empty())
       Expired.push_back(Request);
     return IsExpired;
   });
--- a/src/routed_request.cpp
+++ b/src/routed_request.cpp
@@ -684,7 +684,7 @@
     return;
   }
   if (Response.isSuccess()) {
-    Context.Quarantine.markServed(Call.Digest);
+    Context.Quarantine.markServed(Call.Digest, Now);
     Context.Parts.markServed(SharedParts, Now);
   }
   recordSample(
--- a/tests/crashing_request_test.cpp
+++ b/tests/crashing_request_test.cpp
@@ -97,3 +97,27 @@
     sendRequest(1, CrashingBody);
   BOOST_TEST(crashes() - Before <= SendsAllowed);
 }
+
+// A request is served at all VMs and crashes endpoints from some moment on.
+BOOST_FIXTURE_TEST_CASE(served_request_that_crashes_later_is_quarantined,
+                        fixture) {
+  const auto SetCrashBody = [this](const std::string &Body) {
+    Thread.run([&] {
+      for (const auto &Endpoint : Endpoints)
+        Endpoint->behaviour().CrashBody = Body;
+    });
+  };
+  SetCrashBody("");
+  for (int Each = 0; Each < 3; ++Each)
+    startRouter();
+  awaitPeers();
+  for (std::size_t Each = 0; Each < Vms.size(); ++Each)
+    BOOST_TEST(isServed(Each, CrashingBody));
+  SetCrashBody(CrashingBody);
+  crashUntilQuarantined();
+  const unsigned Before = crashes();
+  for (std::size_t Each = 0; Each < 12; ++Each)
+    sendRequest(Each % Vms.size(), CrashingBody);
+  BOOST_TEST(crashes() - Before <= SendsAllowed);
+  BOOST_TEST(isServed(0, "another body"));
+}
--- a/tests/request_quarantine_test.cpp
+++ b/tests/request_quarantine_test.cpp
@@ -4,7 +4,9 @@
 #include "request_quarantine.h"
 
 #include <algorithm>
+#include <array>
 #include <boost/test/unit_test.hpp>
+#include <functional>
 #include <map>
 #include <random>
 #include <rapidcheck.h>
@@ -86,16 +88,166 @@
 
 // A request that many callers send is in flight at three endpoints that crash.
 BOOST_FIXTURE_TEST_CASE(served_request_is_not_quarantined, fixture) {
-  Quarantine.markServed(Request);
+  Quarantine.markServed(Request, Now);
   for (std::uint64_t Crash = 10; Crash < 20; ++Crash)
     crash(Crash, {Request});
   BOOST_TEST(!Quarantine.isQuarantined(Request));
   for (std::uint64_t Crash = 10; Crash < 13; ++Crash)
     crash(Crash, {Other});
-  Quarantine.markServed(Other);
+  Quarantine.markServed(Other, Now);
   BOOST_TEST(!Quarantine.isQuarantined(Other));
 }
 
+// Failure: a request was served and crashes endpoints from some moment on.
+BOOST_FIXTURE_TEST_CASE(success_clears_no_later_crash, fixture) {
+  Quarantine.markServed(Request, Now);
+  for (std::uint64_t Crash = 10; Crash < 13; ++Crash) {
+    BOOST_TEST(!Quarantine.isQuarantined(Request));
+    Now += 1s;
+    crash(Crash, {Request});
+  }
+  BOOST_TEST(Quarantine.isQuarantined(Request));
+}
+
+// Load: a request that many callers send is in flight at endpoints that crash
+// for other reasons, and is served in between.
+BOOST_FIXTURE_TEST_CASE(success_clears_all_earlier_crashes, fixture) {
+  for (std::uint64_t Crash = 10; Crash < 50; ++Crash) {
+    Now += 1s;
+    crash(Crash, {Request});
+    if (Crash % 2 == 0)
+      Quarantine.markServed(Request, Now);
+    BOOST_TEST(!Quarantine.isQuarantined(Request));
+  }
+}
+
+// Load: a request becomes quarantined while others like it run elsewhere. One
+// of them completes.
+BOOST_FIXTURE_TEST_CASE(success_ends_a_quarantine, fixture) {
+  for (std::uint64_t Crash = 10; Crash < 13; ++Crash)
+    crash(Crash, {Request});
+  Quarantine.applyStoredNote({Request, {10, 11, 12}}, 0s, Now);
+  Now += 1s;
+  Quarantine.markServed(Request, Now);
+  BOOST_TEST(!Quarantine.isQuarantined(Request));
+  const auto Unsaved = Quarantine.takeUnsaved(0s, Now);
+  BOOST_REQUIRE(Unsaved.size() == 1U);
+  request_quarantine Later; // of a VM that starts now
+  const auto Read = decodeCrashNotes(encodeCrashNotes(Unsaved)).value();
+  for (const crash_note &Note : Read)
+    Later.applyStoredNote(Note, 0s, Now);
+  Later.applyPeerCrashNote({Request, {10, 11, 12}}, Now); // late
+  BOOST_TEST(!Later.isQuarantined(Request));
+  Quarantine.applyStoredNote(Unsaved.front(), 0s, Now);
+  BOOST_TEST(Quarantine.takeUnsaved(0s, Now + 1h).empty());
+}
+
+// Failure: a VM's wall clock is wrong, so the age of a stored crash is too
+// high.
+BOOST_FIXTURE_TEST_CASE(stored_age_proves_no_success_after_it, fixture) {
+  Quarantine.markServed(Request, Now);
+  Now += 1s;
+  Quarantine.applyStoredNote({Request, {10, 11, 12}}, 1min, Now);
+  BOOST_TEST(Quarantine.isQuarantined(Request));
+}
+
+namespace {
+
+/// Crashes and successes of one request at any of three VMs, whose clocks
+/// differ, and notes between them that get lost, come twice or late.
+class vms {
+public:
+  explicit vms(unsigned Seed) : Random(Seed) {}
+
+  /// Returns the crashes since the last success.
+  std::size_t play(bool IsDelayed) {
+    std::size_t SinceSuccess = 0;
+    for (std::uint64_t Event = 1; Event <= 12; ++Event) {
+      wait(100ms + std::chrono::milliseconds(pick(400)), IsDelayed);
+      const std::size_t Vm = pick(Vms.size());
+      if (pick(4) == 0) {
+        Vms[Vm].markServed(Request, at(Vm));
+        SinceSuccess = 0;
+      } else {
+        Vms[Vm].recordCrash(Event, std::vector<std::uint64_t>{Request}, at(Vm));
+        ++SinceSuccess;
+      }
+    }
+    wait(20s, IsDelayed);
+    return SinceSuccess;
+  }
+  std::size_t countHeld() const {
+    return static_cast<std::size_t>(
+        std::count_if(Vms.begin(), Vms.end(), [](const auto &Vm) {
+          return Vm.isQuarantined(Request);
+        }));
+  }
+  static constexpr std::size_t Count = 3;
+  static constexpr std::size_t Readers = 2;
+
+private:
+  std::size_t pick(std::size_t Below) {
+    return std::uniform_int_distribution<std::size_t>(0, Below - 1)(Random);
+  }
+  mono_time at(std::size_t Vm) const { return Now + Vm * 7h; }
+  void wait(duration Time, bool IsDelayed) {
+    for (const mono_time End = Now + Time; Now < End; Now += 50ms) {
+      while (!Sent.empty() && Sent.begin()->first <= Now)
+        Sent.extract(Sent.begin()).mapped()();
+      for (std::size_t From = 0; From < Vms.size(); ++From)
+        send(From, IsDelayed);
+    }
+  }
+  void send(std::size_t From, bool IsDelayed) {
+    const auto [Suspects, Held] =
+        Vms[From].takeOutgoing(From < Readers, at(From));
+    for (std::size_t To = 0; To < Vms.size(); ++To) {
+      std::vector<crash_note> Notes = Held;
+      if (To < Readers)
+        Notes.insert(Notes.end(), Suspects.begin(), Suspects.end());
+      const std::size_t Copies = pick(10) == 0 ? 0 : 1 + pick(2);
+      for (std::size_t Copy = 0; To != From && Copy < Copies; ++Copy)
+        Sent.emplace(
+            Now + std::chrono::milliseconds(IsDelayed ? pick(3000) : 0),
+            [this, To,
+             Notes = decodeCrashNotes(encodeCrashNotes(Notes)).value()] {
+              for (const crash_note &Note : Notes)
+                Vms[To].applyPeerCrashNote(Note, at(To));
+            });
+    }
+  }
+
+  std::mt19937 Random;
+  mono_time Now{1h};
+  std::array<request_quarantine, Count> Vms;
+  std::multimap<mono_time, std::function<void()>> Sent;
+};
+
+} // namespace
+
+// Failure: datagrams are lost, repeated and late. Three crashes since the last
+// success at any VM hold the request at all of them.
+BOOST_AUTO_TEST_CASE(crashes_since_the_last_success_hold_on_all_vms) {
+  for (unsigned Seed = 1; Seed <= 500; ++Seed) {
+    vms Vms(Seed);
+    const std::size_t Crashes = Vms.play(true);
+    BOOST_TEST_INFO("seed " << Seed);
+    if (Crashes >= config::QuarantineCrashThreshold)
+      BOOST_TEST(Vms.countHeld() == vms::Count);
+  }
+}
+
+// Harm prevented: a request is held for crashes before a success that another
+// VM saw.
+BOOST_AUTO_TEST_CASE(success_at_any_vm_clears_earlier_crashes_on_all) {
+  for (unsigned Seed = 1; Seed <= 500; ++Seed) {
+    vms Vms(Seed);
+    const bool IsHeld = Vms.play(false) >= config::QuarantineCrashThreshold;
+    BOOST_TEST_INFO("seed " << Seed);
+    BOOST_TEST(Vms.countHeld() == (IsHeld ? vms::Count : 0U));
+  }
+}
+
 // For some time a part of all requests crashes the endpoint, several of them at
 // once and on busy endpoints. Each must be quarantined, and nothing else may
 // stay quarantined.
@@ -122,7 +274,7 @@
       }
       if (std::none_of(InFlight.begin(), InFlight.end(), IsCrashing)) {
         for (const std::uint64_t Each : InFlight)
-          Quarantine.markServed(Each);
+          Quarantine.markServed(Each, Now);
       } else {
         Quarantine.recordCrash(Endpoint, InFlight, Now);
         for (const std::uint64_t Each : InFlight)
@@ -258,6 +410,11 @@
     RC_ASSERT((*Read)[0].Request == Id);
     RC_ASSERT((*Read)[0].Crashes == Crashes);
     RC_ASSERT((*Read)[0].LastMs == Ms);
+    const crash_note Aged{Id, Crashes, Ms, {Crashes.size(), 5ms}, Crashes};
+    const auto Again = decodeCrashNotes(encodeCrashNotes({&Aged, 1}));
+    RC_ASSERT(Again && Again->size() == 1U);
+    RC_ASSERT((*Again)[0].Ages == Aged.Ages);
+    RC_ASSERT((*Again)[0].Survived == Crashes);
   });
   BOOST_TEST(IsOk);
   const bool IsSafe = rc::check([](const std::string &Bytes) {
