Hold a start until peers have told their configuration

Callers saw: a router that started while the store was back from an older copy accepted a key that had been revoked over 5 s before, though another router refused it, until the operator had written the configuration again.

Cause: a router that starts is a reader as soon as it knows its peers, lists the store itself and counts its key lease from that listing. Nothing that it heard told which version others had. Ruled out: the relay; with two routers both are readers, and no query is sent.

Change: configuration_intake decides whether a confirmation by the store counts. A router that starts asks its peers for their version, and waits for answers for 400 ms at most; digests carry the version afterwards. While a peer has told a newer one than that in use, no confirmation renews the key lease, and the content is fetched from that peer. Peers of older releases don't answer, so the store decides after the wait, as it does for a router that hears nobody.

Tests: router_started_on_older_copy_refuses_revoked_key failed twice on the code before (the source change taken out) and passes; router_started_among_dead_peers _serves passes on both.

--- a/src/config.h
+++ b/src/config.h
@@ -801,6 +801,25 @@
 constexpr std::size_t MaxPeerMessageBytes = 63U << 10U;
 /// Maximum overhead of a record in a reply, excluding its key and value.
 constexpr std::size_t RelayRecordOverheadBytes = 16;
+/// How long a router that starts waits for its peers to tell their
+/// configuration; several round trips to each.
+constexpr auto PeerAnswersTimeout = 400ms;
+/// How long it waits for the list of its peers once it has a configuration.
+constexpr auto PeersKnownTimeout = 1s;
+/// Peers that have a configuration and after whose answers it waits for no
+/// more.
+constexpr std::size_t EnoughInformedPeers = 8;
+/// Peers that it asks in one tick.
+constexpr std::size_t PeersAskedAtOnce = 24;
+/// A router that serves asks a peer for a newer configuration after this time;
+/// before, it usually reads it at its next poll.
+constexpr auto ConfigurationFetchDelay = 600ms;
+/// Between requests for a configuration.
+constexpr auto ConfigurationFetchInterval = 200ms;
+/// Peers remembered to have the newest configuration.
+constexpr std::size_t MaxConfigurationHolders = 16;
+/// Maximum size of a configuration from a peer.
+constexpr std::size_t MaxConfigurationBytes = 1U << 20U;
 
 // --- cascade -----------------------------------------------------------------
 
--- a/src/peer_datagrams.h
+++ b/src/peer_datagrams.h
@@ -29,7 +29,9 @@
   Query = 'Q',
   Reply = 'A',
   Announcement = 'N',
-  Returns = 'T'
+  Returns = 'T',
+  ConfigurationQuery = 'K',
+  ConfigurationReply = 'F'
 };
 
 /// Datagrams between the routers of a fleet. A router learns a peer's address
--- a/src/peer_loads.cpp
+++ b/src/peer_loads.cpp
@@ -174,7 +174,8 @@
                      Digest.LostGroups,
                      encodeRejectionLimits(Digest.RejectionLimits),
                      encodeLeaves(Digest.Leaves),
-                     encodeShares(Digest.Shares)};
+                     encodeShares(Digest.Shares),
+                     Digest.ConfigurationVersion};
   std::string Bytes;
   json::to_msgpack(Body, Bytes);
   return Bytes;
@@ -223,6 +224,8 @@
     if (Body.size() > DigestFields + 7 &&
         !decodeShares(Body[DigestFields + 7], Digest.Shares))
       return std::nullopt;
+    if (Body.size() > DigestFields + 8)
+      Digest.ConfigurationVersion = Body[DigestFields + 8].get<std::uint64_t>();
     return Digest;
   } catch (const json::exception &) {
     return std::nullopt; // the caller counts it
--- a/src/peer_loads.h
+++ b/src/peer_loads.h
@@ -40,6 +40,7 @@
   std::vector<rejection_limit_note> RejectionLimits = {};
   std::vector<leave_note> Leaves = {};
   share_notes Shares = {};
+  std::uint64_t ConfigurationVersion = 0; ///< in use at the VM; 0: none
 };
 
 /// Hash that identifies an endpoint or a service in digests.
--- a/src/platform.h
+++ b/src/platform.h
@@ -50,6 +50,12 @@
   virtual void onStoreCall(std::string_view Call, bool IsOk) = 0;
 };
 
+/// A configuration as the store has it.
+struct kept_configuration {
+  std::uint64_t Version = 0; ///< 0: none
+  std::string Content;
+};
+
 /// Interface to the platform; hides its names, formats and calls from the
 /// router.
 class platform_port {
@@ -70,6 +76,10 @@
                                std::string_view Bytes) = 0;
   /// Registers this router and reads, once, the list of registered routers.
   virtual void registerPeer(std::string_view Vm, std::string_view Address) = 0;
+  /// The newest configuration that was read in any era of the store.
+  virtual const kept_configuration &newestConfiguration() const = 0;
+  /// Reports a configuration that a peer has read from the store.
+  virtual void takeConfiguration(std::string_view Content) = 0;
   /// Writes a status unless another one was written meanwhile.
   virtual void writeStatus(std::string_view Service, std::string_view Target,
                            rollout_state State) = 0;
--- a/src/read_relay.h
+++ b/src/read_relay.h
@@ -131,6 +131,10 @@
   /// The store is in this era: what is cached and announced from before is
   /// dropped, as offsets are given out again.
   void setEra(std::uint64_t Value);
+  /// The newest known era; 0: unknown.
+  std::uint64_t era() const { return Era; }
+  /// A peer has told this era.
+  void noteEra(std::uint64_t Value) { isOfOldEra(Value); }
   /// Stops sending queries and drops the pending ones without calling their
   /// handlers.
   void disconnect();
--- a/src/router.cpp
+++ b/src/router.cpp
@@ -75,6 +75,7 @@
       Incarnation(static_cast<std::uint64_t>(
           Clock.wallNow().time_since_epoch().count())),
       StartedAt(Clock.bootNow()), Lease(keyLease(Settings)),
+      Intake(stableHash(Settings.VmName, Incarnation + 4)),
       Directory(config::LapsedEntryGrace),
       Choice(Directory, Loads, Settings.DataCentre,
              stableHash(Settings.VmName, Incarnation)),
@@ -163,6 +164,8 @@
     Tunnels = std::make_unique<tunnel_server>(
         Context, Clock, Settings.PeerAddress, Connector, TunnelPolicy);
   }
+  if (!Peers)
+    Intake.setAlone();
   Platform.start(*this);
   if (Peers)
     Platform.registerPeer(Settings.VmName, Settings.PeerAddress);
@@ -318,6 +321,7 @@
   Gauges.QuarantinedParts = static_cast<double>(Parts.countQuarantined());
   Gauges.ConfigurationVersion =
       Table ? static_cast<double>(Table->Version) : 0.0;
+  Gauges.NewestConfigurationTold = static_cast<double>(Intake.newestTold());
   Gauges.KeyLeaseAgeSeconds =
       Table ? std::chrono::duration<double>(Lease.age(now())).count() : 0.0;
   Gauges.DroppedLogLines = static_cast<double>(logs::dropped());
@@ -344,6 +348,7 @@
     return;
   }
   Table = std::move(Value);
+  Intake.setInUse(Table->Version);
   for (const auto &[Name, Service] : Table->Services)
     if (!Service.Models.empty())
       Pace.setModels(Name, Service.Models);
@@ -363,7 +368,7 @@
   const caller_limits &Limits = Table->Limits;
   Callers->setLimits({Limits.MaxHeaderBytes, Limits.MaxBodyBytes,
                       Limits.HeaderTimeout, Limits.IdleTimeout});
-  updateReadiness();
+  renewKeyLease();
 }
 
 void router::onStoreEra(std::uint64_t Era) {
@@ -374,10 +379,62 @@
 }
 
 void router::onRoutesConfirmed(mono_time SentAt) {
-  Lease.renew(SentAt);
+  Intake.confirm(SentAt, now());
+  renewKeyLease();
+}
+
+void router::renewKeyLease() {
+  if (const auto SentAt = Intake.confirmation(now()))
+    Lease.renew(*SentAt);
   updateReadiness();
 }
 
+void router::tickIntake(mono_time Now) {
+  if (!Peers)
+    return;
+  for (const auto &[Address, WantsContent] : Intake.takeAsks(Now)) {
+    if (WantsContent)
+      logs::info("configuration_asked",
+                 {{"peer", Address},
+                  {"in_use", std::to_string(Table ? Table->Version : 0)},
+                  {"newest_told", std::to_string(Intake.newestTold())}});
+    Peers->sendTo(Address, peer_message::ConfigurationQuery,
+                  encodeConfigurationQuery({WantsContent}));
+  }
+  renewKeyLease();
+}
+
+void router::onConfigurationQuery(const std::string &Sender,
+                                  std::string_view Bytes) {
+  const auto Query = decodeConfigurationQuery(Bytes);
+  if (!Query) {
+    logs::warning("configuration_query_unreadable", {{"from", Sender}});
+    return;
+  }
+  const kept_configuration &Kept = Platform.newestConfiguration();
+  Peers->sendTo(Sender, peer_message::ConfigurationReply,
+                encodeConfigurationReply(
+                    {Kept.Version, Relay.era(),
+                     Query->WantsContent ? Kept.Content : std::string{}}));
+}
+
+void router::onConfigurationReply(const std::string &Sender,
+                                  std::string_view Bytes) {
+  const auto Reply = decodeConfigurationReply(Bytes);
+  if (!Reply) {
+    logs::warning("configuration_reply_unreadable", {{"from", Sender}});
+    return;
+  }
+  Relay.noteEra(Reply->Era);
+  Intake.noteAnswer(Sender, Reply->Version, now());
+  if (!Reply->Content.empty() && Intake.isBehind()) {
+    logs::info("configuration_from_peer",
+               {{"peer", Sender}, {"version", std::to_string(Reply->Version)}});
+    Platform.takeConfiguration(Reply->Content);
+  }
+  tickIntake(now());
+}
+
 std::string router::regionOf(std::string_view DataCentre) const {
   const auto Known = Settings.Regions.find(DataCentre);
   return Known == Settings.Regions.end() ? std::string{} : Known->second;
@@ -546,6 +603,10 @@
   if (Peers)
     Peers->addPeers(Addresses);
   ArePeersKnown = true;
+  std::vector<std::string> Others = Addresses;
+  std::erase(Others, Settings.PeerAddress);
+  Intake.setPeers(std::move(Others), now());
+  tickIntake(now());
   logs::info("peers", {{"routers", std::to_string(Addresses.size())}});
 }
 
@@ -574,6 +635,10 @@
     return Relay.handleReply(Bytes, now());
   case peer_message::Announcement:
     return Relay.handleAnnouncement(Bytes, now());
+  case peer_message::ConfigurationQuery:
+    return onConfigurationQuery(Sender, Bytes);
+  case peer_message::ConfigurationReply:
+    return onConfigurationReply(Sender, Bytes);
   }
   logs::warning("datagram_unreadable", {{"from", Sender}});
 }
@@ -596,6 +661,7 @@
     Choice.limits().applyPeerLimitNote(Note, now());
   applyPeerLeaves(Digest->Leaves);
   Shares.applyPeer(Digest->Vm, Digest->Shares, now());
+  Intake.noteVersion(Sender, Digest->ConfigurationVersion, now());
 }
 
 void router::onEndpointLeaving(const endpoint_info &Endpoint) {
@@ -765,12 +831,12 @@
 }
 
 std::string router::digest(mono_time Now) {
-  return encodeDigest({Settings.VmName, Incarnation, ++DigestSequence,
-                       Choice.loads(), Settings.Cores,
-                       Choice.slowStart().ownNotes(Now, ColdNoteDelay),
-                       Choice.limits().ownNotes(Now), Settings.DataCentre,
-                       LostGroups, Choice.guard().ownNotes(Now),
-                       Directory.leaves().ownNotes(Now), Shares.ownNotes(Now)});
+  return encodeDigest(
+      {Settings.VmName, Incarnation, ++DigestSequence, Choice.loads(),
+       Settings.Cores, Choice.slowStart().ownNotes(Now, ColdNoteDelay),
+       Choice.limits().ownNotes(Now), Settings.DataCentre, LostGroups,
+       Choice.guard().ownNotes(Now), Directory.leaves().ownNotes(Now),
+       Shares.ownNotes(Now), Table ? Table->Version : 0});
 }
 
 // --- time --------------------------------------------------------------------
@@ -800,6 +866,7 @@
   tickQuarantine(Now);
   tickParts(Now);
   tickDigest(Now);
+  tickIntake(Now);
   ReturnNotes.onTick(Now);
   tickRuns(Now);
   logEstimates(Now);
--- a/src/router.h
+++ b/src/router.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "caller_server.h"
+#include "configuration_intake.h"
 #include "connect_probes.h"
 #include "crash_detector.h"
 #include "endpoint_choice.h"
@@ -168,6 +169,10 @@
   void releaseRequest(std::uint64_t Request);
   duration ageOf(std::int64_t WallMs) const;
   void updateReadiness();
+  void renewKeyLease();
+  void tickIntake(mono_time Now);
+  void onConfigurationQuery(const std::string &Sender, std::string_view Bytes);
+  void onConfigurationReply(const std::string &Sender, std::string_view Bytes);
   void logUnread(mono_time Now);
   void advanceStop();
   void publishStrandedSessions(std::string_view Service,
@@ -184,6 +189,7 @@
   mono_time StartedAt;
   route_table_ptr Table;
   key_lease Lease;
+  configuration_intake Intake;
   endpoint_directory Directory;
   peer_loads Loads;
   endpoint_choice Choice;
--- a/src/router_metrics.cpp
+++ b/src/router_metrics.cpp
@@ -68,7 +68,7 @@
 };
 
 using g = router_metrics::gauges;
-constexpr std::array<gauge_row, 25> GaugeRows{{
+constexpr std::array<gauge_row, 26> GaugeRows{{
     {"clementine_open_requests", "requests currently being processed",
      &g::OpenRequests},
     {"clementine_caller_connections", "connections of callers",
@@ -117,6 +117,9 @@
      "era of the platform's store since it last went back to a copy; 0: it "
      "hasn't since the start",
      &g::StoreEra},
+    {"clementine_configuration_newest_told",
+     "newest version of the configuration that another router has told",
+     &g::NewestConfigurationTold},
     {"clementine_configuration_version", "version of the configuration in use",
      &g::ConfigurationVersion},
     {"clementine_key_lease_age_seconds",
--- a/src/router_metrics.h
+++ b/src/router_metrics.h
@@ -57,6 +57,7 @@
     double UnansweredLookups = 0;
     double UnreadConnections = 0;
     double StoreEra = 0;
+    double NewestConfigurationTold = 0;
     double IsReady = 0;
   };
   std::string text(const gauges &Gauges) const;
--- a/tests/store_copy_test.cpp
+++ b/tests/store_copy_test.cpp
@@ -134,6 +134,54 @@
   }
 }
 
+namespace {
+
+/// Two routers, which both read the store: one runs, one starts later.
+struct late_start_fixture : routers_fixture {
+  late_start_fixture() : routers_fixture(2, fixture::streams()) {
+    startRouter();
+  }
+  void writeConfiguration(unsigned Version,
+                          const std::vector<std::string> &Keys) {
+    nlohmann::json Body = configuration();
+    Body["version"] = Version;
+    Body["tenants"] = {{{"name", "t1"}, {"api_keys", Keys}}};
+    Thread.run([&] { Store->put("keyed.op", "config", Body.dump()); });
+  }
+};
+
+} // namespace
+
+// A router starts while the store is back from a copy that has a revoked key.
+// It reads the store itself, and another router knows the newer configuration.
+BOOST_FIXTURE_TEST_CASE(router_started_on_older_copy_refuses_revoked_key,
+                        late_start_fixture) {
+  Thread.run([&] { Store->keepCopy(); });
+  writeConfiguration(2, {"k1"});
+  BOOST_TEST(fixture::isTrueInTime(
+      [&] { return hasMetric(0, "clementine_configuration_version 2"); }));
+  Thread.run([&] { Store->restoreCopy(); });
+  startRouter();
+  BOOST_TEST(!isServed(1, "body", "k2"));
+  BOOST_TEST(isServed(1, "body", "k1"));
+  BOOST_TEST(!isServed(0, "body", "k2"));
+}
+
+// The list of routers has only dead ones. A router that starts becomes ready
+// all the same, though nobody tells it of a configuration.
+BOOST_FIXTURE_TEST_CASE(router_started_among_dead_peers_serves,
+                        late_start_fixture) {
+  Thread.run([&] {
+    for (unsigned Each = 0; Each < 40; ++Each)
+      Store->put("keyed.routers", "gone" + std::to_string(Each),
+                 "127.0.0.1:" + std::to_string(17800 + Each));
+    Vms.front()->Platform->stop();
+    Vms.clear();
+  });
+  startRouter();
+  BOOST_TEST(isServed(0, "body", "k1"));
+}
+
 // A router registered since the copy. Its address is lost, and routers that
 // start later never send to it.
 BOOST_FIXTURE_TEST_CASE(registration_since_copy_is_written_again, fixture) {
