--- a/tests/peer_loads_test.cpp
+++ b/tests/peer_loads_test.cpp
@@ -6,6 +6,7 @@
 #include "peer_loads.h"
 
 #include <boost/test/unit_test.hpp>
+#include <nlohmann/json.hpp>
 #include <rapidcheck.h>
 
 using namespace clementinelane;
@@ -152,3 +153,21 @@
   BOOST_REQUIRE(Empty);
   BOOST_TEST(Empty->Shares.empty());
 }
+
+// A router of an older release sends no version, and its digest is read all the
+// same.
+BOOST_AUTO_TEST_CASE(configuration_version_is_optional_in_digest) {
+  load_digest Digest = digest("a", 1, 10);
+  Digest.ConfigurationVersion = 4'000'000'000'000;
+  const std::string Bytes = encodeDigest(Digest);
+  const auto Decoded = decodeDigest(Bytes);
+  BOOST_REQUIRE(Decoded);
+  BOOST_TEST(Decoded->ConfigurationVersion == 4'000'000'000'000U);
+  auto Body = nlohmann::json::from_msgpack(Bytes);
+  Body.erase(Body.size() - 1);
+  std::string Older;
+  nlohmann::json::to_msgpack(Body, Older);
+  const auto Read = decodeDigest(Older);
+  BOOST_REQUIRE(Read);
+  BOOST_TEST(Read->ConfigurationVersion == 0U);
+}
