--- a/src/router_metrics.cpp
+++ b/src/router_metrics.cpp
@@ -121,6 +121,9 @@
      "era of the platform's store since it last went back to a copy; 0: it "
      "hasn't since the start",
      &g::StoreEra},
+    {"clementine_configuration_newest_told",
+     "newest version of the configuration that another router has told",
+     &g::NewestConfigurationTold},
     {"clementine_configuration_version", "version of the configuration in use",
      &g::ConfigurationVersion},
     {"clementine_key_lease_age_seconds",
--- a/src/router_metrics.h
+++ b/src/router_metrics.h
@@ -58,6 +58,7 @@
     double UnreadConnections = 0;
     double AcceptPauses = 0;
     double StoreEra = 0;
+    double NewestConfigurationTold = 0;
     double IsReady = 0;
   };
   std::string text(const gauges &Gauges) const;
