End what a tunnel carries explicitly

A stream without length or chunks, through another VM's tunnel, ended as complete when that VM was killed: its system closes the connection in order, which looked like the endpoint's close.

VMs now agree in CONNECT on frames from the VM with the tunnel (kind, size, data). The last frame says whether the endpoint closed in order or its connection was lost; a tunnel that ends without it is broken. A broken tunnel doesn't count against the endpoint, makes no crash verdict and no failed sample of its version; it is retried or resumed where that is allowed, else it ends as may have run. With a VM of an earlier release bytes stay bare; what that one ends is broken off. Requests need no frames, as they always have a length.

Ruled out: a reset in place of the close, since a killed process sends none.

New cases: tunnel_that_ends_at_any_byte_is_broken (close and reset after each byte) and bare_tunnel_ends_no_answer failed with the decision in onClosed() taken out, 73 failed checks in http_exchange_test, and pass with it. Passed as well: tunnel_frames_test, tunnel_server_test, routed_request_test, partitioned_vm_test, endless_answer_test. The table of names in http_exchange_test grew by one; no existing check changed. Silence within a tunnel isn't told from a slow endpoint.

--- a/src/endpoint_connector.cpp
+++ b/src/endpoint_connector.cpp
@@ -3,6 +3,7 @@
 #include "config.h"
 #include "http_framing.h"
 #include "sockets.h"
+#include "transport/tunnel_frames.h"
 
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/post.hpp>
@@ -94,7 +95,9 @@
     http_head Head;
     Head.Method = "CONNECT";
     Head.Target = Path.Endpoint;
-    Head.Fields = {{"Host", Path.Endpoint}};
+    Head.Fields = {
+        {"Host", Path.Endpoint},
+        {std::string(TunnelFramesField), std::string(TunnelFramesVersion)}};
     Request = requestHeadText(Head);
     Reader.skipBody();
     // The peer's response takes its own connect and one round trip more.
@@ -129,6 +132,10 @@
       read();
       return;
     }
+    if (!Error)
+      Channel = Reader.head().value(TunnelFramesField) == TunnelFramesVersion
+                    ? channel_kind::FramedTunnel
+                    : channel_kind::BareTunnel;
     // An endpoint sends nothing before its request, so more bytes than the head
     // are a protocol error.
     finish(Error || !Received.empty() ? connect_failure::PeerUnavailable
@@ -151,7 +158,7 @@
       Timer.cancel();
       setSocketOptions(Socket);
     }
-    Handle(Failure, std::move(Socket));
+    Handle(Failure, std::move(Socket), Channel);
   }
 
   endpoint_path Path;
@@ -159,6 +166,7 @@
   asio::ip::tcp::socket Socket;
   asio::steady_timer Timer;
   endpoint_connector::handler Handler;
+  channel_kind Channel = channel_kind::Direct;
   std::string Request;
   std::string Received;
   http_response_reader Reader{MaxTunnelHeadBytes, 0};
--- a/src/endpoint_connector.h
+++ b/src/endpoint_connector.h
@@ -19,6 +19,13 @@
   PeerUnavailable ///< the peer didn't respond, or opens no tunnel now
 };
 
+/// What the end of an endpoint's connection looks like on a socket.
+enum class channel_kind : std::uint8_t {
+  Direct,       ///< the socket is the connection
+  FramedTunnel, ///< frames of transport/tunnel_frames.h come from the peer
+  BareTunnel    ///< the peer's end can't be told from the endpoint's
+};
+
 /// How to reach an endpoint. Addresses are "IP:PORT".
 struct endpoint_path {
   std::string Endpoint;
@@ -38,7 +45,8 @@
 public:
   /// `Socket` is open unless there is a failure.
   using handler = std::function<void(std::optional<connect_failure> Failure,
-                                     boost::asio::ip::tcp::socket Socket)>;
+                                     boost::asio::ip::tcp::socket Socket,
+                                     channel_kind Channel)>;
 
   virtual ~endpoint_connector() = default;
   /// `Handler` is called once, never within this call, unless the operation is
--- a/src/http_exchange.cpp
+++ b/src/http_exchange.cpp
@@ -2,6 +2,7 @@
 
 #include "config.h"
 #include "sockets.h"
+#include "transport/tunnel_frames.h"
 
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -38,8 +39,9 @@
     Connecting = Connector.connect(
         Request.Path, Request.ConnectTimeout,
         [Self = shared_from_this()](std::optional<connect_failure> Failure,
-                                    asio::ip::tcp::socket Connected) {
-          Self->onConnected(Failure, std::move(Connected));
+                                    asio::ip::tcp::socket Connected,
+                                    channel_kind Channel) {
+          Self->onConnected(Failure, std::move(Connected), Channel);
         });
   }
 
@@ -65,7 +67,7 @@
   }
 
   void onConnected(std::optional<connect_failure> Failure,
-                   asio::ip::tcp::socket Connected) {
+                   asio::ip::tcp::socket Connected, channel_kind Kind) {
     Connecting.reset();
     if (IsClosed)
       return;
@@ -73,6 +75,7 @@
       fail(exchangeFailureOf(*Failure));
       return;
     }
+    Channel = Kind;
     Socket.emplace(std::move(Connected));
     // Reads and writes at the same time, since an endpoint may respond before
     // it has read a long body.
@@ -96,8 +99,7 @@
     if (IsClosed)
       return;
     const std::size_t Before = Pending.size();
-    const error_code Error =
-        WaitError ? WaitError : readAvailable(*Socket, Pending);
+    const error_code Error = WaitError ? WaitError : receive();
     Framing.addReceived(Pending.size() - Before);
     if (Error == asio::error::would_block) {
       read();
@@ -107,16 +109,49 @@
       onClosed(Error);
       return;
     }
+    if (IsMalformed) {
+      fail(exchange_failure::TunnelBroken);
+      return;
+    }
     parse();
+    if (!IsClosed && Frames.end()) {
+      onClosed(*Frames.end() == tunnel_frame::End
+                   ? error_code(asio::error::eof)
+                   : error_code(asio::error::connection_reset));
+      return;
+    }
     if (Framing.isExceeded(Pending.size()))
       fail(exchange_failure::BrokenAnswer);
     if (!IsClosed)
       read();
   }
 
+  /// Receives bytes of the endpoint.
+  error_code receive() {
+    if (Channel != channel_kind::FramedTunnel)
+      return readAvailable(*Socket, Pending);
+    std::string Bytes;
+    const error_code Error = readAvailable(*Socket, Bytes);
+    IsMalformed = !Error && !Frames.feed(Bytes, Pending);
+    return Error;
+  }
+
+  // Failure: the VM at the other end of a tunnel is killed, and its system
+  // closes its connections in order. Without the end that the endpoint's close
+  // has in the tunnel, the response isn't taken for whole, and the endpoint
+  // isn't blamed.
+  bool isTunnelBroken() const {
+    return Channel == channel_kind::BareTunnel ||
+           (Channel == channel_kind::FramedTunnel && !Frames.end());
+  }
+
   // A response without a length ends with an orderly close of the connection; a
   // reset truncates it.
   void onClosed(const error_code &Error) {
+    if (isTunnelBroken()) {
+      fail(exchange_failure::TunnelBroken);
+      return;
+    }
     if (Error == asio::error::eof && Reader->isHeadDone() && !IsSkipped) {
       error_code Problem;
       Reader->finish(Problem);
@@ -209,6 +244,9 @@
   std::unique_ptr<http_response_reader> Reader;
   std::string Pending;
   framing_limit Framing;
+  channel_kind Channel = channel_kind::Direct;
+  tunnel_frame_reader Frames;
+  bool IsMalformed = false; ///< the frames of the tunnel
   bool IsHeadReported = false;
   bool IsSkipped = false; ///< current response is interim or of another request
   bool IsClosed = false;
--- a/src/http_exchange.h
+++ b/src/http_exchange.h
@@ -16,7 +16,8 @@
   Unanswered,      ///< the connect timed out; nothing was sent
   PeerUnavailable, ///< the peer opened no tunnel; nothing was sent
   NoAnswer,        ///< sent, then closed, reset or timed out
-  BrokenAnswer     ///< the response is incomplete, or isn't HTTP
+  BrokenAnswer,    ///< the response is incomplete, or isn't HTTP
+  TunnelBroken     ///< sent, then the tunnel ended without the endpoint's end
 };
 
 /// Callbacks of an exchange; none is called after OnEnd or OnFailure.
--- a/src/routed_request.cpp
+++ b/src/routed_request.cpp
@@ -57,6 +57,8 @@
     return "no_answer";
   case exchange_failure::BrokenAnswer:
     return "broken_answer";
+  case exchange_failure::TunnelBroken:
+    return "tunnel_broken";
   }
   return "";
 }
@@ -713,6 +715,10 @@
 void routed_request::onFailure(exchange_failure Failure, mono_time Now) {
   if (IsOver || !Attempt)
     return;
+  if (Failure == exchange_failure::TunnelBroken) {
+    onTunnelBroken(Now);
+    return;
+  }
   if (!wasSent(Failure)) {
     onConnectFailure(Failure, Now);
     return;
@@ -721,6 +727,21 @@
   failAttempt(attempt_result::Broken, true, nameOf(Failure), Now);
 }
 
+// Failure: the VM that tunnels this attempt dies. Neither the endpoint's health
+// nor its version nor the request must suffer from it, while the endpoint may
+// have run the request.
+void routed_request::onTunnelBroken(mono_time Now) {
+  Context.Choice.paths().tunnelFailed(Attempt->Peer, Attempt->Endpoint,
+                                      tunnel_failure::PeerUnavailable, Now);
+  AnyMayHaveRun = true;
+  Outputs.logDecision("attempt_failed", nameOf(exchange_failure::TunnelBroken),
+                      Attempt->Endpoint.Id);
+  endAttempt(attempt_result::Cancelled, Now);
+  Outputs.cancelAttempt();
+  Attempt.reset();
+  retryOrGiveUp(nameOf(exchange_failure::TunnelBroken), Now);
+}
+
 void routed_request::onConnectFailure(exchange_failure Failure, mono_time Now) {
   --SentAttempts; // the endpoint received nothing
   if (Attempt->Peer.empty()) {
--- a/src/routed_request.h
+++ b/src/routed_request.h
@@ -180,6 +180,7 @@
   void failAttempt(attempt_result Result, bool MayHaveRun,
                    std::string_view Reason, mono_time Now);
   void onConnectFailure(exchange_failure Failure, mono_time Now);
+  void onTunnelBroken(mono_time Now);
   void excludeEndpoint(attempt_result Result);
   bool hasNoAttemptTimeout() const;
   void retryOrGiveUp(std::string_view Reason, mono_time Now);
--- a/src/tunnel_server.cpp
+++ b/src/tunnel_server.cpp
@@ -3,6 +3,7 @@
 #include "config.h"
 #include "http_framing.h"
 #include "sockets.h"
+#include "transport/tunnel_frames.h"
 
 #include <array>
 #include <boost/asio/buffer.hpp>
@@ -141,6 +142,7 @@
       return;
     }
     Target = Reader.head().Target;
+    IsFramed = Reader.head().value(TunnelFramesField) == TunnelFramesVersion;
     if (Reader.head().Method != "CONNECT") {
       refuse(405);
       return;
@@ -161,7 +163,7 @@
     Connecting = State->Connector.connect(
         {Target}, State->Policy->tunnelConnectTimeout(Target),
         [Self = shared_from_this()](std::optional<connect_failure> Failure,
-                                    tcp::socket Connected) {
+                                    tcp::socket Connected, channel_kind) {
           Self->onConnected(Failure, std::move(Connected));
         });
   }
@@ -196,6 +198,9 @@
     http_head Head;
     Head.Status = Status;
     Head.Reason = reasonPhrase(Status);
+    if (Status == 200 && IsFramed)
+      Head.Fields = {
+          {std::string(TunnelFramesField), std::string(TunnelFramesVersion)}};
     if (Status != 200)
       Head.Fields = {{"Content-Length", "0"}, {"Connection", "close"}};
     Response = responseHeadText(Head);
@@ -246,16 +251,19 @@
         asio::buffer(Downwards),
         [Self = shared_from_this()](const error_code &Error,
                                     std::size_t Count) {
-          if (Error == asio::error::eof) {
-            Self->endOrderly();
+          if (Self->IsClosed)
             return;
-          }
           if (Error) {
-            Self->reset();
+            Self->onEndpointClosed(Error);
             return;
           }
-          asio::async_write(Self->Peer,
-                            asio::buffer(Self->Downwards.data(), Count),
+          Self->FrameHeader = Self->IsFramed
+                                  ? tunnelFrameHeader(tunnel_frame::Data, Count)
+                                  : std::string();
+          const std::array<asio::const_buffer, 2> Buffers{
+              asio::buffer(Self->FrameHeader),
+              asio::buffer(Self->Downwards.data(), Count)};
+          asio::async_write(Self->Peer, Buffers,
                             [Self](const error_code &WriteError, std::size_t) {
                               if (WriteError)
                                 Self->reset();
@@ -265,6 +273,27 @@
         });
   }
 
+  void onEndpointClosed(const error_code &Error) {
+    const bool IsOrderly = Error == asio::error::eof;
+    if (!IsFramed) {
+      if (IsOrderly)
+        endOrderly();
+      else
+        reset();
+      return;
+    }
+    FrameHeader =
+        tunnelFrameHeader(IsOrderly ? tunnel_frame::End : tunnel_frame::Broken);
+    asio::async_write(
+        Peer, asio::buffer(FrameHeader),
+        [Self = shared_from_this()](const error_code &WriteError, std::size_t) {
+          if (WriteError)
+            Self->reset();
+          else if (!Self->IsClosed)
+            Self->endOrderly();
+        });
+  }
+
   /// The endpoint closed in order: the peer reads to the end and then closes.
   void endOrderly() {
     error_code Ignored; // the peer may have closed already
@@ -288,6 +317,8 @@
   std::string Received;
   std::string Response;
   mono_time StartedAt{};
+  bool IsFramed = false; ///< as both VMs agreed
+  std::string FrameHeader;
   std::array<char, config::SocketReadBytes> Upwards{};
   std::array<char, config::SocketReadBytes> Downwards{};
   bool IsClosed = false;
--- a/tests/http_exchange_test.cpp
+++ b/tests/http_exchange_test.cpp
@@ -2,6 +2,7 @@
 #include "loopback.h"
 
 #include "http_exchange.h"
+#include "transport/tunnel_frames.h"
 
 #include <boost/test/unit_test.hpp>
 #include <future>
@@ -31,15 +32,15 @@
       Exchange.reset();
     });
   }
-  void start(std::uint16_t To = Port) {
+  void start(std::uint16_t To = Port, const std::string &Peer = {}) {
     http_exchange_events Events;
     Events.OnHead = [this](const http_head &Head) { Status = Head.Status; };
     Events.OnBody = [this](const std::string &Bytes) { Body += Bytes; };
     Events.OnEnd = [this] { Ended.set_value("whole"); };
     Events.OnFailure = [this](exchange_failure Failure) {
-      constexpr std::array<const char *, 5> Names{"not_connected", "unanswered",
-                                                  "peer_unavailable",
-                                                  "no_answer", "broken_answer"};
+      constexpr std::array<const char *, 6> Names{
+          "not_connected", "unanswered",    "peer_unavailable",
+          "no_answer",     "broken_answer", "tunnel_broken"};
       Ended.set_value(Names[static_cast<std::size_t>(Failure)]);
     };
     Events.MatchesRequest = [](const http_head &Head) {
@@ -47,7 +48,7 @@
     };
     Thread.run([&] {
       Exchange = startExchange(Connector,
-                               {{"127.0.0.1:" + std::to_string(To)},
+                               {{"127.0.0.1:" + std::to_string(To), Peer},
                                 "GET",
                                 "GET /a HTTP/1.1\r\n\r\n",
                                 2s},
@@ -71,8 +72,33 @@
     }
     return End.get();
   }
+
+  /// A VM opens a tunnel, sends `Bytes` into it, and closes or resets it;
+  /// returns how the exchange ended.
+  std::string answerThrough(const std::string &Fields, std::string_view Bytes,
+                            bool IsReset = false) {
+    Ended = {};
+    Body.clear();
+    start(Port, "127.0.0.1:" + std::to_string(Port));
+    raw_peer Vm(Acceptor);
+    Vm.readUntil("\r\n\r\n");
+    Vm.send("HTTP/1.1 200 OK\r\n" + Fields + "\r\n");
+    Vm.readUntil("\r\n\r\n");
+    Vm.send(Bytes);
+    auto End = Ended.get_future();
+    if (IsReset)
+      Vm.reset();
+    else
+      Vm.close();
+    return End.get();
+  }
 };
 
+const std::string FramesAgreed = "Tunnel-Frames: 1\r\n";
+std::string frame(const std::string &Bytes) {
+  return tunnelFrameHeader(tunnel_frame::Data, Bytes.size()) + Bytes;
+}
+
 } // namespace
 
 BOOST_FIXTURE_TEST_CASE(complete_by_content_length, fixture) {
@@ -167,3 +193,38 @@
   Thread.run([this] { Exchange->cancel(); });
   BOOST_TEST(Endpoint.readAll().empty());
 }
+
+// The VM with the tunnel is killed at some byte, and its system closes or
+// resets the connection. Only with the end mark is an answer without length
+// whole.
+BOOST_FIXTURE_TEST_CASE(tunnel_that_ends_at_any_byte_is_broken, fixture) {
+  const std::string Whole = frame("HTTP/1.1 200 OK\r\n\r\n") + frame("hi") +
+                            tunnelFrameHeader(tunnel_frame::End);
+  for (std::size_t End = 0; End < Whole.size(); ++End)
+    for (const bool IsReset : {false, true})
+      BOOST_TEST(answerThrough(FramesAgreed, Whole.substr(0, End), IsReset) ==
+                 "tunnel_broken");
+  BOOST_TEST(answerThrough(FramesAgreed, Whole) == "whole");
+  BOOST_TEST(Body == "hi");
+}
+
+// The endpoint's own failure is told apart from the tunnel's.
+BOOST_FIXTURE_TEST_CASE(failures_of_endpoints_pass_through_tunnels, fixture) {
+  const std::string Head = frame("HTTP/1.1 200 OK\r\n\r\n");
+  BOOST_TEST(answerThrough(FramesAgreed,
+                           Head + frame("hi") +
+                               tunnelFrameHeader(tunnel_frame::Broken)) ==
+             "broken_answer");
+  BOOST_TEST(
+      answerThrough(FramesAgreed, tunnelFrameHeader(tunnel_frame::End)) ==
+      "no_answer");
+  BOOST_TEST(answerThrough(FramesAgreed, Head + "garbage") == "tunnel_broken");
+}
+
+// A VM of an earlier release sends bare bytes: an answer with a length is
+// whole, and one that ends with the tunnel is broken off.
+BOOST_FIXTURE_TEST_CASE(bare_tunnel_ends_no_answer, fixture) {
+  BOOST_TEST(answerThrough("", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n"
+                               "\r\nhi") == "whole");
+  BOOST_TEST(answerThrough("", "HTTP/1.1 200 OK\r\n\r\nhi") == "tunnel_broken");
+}
--- a/tests/partitioned_connector.h
+++ b/tests/partitioned_connector.h
@@ -56,7 +56,8 @@
                                                : connect_failure::Unanswered](
                                     const boost::system::error_code &Error) {
       if (!Error)
-        Handle(Failure, boost::asio::ip::tcp::socket(Context));
+        Handle(Failure, boost::asio::ip::tcp::socket(Context),
+               channel_kind::Direct);
     });
     return Operation;
   }
--- a/tests/routed_request_test.cpp
+++ b/tests/routed_request_test.cpp
@@ -222,6 +222,28 @@
   BOOST_TEST((Out.Refused->Ran == run_state::NotRun));
 }
 
+// The VM that tunnels an attempt dies. The endpoint isn't blamed, what may be
+// repeated is, and a booking may have run.
+BOOST_FIXTURE_TEST_CASE(broken_tunnel_is_no_failure_of_the_endpoint,
+                        routed_fixture) {
+  auto Stream = stream();
+  Stream->onSent(Now);
+  Stream->onHead(answerWithConfidence(90), Now);
+  Stream->onBody(event(1) + event(2), Now);
+  Stream->onFailure(exchange_failure::TunnelBroken, Now);
+  BOOST_REQUIRE(Out.Attempts.size() == 2U);
+  BOOST_TEST(*Out.Attempts[1].ResumeFrom == 2U);
+  BOOST_TEST(!Out.HasEnded);
+  BOOST_TEST(BrokenConnections.empty());
+  auto Booking = booking();
+  Booking->onSent(Now);
+  Booking->onFailure(exchange_failure::TunnelBroken, Now);
+  BOOST_TEST(Out.Attempts.size() == 1U);
+  BOOST_REQUIRE(Out.Refused.has_value());
+  BOOST_TEST((Out.Refused->Ran == run_state::MayHaveRun));
+  BOOST_TEST(BrokenConnections.empty());
+}
+
 // Each attempt gets the caller's remaining time, not the initial deadline.
 BOOST_FIXTURE_TEST_CASE(deadline_shrinks_with_each_attempt, routed_fixture) {
   auto Request = lookup();
--- a/tests/tunnel_server_test.cpp
+++ b/tests/tunnel_server_test.cpp
@@ -1,5 +1,6 @@
 #define BOOST_TEST_MODULE tunnel_server
 #include "loopback.h"
+#include "transport/tunnel_frames.h"
 #include "tunnel_server.h"
 
 #include <boost/test/unit_test.hpp>
@@ -71,6 +72,14 @@
     BOOST_REQUIRE(readHead().starts_with("HTTP/1.1 200 "));
     return Endpoint;
   }
+  /// Opens a tunnel with frames.
+  tcp::socket openFramed() {
+    send("CONNECT " + target() + " HTTP/1.1\r\nTunnel-Frames: 1\r\n\r\n");
+    tcp::socket Endpoint = Acceptor.accept();
+    BOOST_REQUIRE(readHead().find("\r\nTunnel-Frames: 1\r\n") !=
+                  std::string::npos);
+    return Endpoint;
+  }
   std::string readHead() {
     std::string Head;
     error_code Ignored; // the head ends the check below
@@ -191,3 +200,30 @@
   read(Endpoint, 1, Error);
   BOOST_TEST(Error.failed());
 }
+
+// How the endpoint's connection ends is told explicitly: in order, broken, and
+// nothing at all if the VM with the tunnel stops.
+BOOST_FIXTURE_TEST_CASE(frames_tell_how_the_endpoint_ended, fixture) {
+  for (const tunnel_frame Kind : {tunnel_frame::End, tunnel_frame::Broken}) {
+    tcp::socket Endpoint = openFramed();
+    const std::string Wanted =
+        tunnelFrameHeader(tunnel_frame::Data, 4) + "part";
+    boost::asio::write(Endpoint, boost::asio::buffer(std::string("part")));
+    error_code Error;
+    BOOST_TEST(read(Peer, Wanted.size(), Error) == Wanted);
+    if (Kind == tunnel_frame::Broken)
+      Endpoint.set_option(boost::asio::socket_base::linger(true, 0));
+    Endpoint.close();
+    BOOST_TEST(read(Peer, TunnelFrameHeaderBytes, Error) ==
+               tunnelFrameHeader(Kind));
+    read(Peer, 1, Error);
+    BOOST_TEST((Error == boost::asio::error::eof));
+    Peer.close();
+    Peer.connect({boost::asio::ip::make_address("127.0.0.1"), TunnelPort});
+  }
+  tcp::socket Endpoint = openFramed();
+  stop();
+  error_code Error;
+  BOOST_TEST(read(Peer, 1, Error).empty());
+  BOOST_TEST((Error == boost::asio::error::connection_reset));
+}
