--- a/tests/partitioned_connector.h
+++ b/tests/partitioned_connector.h
@@ -63,7 +63,8 @@
         [this, Operation, Handle = std::move(Handler),
          Failure](const boost::system::error_code &Error) {
           if (!Error)
-            Handle(Failure, boost::asio::ip::tcp::socket(Context));
+            Handle(Failure, boost::asio::ip::tcp::socket(Context),
+                   channel_kind::Direct);
         });
     return Operation;
   }
