Quarantine parts that crash endpoints late in their answers

Callers saw: requests that share one part of their prompts, and crash each endpoint after two events or more, were never held and ended endpoints for as long as they came.

Cause: two events of an answer cleared its parts, and took them out of the suspects of a crash. Class: an exoneration that doesn't rest on enough.

Change: all parts of the requests under way at a crash are suspects, whatever the endpoint had written; only a completed answer clears a part.

--- a/src/config.h
+++ b/src/config.h
@@ -1137,9 +1137,6 @@
 /// Some 1 KiB each with all their crashes, and notes of them in one datagram.
 constexpr std::size_t MaxSuspectParts = 4096;
 constexpr std::size_t MaxPartNotes = 60;
-/// Events after which an endpoint has begun to answer: one that crashes as it
-/// begins may still get its first event out.
-constexpr unsigned PartServedEvents = 2;
 
 // --- shares of a service that is short of capacity ---------------------------
 
--- a/src/crash_detector.h
+++ b/src/crash_detector.h
@@ -14,7 +14,7 @@
 /// What was in flight at an endpoint whose connection broke.
 struct crash_suspect {
   std::uint64_t Request = 0;        ///< see requestDigest()
-  std::vector<std::uint64_t> Parts; ///< none if the answer had begun
+  std::vector<std::uint64_t> Parts; ///< shared ones of its prompt
 };
 
 /// Distinguishes endpoint crashes from lost connections. Does no I/O.
--- a/src/part_quarantine.h
+++ b/src/part_quarantine.h
@@ -38,10 +38,11 @@
 /// Failure: one part of a prompt crashes each endpoint that begins to answer
 /// it, and comes in ever new requests at any VM. request_quarantine knows whole
 /// requests and never sees one of these twice. All parts of the requests that
-/// an endpoint had not begun to answer when it crashed are suspects. A part
-/// that is served afterwards, at any VM, is cleared of the crashes before; the
-/// part at fault never is. A part with config::PartCrashThreshold crashes that
-/// no other part explains is quarantined.
+/// were under way at an endpoint when it crashed are suspects, whatever it had
+/// written. A part of a request that is completed afterwards, at any VM, is
+/// cleared of the crashes before; the part at fault never is. A part with
+/// config::PartCrashThreshold crashes that no other part explains is
+/// quarantined.
 ///
 /// Load: engines with dozens of requests in flight, most of which share their
 /// customer's parts with the one at fault. Harm prevented: sound requests are
@@ -55,11 +56,11 @@
   /// Remaining quarantine time of a request with these parts.
   duration timeLeft(std::span<const std::uint64_t> Parts, mono_time Now) const;
 
-  /// Records a crash of an endpoint that had not begun to answer requests with
-  /// these parts.
+  /// Records a crash of an endpoint at which requests with these parts were
+  /// under way.
   void recordCrash(std::uint64_t Crash, std::span<const std::uint64_t> Parts,
                    mono_time Now);
-  /// An endpoint has begun to answer a request with these parts.
+  /// A request with these parts was completed.
   void markServed(std::span<const std::uint64_t> Parts, mono_time Now);
   void apply(const part_note &Note, mono_time Now);
   /// Merges a note that was read from the store.
--- a/src/routed_request.cpp
+++ b/src/routed_request.cpp
@@ -87,12 +87,10 @@
          Context.Parts.isQuarantined(SharedParts);
 }
 
-// A part that crashes endpoints does so before they have sent an answer.
+// A part that crashes endpoints may do so after any number of events.
 void routed_request::reportBrokenConnection() {
-  const bool HasBegun = Attempt->Events >= config::PartServedEvents;
-  Context.OnConnectionBroken(
-      Attempt->Endpoint, Attempt->Peer,
-      {Call.Digest, HasBegun ? std::vector<std::uint64_t>{} : SharedParts});
+  Context.OnConnectionBroken(Attempt->Endpoint, Attempt->Peer,
+                             {Call.Digest, SharedParts});
 }
 
 bool routed_request::choosesModel() const {
@@ -657,8 +655,6 @@
       recordSample(sample_type::EventInterval, Now,
                    (Now - *Attempt->FirstEventAt) /
                        (config::RolloutMeasuredEvents - 1));
-    if (Attempt->Events == config::PartServedEvents)
-      Context.Parts.markServed(SharedParts, Now);
     Whole += Event->Bytes;
   }
   if (Whole.empty())
--- a/tests/crashing_part_test.cpp
+++ b/tests/crashing_part_test.cpp
@@ -91,6 +91,16 @@
   run("aa:800,bad0:400,cc:200", "aa:800,cc:200");
 }
 
+// The endpoint crashes after it has sent most of the answer.
+BOOST_FIXTURE_TEST_CASE(part_that_crashes_after_two_events_is_quarantined,
+                        fixture) {
+  Thread.run([this] {
+    for (const auto &Endpoint : Endpoints)
+      Endpoint->behaviour().CrashAfter = 2;
+  });
+  run("aa:800,bad0:400,cc:200", "aa:800,cc:200");
+}
+
 BOOST_FIXTURE_TEST_CASE(crashing_first_part_is_quarantined, fixture) {
   run("bad0:800,bb:400", "ab:800,bb:400");
 }
--- a/tests/part_quarantine_test.cpp
+++ b/tests/part_quarantine_test.cpp
@@ -46,8 +46,9 @@
 /// that part, sound ones, and datagrams that get lost.
 class fleet {
 public:
-  fleet(unsigned VmCount, unsigned Seed, bool IsFirstBad)
-      : Random(Seed), Vms(VmCount), Engines(40),
+  /// `LongestMs`: of an answer, and until a crash.
+  fleet(unsigned VmCount, unsigned Seed, bool IsFirstBad, int LongestMs = 300)
+      : LongestMs(LongestMs), Random(Seed), Vms(VmCount), Engines(40),
         Shared(IsFirstBad ? parts{Other} : parts{First, Other}) {}
 
   void run() {
@@ -85,7 +86,7 @@
   struct engine {
     std::uint64_t Incarnation = 0;
     mono_time UpAt{};
-    std::map<std::uint64_t, attempt> Waiting; ///< answers not begun
+    std::map<std::uint64_t, attempt> Waiting; ///< answers not completed
   };
 
   bool chance(double P) { return std::bernoulli_distribution(P)(Random); }
@@ -133,9 +134,9 @@
     const std::size_t Engine = Up[pick(Up.size())];
     const std::uint64_t Id = ++LastId;
     Engines[Engine].Waiting.emplace(Id, std::move(Attempt));
-    after(between(50, 300), [this, Engine, Id] { begin(Engine, Id); });
+    after(between(50, LongestMs), [this, Engine, Id] { end(Engine, Id); });
   }
-  void begin(std::size_t Engine, std::uint64_t Id) {
+  void end(std::size_t Engine, std::uint64_t Id) {
     const auto Found = Engines[Engine].Waiting.find(Id);
     if (Found == Engines[Engine].Waiting.end())
       return;
@@ -179,6 +180,7 @@
   }
 
   const mono_time Start{1h};
+  int LongestMs;
   std::mt19937 Random;
   mono_time Now{Start};
   std::vector<part_quarantine> Vms;
@@ -331,6 +333,23 @@
   Check(1100, 1);
 }
 
+// Load: answers of seconds, so that many sound requests are under way at each
+// crash, and the part at fault crashes engines late in its answers.
+BOOST_AUTO_TEST_CASE(long_answers_do_not_convict_bystanders) {
+  constexpr int LongestMs = 3000;
+  for (unsigned Seed = 1; Seed <= 30; ++Seed)
+    for (const bool IsFirstBad : {false, true}) {
+      fleet Fleet(9, Seed, IsFirstBad, LongestMs);
+      Fleet.run();
+      BOOST_TEST_INFO("seed " << Seed);
+      BOOST_TEST(Fleet.LateSends <= 3U);
+      BOOST_TEST_INFO("seed " << Seed);
+      BOOST_TEST(Fleet.LateSound > 100U);
+      BOOST_TEST_INFO("seed " << Seed);
+      BOOST_TEST(2 * Fleet.LateSoundRefused <= Fleet.LateSound);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(decoding_any_bytes_does_not_throw) {
   const bool IsOk = rc::check([](const std::string &Bytes) {
     decodePartNotes(Bytes); // must not throw
--- a/tests/standin/platform/endpoint.cpp
+++ b/tests/standin/platform/endpoint.cpp
@@ -146,7 +146,9 @@
   caller_exchange &Exchange = *Run->Exchange;
   if (!Server)
     return;
-  if (crashes(Exchange)) {
+  const bool IsDue =
+      !hasCrashPart(Exchange) || Run->Next > Behaviour.CrashAfter;
+  if (IsDue && crashes(Exchange)) {
     crash();
     return;
   }
--- a/tests/standin/platform/endpoint.h
+++ b/tests/standin/platform/endpoint.h
@@ -29,6 +29,7 @@
   std::string CrashCustomer; ///< crash only for this customer; empty: for any
   /// A request whose prompt has this part crashes the endpoint too.
   std::string CrashPart;
+  unsigned CrashAfter = 0; ///< last event of the answer before this crash
   std::chrono::milliseconds DownFor{100};
   /// Rate limit in requests a second from all callers, sent in its response
   /// headers; empty: none.
