Ask peers for their configuration at most once a tick

Load: a whole fleet starts and no router has a configuration yet. Each answer made a router ask the next 24 peers at once, and each of their answers again, so queries grew far beyond one for each peer. Found by reading the change that introduced the questions; not measured on a fleet.

Questions are now some time apart, whatever is answered meanwhile. The new case of configuration_intake_test fails 24 checks on the code before and passes; the rest of that test and the cases of store_copy_test on starts and revoked keys pass.

--- a/src/configuration_intake.cpp
+++ b/src/configuration_intake.cpp
@@ -13,6 +13,8 @@
 
 using json = nlohmann::json;
 
+/// Between questions to peers; less than a tick.
+constexpr auto PeerAskInterval = std::chrono::milliseconds(80);
 constexpr std::size_t QueryFields = 1;
 constexpr std::size_t ReplyFields = 3;
 
@@ -134,11 +136,13 @@
 
 // Load: all routers of a large fleet start at once, and each has hundreds of
 // peers on its list. Asking all of them would cost as many datagrams as the
-// square of the fleet.
+// square of the fleet, and asking again on each answer many times that.
 std::vector<configuration_intake::ask>
 configuration_intake::takeAsks(mono_time Now) {
   std::vector<ask> Asks;
-  if (AskedSince && !mayGoByStore(Now)) {
+  const bool IsAskDue = !LastAskedAt || Now - *LastAskedAt >= PeerAskInterval;
+  if (AskedSince && IsAskDue && !mayGoByStore(Now)) {
+    LastAskedAt = Now;
     const std::size_t Count =
         std::min(Unanswered.size(), config::PeersAskedAtOnce);
     for (std::size_t Each = 0; Each < Count; ++Each)
--- a/src/configuration_intake.h
+++ b/src/configuration_intake.h
@@ -90,6 +90,7 @@
   std::size_t Next = 0;                ///< of these
   std::size_t Informed = 0; ///< answers of peers with a configuration
   std::optional<mono_time> AskedSince;
+  std::optional<mono_time> LastAskedAt;
   std::optional<mono_time> FirstConfirmedAt; ///< when, on this router's clock
   std::optional<mono_time> ConfirmedAt;      ///< when the read was sent
   std::optional<mono_time> ContentAskedAt;
--- a/tests/configuration_intake_test.cpp
+++ b/tests/configuration_intake_test.cpp
@@ -226,3 +226,22 @@
       decodeConfigurationQuery(encodeConfigurationQuery({true}))->WantsContent);
   BOOST_TEST(!decodeConfigurationQuery("").has_value());
 }
+
+// Load: a whole fleet starts, and nobody knows a configuration. An answer must
+// not make a router ask the rest again at once.
+BOOST_AUTO_TEST_CASE(answers_cause_no_further_asks_at_once) {
+  configuration_intake Intake(1);
+  mono_time Now{1h};
+  std::vector<std::string> Peers;
+  for (std::size_t Each = 1; Each < 74; ++Each)
+    Peers.push_back(address(Each));
+  Intake.setPeers(Peers, Now);
+  const auto Asks = Intake.takeAsks(Now);
+  BOOST_TEST(Asks.size() == config::PeersAskedAtOnce);
+  for (const auto &Ask : Asks) {
+    Intake.noteAnswer(Ask.Address, 0, Now);
+    BOOST_TEST(Intake.takeAsks(Now).empty());
+  }
+  Now += config::RouterTickInterval;
+  BOOST_TEST(Intake.takeAsks(Now).size() == config::PeersAskedAtOnce);
+}
