Hold a request's body once for all attempts

A request in flight held its body three times: as read, for further attempts, and as sent with the attempt's head. Now the call holds the only copy, attempts send it by reference after their head, and it is released once the request may have run and can't be repeated, or once a plain answer is forwarded.

The case shared_body_follows_the_head is new: head and body arrive as before, and the exchange lets go of the body once it is sent. It can't be compiled with the old code.

Not run: other tests, the linter on this change, memory under load.

--- a/src/active_request.cpp
+++ b/src/active_request.cpp
@@ -158,12 +158,15 @@
   Router.Metrics.attemptStarted(call().Route->Name, Spec.Number > 1);
   AttemptAt = Router.now();
   std::string Bytes = Router.Platform.encodeAttempt(call(), Spec);
-  AttemptBytes = ExchangeOverheadBytes + static_cast<double>(Bytes.size());
+  AttemptBytes = ExchangeOverheadBytes +
+                 static_cast<double>(Bytes.size() +
+                                     (call().Body ? call().Body->size() : 0));
   Attempt = startExchange(Router.Connector,
                           {{Spec.Endpoint.Address, Spec.Peer},
                            call().Head.Method,
                            std::move(Bytes),
-                           Spec.ConnectTimeout},
+                           Spec.ConnectTimeout,
+                           call().Body},
                           attemptEvents());
 }
 
--- a/src/caller_server.cpp
+++ b/src/caller_server.cpp
@@ -338,6 +338,11 @@
 
   const http_head &head() const override { return Head; }
   const std::string &body() const override { return Body; }
+  std::shared_ptr<const std::string> takeBody() override {
+    if (Body.empty())
+      return nullptr;
+    return std::make_shared<const std::string>(std::exchange(Body, {}));
+  }
   double takeReservation() override {
     return std::exchange(Connection->Reserved, 0);
   }
--- a/src/caller_server.h
+++ b/src/caller_server.h
@@ -21,7 +21,10 @@
 public:
   virtual ~caller_exchange() = default;
   virtual const http_head &head() const = 0;
+  /// Empty once it was taken.
   virtual const std::string &body() const = 0;
+  /// Its only copy; null if it is empty.
+  virtual std::shared_ptr<const std::string> takeBody() = 0;
   /// What the policy reserved for the connection, once: 0 for its further
   /// requests. The caller returns it to the policy's owner.
   virtual double takeReservation() = 0;
--- a/src/http_exchange.cpp
+++ b/src/http_exchange.cpp
@@ -3,6 +3,7 @@
 #include "config.h"
 #include "sockets.h"
 
+#include <array>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/write.hpp>
@@ -84,10 +85,15 @@
     Socket.emplace(std::move(Connected));
     // Reads and writes at the same time, since an endpoint may respond before
     // it has read a long body.
+    const auto &Body = Request.Body;
+    const std::array<asio::const_buffer, 2> Message{
+        asio::buffer(Request.Bytes),
+        Body ? asio::buffer(*Body) : asio::const_buffer{}};
     asio::async_write(
-        *Socket, asio::buffer(Request.Bytes),
+        *Socket, Message,
         [Self = shared_from_this()](const error_code &, std::size_t) {
           // Write errors are detected by the reading side.
+          Self->Request.Body.reset();
         });
     read();
     invoke(Events.OnSent);
--- a/src/http_exchange.h
+++ b/src/http_exchange.h
@@ -37,6 +37,8 @@
   std::string Method; ///< same as in Bytes; HEAD has no response body
   std::string Bytes;  ///< the serialized request
   duration ConnectTimeout;
+  /// Sent after Bytes and released then; null: nothing.
+  std::shared_ptr<const std::string> Body = nullptr;
 };
 
 /// One HTTP request on its own connection, which is closed afterwards.
--- a/src/platform.h
+++ b/src/platform.h
@@ -79,7 +79,7 @@
   /// Whether an endpoint's response belongs to the call with this id.
   virtual bool isResponseTo(const http_head &Head,
                             std::string_view Id) const = 0;
-  /// The serialized HTTP request of an attempt.
+  /// The serialized head of an attempt; the body follows from the call.
   virtual std::string encodeAttempt(const routed_call &Call,
                                     const attempt_spec &Spec) const = 0;
   virtual std::string_view readinessPath() const = 0;
--- a/src/routed_call.h
+++ b/src/routed_call.h
@@ -7,6 +7,7 @@
 #include "route_table.h"
 
 #include <cstdint>
+#include <memory>
 #include <optional>
 #include <string>
 #include <vector>
@@ -36,7 +37,8 @@
 /// A caller's request with its route, service and customer.
 struct routed_call {
   http_head Head;
-  std::string Body;
+  /// Held once for all attempts; null if empty, or once none may follow.
+  std::shared_ptr<const std::string> Body;
   call_metadata Metadata;
   std::uint64_t Digest = 0; ///< see requestDigest()
   route_table_ptr Table;    ///< configuration in force when the request arrived
--- a/src/routed_request.cpp
+++ b/src/routed_request.cpp
@@ -435,6 +435,8 @@
     return;
   }
   AnyMayHaveRun = true;
+  if (!Call.Route->isRetryable())
+    Call.Body.reset();
   Context.Gate.shares().recordRun(digestHash(Call.Service), Now);
   beginRun(Now);
   recordSample(sample_type::FirstByte, Now, Now - Attempt->SentAt);
@@ -649,6 +651,7 @@
   Attempt->IsForwarded = true;
   HasBegunResponse = true;
   HasBegunPlain = true;
+  Call.Body.reset();
   Outputs.beginAnswer(*Attempt->Response);
   Outputs.writeStream(Body);
 }
--- a/src/router.cpp
+++ b/src/router.cpp
@@ -248,9 +248,10 @@
   if (Call.Metadata.Id.empty())
     return RefuseNow(error_kind::BadRequest);
   Call.Service = serviceFor(*Call.Route, sessionHash(Call.Metadata));
-  Call.Body = Exchange->body();
-  Call.Digest = requestDigest(Call.Customer.Name, Call.Head.Method,
-                              Call.Head.Target, Call.Body);
+  Call.Body = Exchange->takeBody();
+  Call.Digest = requestDigest(
+      Call.Customer.Name, Call.Head.Method, Call.Head.Target,
+      Call.Body ? std::string_view(*Call.Body) : std::string_view{});
   Metrics.requestAccepted(Call.Route->Name);
   const auto Request = std::make_shared<active_request>(
       *this, std::move(Exchange), std::move(Call));
--- a/tests/http_exchange_test.cpp
+++ b/tests/http_exchange_test.cpp
@@ -147,3 +147,24 @@
   Thread.run([this] { Exchange->cancel(); });
   BOOST_TEST(Endpoint.readAll().empty());
 }
+
+// A body is sent after its head, once, and not held longer than that.
+BOOST_FIXTURE_TEST_CASE(shared_body_follows_the_head, fixture) {
+  const std::string Head = "POST /a HTTP/1.1\r\nContent-Length: 6\r\n\r\n";
+  auto Shared = std::make_shared<const std::string>("thread");
+  Thread.run([&] {
+    http_exchange_events Events;
+    Events.OnEnd = [this] { Ended.set_value("whole"); };
+    Events.OnFailure = [this](exchange_failure) { Ended.set_value("failed"); };
+    Exchange = startExchange(
+        Connector,
+        {{"127.0.0.1:" + std::to_string(Port)}, "POST", Head, 2s, Shared},
+        std::move(Events));
+  });
+  raw_peer Endpoint(Acceptor);
+  BOOST_TEST(Endpoint.readUntil("thread") == Head + "thread");
+  Endpoint.send("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+  BOOST_TEST(Ended.get_future().get() == "whole");
+  Thread.run([&] { BOOST_TEST(Shared.use_count() == 1); });
+  BOOST_TEST(Endpoint.readAll().empty());
+}
