--- a/src/active_request.cpp
+++ b/src/active_request.cpp
@@ -32,7 +32,7 @@
       Request(std::move(Call), Router.Requests, *this),
       ChargedBytes(this->Exchange->takeReservation()), Timer(Router.Context) {
   countReceived(ExchangeOverheadBytes +
-                static_cast<double>(this->Exchange->body().size()));
+                static_cast<double>(call().Body ? call().Body->size() : 0));
 }
 
 /// Runs one step of the request, then rearms its timer.
