Doubt failed connections for a second after the own link was slow

Cause, from the logs of one of them: its link is slow until 20.0 s; a few connections are prompt at 20.01 and clear all delays. From 20.2 on connections fail again, at first to one data centre. Within 30 ms 14 streams are given up as silent, since one data centre alone is an outage. No other path is found, the link being full.

Ruled out: outages (no other VM fails at these endpoints), the deadline (4 s and more were left).

Change: a failure within a second after the own link was last slow is doubtful, so that no stream is given up for it. One that comes later counts as before, and requests still avoid the endpoint at once.

streams_stay_while_the_own_link_fills_again failed before (two checks). The last check of failures_over_a_slow_link_are_doubtful held that a failure counts right after a prompt connection, which is the case of the trace; it now holds that it counts two seconds later.

--- a/src/reachability_tracker.cpp
+++ b/src/reachability_tracker.cpp
@@ -46,11 +46,11 @@
   const auto [Endpoint, IsNew] = Unreachable.try_emplace(
       std::string(Id), unreachable_endpoint{std::string(DataCentre), Now});
   Endpoint->second.IsRefused = IsRefused;
-  Endpoint->second.IsDoubtful = false;
+  Endpoint->second.IsDoubtful = isOwnLinkUnsteady(Now);
   data_centre &Centre = Centres[std::string(DataCentre)];
   Centre.Unanswered.emplace(Id);
   Centre.IsRefused = IsRefused;
-  Centre.IsDoubtful = false;
+  Centre.IsDoubtful = isOwnLinkUnsteady(Now);
   if (!IsRefused)
     recordDelay(DataCentre, Now);
 }
@@ -135,6 +135,7 @@
   DelayedAt.insert_or_assign(std::string(DataCentre), Now);
   if (!isOwnLinkSlow(Now))
     return;
+  OwnLinkSlowAt = Now;
   for (auto &[Id, Endpoint] : Unreachable)
     Endpoint.IsDoubtful = true;
   for (auto &[Name, Centre] : Centres)
@@ -148,6 +149,12 @@
   return static_cast<std::size_t>(Recent) >= OwnLinkCentres;
 }
 
+// A link that fills again after a single prompt connection delays the next ones
+// one after the other.
+bool reachability_tracker::isOwnLinkUnsteady(mono_time Now) const {
+  return OwnLinkSlowAt && Now - *OwnLinkSlowAt <= DelayTtl;
+}
+
 void reachability_tracker::forget(std::string_view Id) {
   if (const auto Found = Unreachable.find(Id); Found != Unreachable.end())
     Unreachable.erase(Found);
--- a/src/reachability_tracker.h
+++ b/src/reachability_tracker.h
@@ -4,6 +4,7 @@
 
 #include <functional>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -81,7 +82,7 @@
     std::string DataCentre;
     mono_time ProbedAt;
     bool IsRefused = false;  ///< at the last failure
-    bool IsDoubtful = false; ///< failed while the own link was slow
+    bool IsDoubtful = false; ///< failed while the own link was unsteady
     bool IsNew = true;       ///< not yet returned by takeNewlyUnreachable()
   };
   struct data_centre {
@@ -91,9 +92,10 @@
     /// Endpoints that failed since the last success.
     std::set<std::string, std::less<>> Unanswered;
     bool IsRefused = false;  ///< at the last failure
-    bool IsDoubtful = false; ///< failed while the own link was slow
+    bool IsDoubtful = false; ///< failed while the own link was unsteady
   };
   void recordDelay(std::string_view DataCentre, mono_time Now);
+  bool isOwnLinkUnsteady(mono_time Now) const;
   bool isCentreUnreachable(std::string_view DataCentre) const;
 
   std::map<std::string, unreachable_endpoint, std::less<>> Unreachable;
@@ -101,6 +103,7 @@
   /// Last late or unanswered connection to each data centre, to an endpoint or
   /// a peer, since the last prompt one.
   std::map<std::string, mono_time, std::less<>> DelayedAt;
+  std::optional<mono_time> OwnLinkSlowAt; ///< last seen
 };
 
 } // namespace clementinelane
--- a/tests/reachability_tracker_test.cpp
+++ b/tests/reachability_tracker_test.cpp
@@ -115,8 +115,30 @@
   BOOST_TEST(!Reach.isOwnLinkSlow(Now));
   BOOST_TEST(!Reach.isSilent("b1", "hall-b"));
   BOOST_TEST(Reach.isUnreachable("b1", "hall-b"));
+  Now += 2s;
+  Reach.connectFailed("b1", "hall-b", Now);
+  BOOST_TEST(Reach.isSilent("b1", "hall-b"));
+}
+
+// The own link is free for a moment and fills again: the first failures after
+// that are all in one data centre, and no stream is given up for them.
+BOOST_FIXTURE_TEST_CASE(streams_stay_while_the_own_link_fills_again, fixture) {
+  Reach.connectFailed("b1", "hall-b", Now);
+  Reach.connectFailed("c1", "hall-c", Now);
+  connectRepeatedly(1, 1ms);
+  Now += 200ms;
   Reach.connectFailed("b1", "hall-b", Now);
+  Reach.connectFailed("b2", "hall-b", Now);
+  BOOST_TEST(!Reach.isOwnLinkSlow(Now));
+  BOOST_TEST(!Reach.isSilent("b1", "hall-b"));
+  BOOST_TEST(!Reach.isSilent("b3", "hall-b"));
+  BOOST_TEST(Reach.isUnreachable("b1", "hall-b"));
+  BOOST_TEST(Reach.isUnreachable("b3", "hall-b"));
+  Now += 2s;
+  Reach.connectFailed("b1", "hall-b", Now);
+  Reach.connectFailed("b2", "hall-b", Now);
   BOOST_TEST(Reach.isSilent("b1", "hall-b"));
+  BOOST_TEST(Reach.isSilent("b3", "hall-b"));
 }
 
 // A quiet VM has no prompt connection that would show that its link is free.
