Charge the link with connections that are closed unread with the listener

Cause: a VM without capacity closes its listener, which resets all connections that were established and not yet accepted. Nothing counted them, although what their callers had sent used the link, so the next ones were accepted too early.

Change: they are accepted and closed before the listener is, counted as left unread, and charged with a request's mean bytes; the listener opens again once that is paid off, at the latest half a second after the last accepted one.

connections_left_unread_count_for_the_link is new with the interface; on the code before nothing was charged, so it couldn't be written.

--- a/src/caller_server.cpp
+++ b/src/caller_server.cpp
@@ -543,6 +543,8 @@
 // closed unread, and these bytes fill the link. Without a listener connections
 // are refused before any of them is sent.
 void caller_server::pauseListening(duration Time) {
+  if (const std::size_t Count = closeArrived(); Count > 0 && State->Policy)
+    State->Policy->leftUnread(Count);
   error_code Ignored; // there is nothing to undo
   Acceptor.close(Ignored);
   AcceptTimer.expires_after(Time);
@@ -552,9 +554,28 @@
   }));
 }
 
+// The listener's close would reset them uncounted.
+std::size_t caller_server::closeArrived() {
+  error_code Error;
+  Acceptor.non_blocking(true, Error);
+  std::size_t Count = 0;
+  while (!Error && Count < config::ListenBacklog) {
+    asio::ip::tcp::socket Socket(Acceptor.get_executor());
+    Acceptor.accept(Socket, Error);
+    Count += Error ? 0 : 1;
+  }
+  return Count;
+}
+
 void caller_server::resumeListening() {
   if (State->ClosesIdle)
     return;
+  if (const duration Pause =
+          State->Policy ? State->Policy->acceptPause() : duration::zero();
+      Pause > duration::zero()) {
+    pauseListening(Pause);
+    return;
+  }
   error_code Error;
   listen(Error);
   if (Error)
--- a/src/caller_server.h
+++ b/src/caller_server.h
@@ -66,6 +66,8 @@
   virtual ~connection_policy() = default;
   /// What to reserve for a new connection; none: it is closed unread.
   virtual std::optional<double> acceptConnection() = 0;
+  /// Connections that had arrived were closed unread.
+  virtual void leftUnread(std::size_t Connections) = 0;
   /// For how long no further connection will be accepted; zero: one may be.
   virtual duration acceptPause() = 0;
   /// A connection ended without having used its reservation.
@@ -105,6 +107,7 @@
   void listen(boost::system::error_code &Error);
   void accept();
   void acceptLater();
+  std::size_t closeArrived();
   void pauseListening(duration Time);
   void resumeListening();
 
--- a/src/router.cpp
+++ b/src/router.cpp
@@ -211,6 +211,10 @@
   return Capacity.tryAccept(openSockets(), now());
 }
 
+void router::leftUnread(std::size_t Connections) {
+  Capacity.leftUnread(Connections, now());
+}
+
 duration router::acceptPause() {
   return Capacity.acceptPause(openSockets(), now());
 }
--- a/src/router.h
+++ b/src/router.h
@@ -105,6 +105,7 @@
   void answerMetrics(caller_exchange &Exchange);
   bool isReady() const;
   std::optional<double> acceptConnection() override;
+  void leftUnread(std::size_t Connections) override;
   duration acceptPause() override;
   void releaseReservation(double Reserved) override;
   bool keepsConnection() override;
--- a/src/vm_capacity.cpp
+++ b/src/vm_capacity.cpp
@@ -72,9 +72,14 @@
   return MeanBytes;
 }
 
+void vm_capacity::leftUnread(std::size_t Connections, mono_time Now) {
+  Unread += Connections;
+  charge(static_cast<double>(Connections) * MeanBytes, Now);
+}
+
 duration vm_capacity::acceptPause(std::size_t OpenDescriptors, mono_time Now) {
   refill(Now);
-  if (hasCapacity(OpenDescriptors))
+  if (hasCapacity(OpenDescriptors) || Now - AcceptedAt >= MaxAcceptGap)
     return duration::zero();
   ++Pauses;
   const duration UntilGap = AcceptedAt + MaxAcceptGap - Now;
--- a/src/vm_capacity.h
+++ b/src/vm_capacity.h
@@ -32,6 +32,9 @@
   /// Bytes reserved for the first request of a new connection; none if the
   /// connection is not to be accepted.
   std::optional<double> tryAccept(std::size_t OpenDescriptors, mono_time Now);
+  /// Connections that had arrived were closed unread. What their callers sent
+  /// has used the link all the same.
+  void leftUnread(std::size_t Connections, mono_time Now);
   /// For how long tryAccept() will refuse connections; zero: it accepts one.
   duration acceptPause(std::size_t OpenDescriptors, mono_time Now);
   /// Returns bytes that were reserved or charged and not sent.
--- a/tests/vm_capacity_test.cpp
+++ b/tests/vm_capacity_test.cpp
@@ -189,6 +189,24 @@
   BOOST_TEST((Capacity.acceptPause(0, at(Time)) <= 500ms));
 }
 
+// Callers of connections that are closed unread have sent their requests: the
+// next connection is accepted later, by what these bytes take on the link.
+BOOST_AUTO_TEST_CASE(connections_left_unread_count_for_the_link) {
+  const auto PauseAfter = [](std::size_t Unread) {
+    vm_capacity Capacity({1.25 * Megabyte, 0});
+    while (Capacity.acceptPause(0, at(0s)) == duration::zero())
+      BOOST_TEST(!!Capacity.tryAccept(0, at(0s)));
+    if (Unread > 0)
+      Capacity.leftUnread(Unread, at(0s));
+    BOOST_TEST(Capacity.unread() == Unread);
+    return Capacity.acceptPause(0, at(0s));
+  };
+  // 32,768 bytes each, at 625,000 bytes a second.
+  BOOST_TEST((PauseAfter(4) - PauseAfter(0) >= 205ms));
+  BOOST_TEST((PauseAfter(4) - PauseAfter(0) <= 215ms));
+  BOOST_TEST((PauseAfter(500) <= 500ms));
+}
+
 // A connection more would leave none for the store and the peers.
 BOOST_AUTO_TEST_CASE(connections_are_left_unread_before_descriptors_run_out) {
   vm_capacity Capacity({0, 100});
