--- a/tests/partitioned_connector.h
+++ b/tests/partitioned_connector.h
@@ -5,6 +5,7 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <functional>
+#include <map>
 #include <string>
 #include <utility>
 
@@ -31,6 +32,11 @@
     IsCut = std::move(Predicate);
   }
 
+  /// Tunnels through `Peer` go through `Proxy` first.
+  void setProxy(const std::string &Peer, const std::string &Proxy) {
+    Proxies[Peer] = Proxy;
+  }
+
   std::shared_ptr<connect_operation> connect(const endpoint_path &Path,
                                              duration Timeout,
                                              handler Handler) override {
@@ -40,7 +46,10 @@
                   IsDirect ? failureOf(State)
                            : connect_failure::PeerUnavailable,
                   std::move(Handler));
-    return Tcp.connect(Path, Timeout, std::move(Handler));
+    endpoint_path Real = Path;
+    if (const auto Found = Proxies.find(Path.Peer); Found != Proxies.end())
+      Real.Peer = Found->second;
+    return Tcp.connect(Real, Timeout, std::move(Handler));
   }
 
 private:
@@ -73,6 +82,7 @@
   tcp_connector Tcp;
   link_state State = link_state::Up;
   std::function<bool(const std::string &)> IsCut;
+  std::map<std::string, std::string> Proxies;
 };
 
 } // namespace clementinelane
