--- a/tests/routed_request_test.cpp
+++ b/tests/routed_request_test.cpp
@@ -862,6 +862,10 @@
   BOOST_TEST(Out.Attempts.size() == 1U); // the failures were the link's
   Choice.attemptEnded(First, 0, attempt_result::Unreachable, std::nullopt, Now);
   Request->onTick(Now);
+  BOOST_TEST(Out.Attempts.size() == 1U); // the link may be full again
+  Now += 2s;
+  Choice.attemptEnded(First, 0, attempt_result::Unreachable, std::nullopt, Now);
+  Request->onTick(Now);
   BOOST_TEST(Out.Attempts.size() == 2U);
 }
 
