Limit what the entry and the control daemon hold for remote parties

What callers saw: chunks without end, bodies and heads far over the limit, and calls between processes that stop short took entry and control to 159 to 1,176 MB, and idle connections to 620 descriptors.

Cause: the library's listener reads a body of any size into memory beside the handler, whatever that answers, and has no limit on connections. A link took 4,096 calls of 16 MB each on a connection.

http_server now uses the router's caller_server on a thread of its own; handlers run on the library's threads as before. Both daemons have one memory_account (vm.memory_limit_mb, 128 by default), which links charge as well: the connection that holds most is closed when it is full. Connections are limited by vm.file_descriptors (1024 by default), links without a call to 64. A descriptor that is missing no longer makes a link accept in a loop.

--- a/src/control.cpp
+++ b/src/control.cpp
@@ -95,9 +95,10 @@
       Feed(this->Settings, Clock, Log, LinkClient, Peers,
            [this](std::uint64_t Offset) { Gossip.setOffset(Offset); }),
       Duties(this->Settings, Clock, Log, Feed, Peers),
+      Resources(server_resources::of(Settings)),
       OperatorServer(Settings.Address + ":" +
                          std::to_string(Settings.OperatorPort),
-                     routes()) {}
+                     routes(), Resources) {}
 
 control::~control() {
   Link.reset();
@@ -146,7 +147,8 @@
   Link = std::make_unique<link_server>(
       Settings.Address + ":" + std::to_string(Settings.LinkPort),
       [this](std::string_view Path, const std::string &Body,
-             const link_reply &Reply) { onLink(Path, Body, Reply); });
+             const link_reply &Reply) { onLink(Path, Body, Reply); },
+      Resources.Memory);
   OperatorServer.open();
   Gossip.open();
   Feed.start();
--- a/src/control.h
+++ b/src/control.h
@@ -63,6 +63,7 @@
   config_feed Feed;
   control_duties Duties;
   link_client LinkClient; ///< destroyed before Feed, which its callbacks use
+  server_resources Resources;
   http_server OperatorServer;
   std::unique_ptr<link_server> Link;
 };
--- a/src/daemon.cpp
+++ b/src/daemon.cpp
@@ -1,5 +1,6 @@
 #include "daemon.h"
 
+#include "capacity/allocator.h"
 #include "logs.h"
 
 #include <csignal>
@@ -68,6 +69,7 @@
     std::cout << FLAGS_config << ": ok\n";
     return 0;
   }
+  returnFreedMemory();
   const settings &Settings = Parsed.Value;
   logs::init(Program.Name, Settings.VmName, Settings.LogFormat);
   const stop_signal Stop;
--- a/src/entry.cpp
+++ b/src/entry.cpp
@@ -68,8 +68,9 @@
           [Probe = LeavingProbe](const std::string &Endpoint, bool IsLeaving) {
             Probe->setLeaving(Endpoint, IsLeaving);
           }),
+      Resources(server_resources::of(Settings)),
       Server(Settings.Address + ":" + std::to_string(Settings.EntryPort),
-             routes()) {}
+             routes(), Resources) {}
 
 // Timers stop before any member is destroyed: a timer that fires during
 // destruction would use destroyed members and crash intermittently at exit.
@@ -85,7 +86,8 @@
       Settings.Address + ":" + std::to_string(Settings.EntryLinkPort),
       [this](std::string_view Path, const std::string &Body, link_reply Reply) {
         onLink(Path, Body, std::move(Reply));
-      });
+      },
+      Resources.Memory);
   Server.open();
   ControlThread = std::thread([this] { pollControl(); });
   tickAdmission();
@@ -213,11 +215,10 @@
   std::string Path;
   for (std::size_t Index = 2; Index < Call->Path.size(); ++Index)
     Path += "/" + web::uri::encode_data_string(Call->Path[Index]);
-  if (const std::string Query = Call->Request.request_uri().query();
-      !Query.empty())
-    Path += "?" + Query;
+  if (const std::string_view Query = Call->queryText(); !Query.empty())
+    Path += "?" + std::string(Query);
   run(Call, parseServiceRequest(headersOf(Call), Call->Path[1], Path,
-                                Call->Request.method(), std::move(Call->Body)));
+                                Call->Head.Method, std::move(Call->Body)));
 }
 
 void entry::handleModels(const std::shared_ptr<http_call> &Call) {
--- a/src/entry.h
+++ b/src/entry.h
@@ -92,6 +92,7 @@
   std::atomic<stop_phase> Phase{stop_phase::Serving};
   std::atomic<bool> IsStopping{false}; ///< ends ControlThread
   std::unique_ptr<link_server> LinkServer;
+  server_resources Resources;
   http_server Server;
   std::thread ControlThread;
 };
--- a/src/http_server.h
+++ b/src/http_server.h
@@ -1,24 +1,34 @@
 #pragma once
 
 #include "answer.h"
+#include "caller_server.h"
+#include "capacity/config.h"
+#include "capacity/memory_account.h"
+#include "settings.h"
 
-#include <atomic>
-#include <cpprest/http_listener.h>
+#include <boost/asio/executor_work_guard.hpp>
+#include <condition_variable>
+#include <cpprest/http_msg.h>
+#include <cpprest/json.h>
 #include <functional>
 #include <memory>
+#include <mutex>
 #include <string>
+#include <thread>
 #include <vector>
 
 namespace clementinelane {
 
 /// One request with its complete body.
 struct http_call {
-  web::http::http_request Request;
+  http_head Head;
   std::vector<std::string> Path; ///< decoded segments
   std::string Body;
   std::shared_ptr<answer_writer> Writer;
 
   std::string header(std::string_view Name) const;
+  /// The target's part after the question mark.
+  std::string_view queryText() const;
   std::string query(std::string_view Name) const;
   /// Answers with the status, headers and body of `Kind`.
   void fail(error_kind Kind) const;
@@ -38,35 +48,74 @@
   http_handler Handler;
 };
 
-/// An HTTP server on cpprestsdk with a route table. Reads each body completely,
-/// within limits of size and time, before it calls the handler.
-class http_server {
+/// What a server may use of its process.
+struct server_resources {
+  memory_account_ptr Memory = std::make_shared<memory_account>(
+      heldMemoryBound(config::DefaultMemoryLimitBytes));
+  std::size_t MaxConnections = connectionsFor(config::DefaultDescriptors);
+
+  /// Connections of a server in a process with so many descriptors.
+  static std::size_t connectionsFor(std::size_t Descriptors) {
+    return Descriptors * 3 / 8;
+  }
+  static server_resources of(const settings &Settings) {
+    return {std::make_shared<memory_account>(heldMemoryBound(
+                static_cast<std::size_t>(Settings.MemoryMegabytes) << 20U)),
+            connectionsFor(static_cast<std::size_t>(Settings.FileDescriptors))};
+  }
+};
+
+/// An HTTP server with a route table. Reads each body completely, within limits
+/// of size, time and memory, on a thread of its own; handlers run on the
+/// library's threads.
+class http_server final : private connection_policy {
 public:
-  http_server(std::string_view Address, std::vector<http_route> Routes);
-  ~http_server();
+  http_server(std::string_view Address, std::vector<http_route> Routes,
+              server_resources Resources = {});
+  ~http_server() override;
   http_server(const http_server &) = delete;
   http_server &operator=(const http_server &) = delete;
 
   /// Throws if the address can't be bound.
   void open();
-  /// Stops listening and closes all connections, including those with a
-  /// response in progress.
+  /// Stops listening, closes all connections, including those with a response
+  /// in progress, and waits for the handlers.
   void close();
   /// Requests whose response has not been completely handed to the connection.
-  std::size_t unanswered() const { return *Unanswered; }
+  std::size_t unanswered();
   /// Adds "Connection: close" to all later responses.
-  void announceClose() { *IsClosing = true; }
+  void announceClose();
 
 private:
-  void handleRequest(const web::http::http_request &Request);
+  class writer;
+  class task_count;
+
+  std::optional<double> acceptConnection() override;
+  void leftUnread(std::size_t) override {}
+  duration acceptPause() override { return duration::zero(); }
+  void releaseReservation(double) override {}
+  bool keepsConnection() override { return true; }
+  std::optional<early_answer> checkHead(const http_head &Head,
+                                        body_terms &Terms) override;
+  void onDropped(std::string_view Reason) override;
+
+  void onRequest(std::shared_ptr<caller_exchange> Exchange);
   void route(const std::shared_ptr<http_call> &Call) const;
+  /// Runs the function on the server's thread and waits for it.
+  void runOnServer(const std::function<void()> &Function);
 
+  std::string Address;
   std::vector<http_route> Routes;
-  std::shared_ptr<std::atomic<std::size_t>> Unanswered =
-      std::make_shared<std::atomic<std::size_t>>(0);
-  std::shared_ptr<std::atomic<bool>> IsClosing =
-      std::make_shared<std::atomic<bool>>(false);
-  web::http::experimental::listener::http_listener Listener;
+  server_resources Resources;
+  std::shared_ptr<task_count> Tasks;
+  /// Shared with the writers, which may outlive this object.
+  std::shared_ptr<boost::asio::io_context> Context =
+      std::make_shared<boost::asio::io_context>(1);
+  std::optional<
+      boost::asio::executor_work_guard<boost::asio::io_context::executor_type>>
+      Guard;
+  std::unique_ptr<caller_server> Server;
+  std::thread Thread;
 };
 
 } // namespace clementinelane
--- a/src/link.cpp
+++ b/src/link.cpp
@@ -1,5 +1,6 @@
 #include "link.h"
 
+#include "capacity/config.h"
 #include "config.h"
 #include "link_p.h"
 
@@ -7,6 +8,7 @@
 #include <future>
 #include <thread>
 #include <unordered_map>
+#include <vector>
 
 namespace clementinelane {
 
@@ -31,11 +33,31 @@
   return tcp::endpoint(Ip, Port);
 }
 
-connection::connection(tcp::socket Socket, stream_events &Events)
-    : Socket(std::move(Socket)), Events(Events) {}
+connection::connection(tcp::socket Socket, stream_events &Events,
+                       memory_account_ptr Memory)
+    : Socket(std::move(Socket)), Events(Events),
+      Charge(std::move(Memory), memory_holder::Connection) {}
 
 connection::~connection() { nghttp2_session_del(Session); }
 
+std::size_t connection::heldBytes() const {
+  std::size_t Sum =
+      LinkConnectionBytes + LinkCallBytes * (Receiving.size() + Sending.size());
+  for (const auto &[Id, In] : Receiving)
+    Sum += In.Body.capacity();
+  for (const auto &[Id, Out] : Sending)
+    Sum += Out->Body.capacity();
+  return Sum;
+}
+
+// Load: calls that stop short of their end, or whose replies nobody reads. Harm
+// prevented: they fill the memory of the process.
+void connection::holdOrClose() {
+  while (!Closed && !Charge.tryResize(heldBytes()))
+    if (!Events.makeRoom(*this))
+      close();
+}
+
 void connection::start(bool IsServer) {
   nghttp2_session_callbacks *Callbacks = nullptr;
   nghttp2_session_callbacks_new(&Callbacks);
@@ -93,6 +115,7 @@
   if (nghttp2_submit_response(Session, Stream, Headers.data(), Headers.size(),
                               &Provider) == 0)
     Sending[Stream] = std::move(Out);
+  holdOrClose();
   flush();
 }
 
@@ -102,6 +125,8 @@
   Closed = true;
   boost::system::error_code Ignored;
   Socket.close(Ignored);
+  Receiving.clear();
+  Charge.release();
   Events.onLost(*this);
 }
 
@@ -143,7 +168,7 @@
   const std::string_view Key(reinterpret_cast<const char *>(Name), NameSize);
   const std::string_view Text(reinterpret_cast<const char *>(Value), ValueSize);
   if (Key == ":path")
-    Stream.Path = Text;
+    Stream.Path = Text.substr(0, MaxLinkPathBytes);
   if (Key == "error-kind")
     std::from_chars(Text.data(), Text.data() + Text.size(), Stream.ErrorKind);
   return 0;
@@ -169,6 +194,7 @@
   if (!MayEnd || (Frame->hd.flags & NGHTTP2_FLAG_END_STREAM) == 0)
     return 0;
   auto &This = *static_cast<connection *>(Self);
+  This.IsUsed = true;
   This.Events.onMessage(This, Frame->hd.stream_id,
                         std::move(This.Receiving[Frame->hd.stream_id]));
   This.Receiving.erase(Frame->hd.stream_id);
@@ -192,6 +218,7 @@
         if (Error || nghttp2_session_mem_recv(Self->Session,
                                               Self->Buffer.data(), Size) < 0)
           return Self->close();
+        Self->holdOrClose();
         Self->flush();
         Self->read();
       });
@@ -229,13 +256,19 @@
 
 class link_server::impl final : public link_detail::stream_events {
 public:
-  impl(std::string_view Address, link_handler Handler)
-      : Handler(std::move(Handler)), Acceptor(Context) {
+  impl(std::string_view Address, link_handler Handler,
+       memory_account_ptr Memory)
+      : Handler(std::move(Handler)), Memory(std::move(Memory)),
+        Acceptor(Context), AcceptTimer(Context) {
     const auto Endpoint = link_detail::parseAddress(Address);
     if (!Endpoint)
       throw std::system_error(Endpoint.error(), std::string(Address));
     Acceptor.open(Endpoint.value().protocol());
     Acceptor.set_option(tcp::acceptor::reuse_address(true));
+    boost::system::error_code Ignored; // the system's default is larger
+    Acceptor.set_option(
+        asio::socket_base::receive_buffer_size(config::ReceiveBufferBytes),
+        Ignored);
     Acceptor.bind(Endpoint.value());
     Acceptor.listen();
     accept();
@@ -253,15 +286,56 @@
   void accept() {
     Acceptor.async_accept(
         [this](const boost::system::error_code &Error, tcp::socket Socket) {
-          if (!Error) {
-            auto Connection =
-                std::make_shared<connection>(std::move(Socket), *this);
-            Connection->start(true);
-          }
+          if (Error)
+            return acceptLater();
+          auto Connection =
+              std::make_shared<connection>(std::move(Socket), *this, Memory);
+          Connections.push_back(Connection);
+          Connection->start(true);
+          limitUnused();
           accept();
         });
   }
 
+  // Failure: no descriptor is free, and the connection that waits fails again
+  // at once.
+  void acceptLater() {
+    AcceptTimer.expires_after(config::AcceptRetryDelay);
+    AcceptTimer.async_wait([this](const boost::system::error_code &Error) {
+      if (!Error)
+        accept();
+    });
+  }
+
+  // Load: connections without a call. Harm prevented: they take the descriptors
+  // of this process. The oldest ones are closed.
+  void limitUnused() {
+    std::erase_if(Connections, [](const auto &Weak) {
+      const auto Connection = Weak.lock();
+      return !Connection || Connection->isClosed();
+    });
+    std::vector<std::shared_ptr<connection>> Unused;
+    for (const auto &Weak : Connections)
+      if (const auto Connection = Weak.lock(); !Connection->isUsed())
+        Unused.push_back(Connection);
+    for (std::size_t I = 0;
+         I + link_detail::MaxUnusedConnections < Unused.size(); ++I)
+      Unused[I]->close();
+  }
+
+  bool makeRoom(connection &For) override {
+    std::shared_ptr<connection> Largest;
+    for (const auto &Weak : Connections)
+      if (const auto Connection = Weak.lock();
+          Connection && Connection.get() != &For && !Connection->isClosed() &&
+          (!Largest || Connection->heldBytes() > Largest->heldBytes()))
+        Largest = Connection;
+    if (!Largest || Largest->heldBytes() <= For.heldBytes())
+      return false;
+    Largest->close();
+    return true;
+  }
+
   void onMessage(connection &From, std::int32_t Stream,
                  incoming Message) override {
     std::weak_ptr<connection> Weak = From.weak_from_this();
@@ -279,13 +353,18 @@
   void onLost(connection &) override {}
 
   link_handler Handler;
+  memory_account_ptr Memory;
   asio::io_context Context;
   tcp::acceptor Acceptor;
+  asio::steady_timer AcceptTimer;
+  std::vector<std::weak_ptr<connection>> Connections; ///< the oldest first
   std::thread Thread;
 };
 
-link_server::link_server(std::string_view Address, link_handler Handler)
-    : Impl(std::make_unique<impl>(Address, std::move(Handler))) {}
+link_server::link_server(std::string_view Address, link_handler Handler,
+                         memory_account_ptr Memory)
+    : Impl(std::make_unique<impl>(Address, std::move(Handler),
+                                  std::move(Memory))) {}
 link_server::~link_server() = default;
 
 class link_client::impl final : public link_detail::stream_events {
--- a/src/link.h
+++ b/src/link.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "capacity/memory_account.h"
 #include "clementinelane/error.h"
 
 #include <chrono>
@@ -21,8 +22,10 @@
 /// Serves calls over HTTP/2 (nghttp2) on one address; each call is a stream.
 class link_server {
 public:
-  /// Binds `Address` ("IP:port"); throws std::system_error on failure.
-  link_server(std::string_view Address, link_handler Handler);
+  /// Binds `Address` ("IP:port"); throws std::system_error on failure. What
+  /// connections hold is charged to `Memory`, if given.
+  link_server(std::string_view Address, link_handler Handler,
+              memory_account_ptr Memory = nullptr);
   ~link_server();
   link_server(const link_server &) = delete;
   link_server &operator=(const link_server &) = delete;
--- a/src/link_p.h
+++ b/src/link_p.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "capacity/memory_account.h"
 #include "clementinelane/error.h"
 
 #include <array>
@@ -15,7 +16,13 @@
 namespace clementinelane::link_detail {
 
 /// Concurrent calls on one connection; a VM has at most a few hundred.
-constexpr std::uint32_t MaxStreams = 4096;
+constexpr std::uint32_t MaxStreams = 1024;
+/// What a connection holds beside its calls, and a call beside its bodies.
+constexpr std::size_t LinkConnectionBytes = 48U << 10U;
+constexpr std::size_t LinkCallBytes = 1U << 10U;
+constexpr std::size_t MaxLinkPathBytes = 256;
+/// Connections that have made no call yet.
+constexpr std::size_t MaxUnusedConnections = 64;
 /// Flow-control window in bytes, large enough to send a snapshot without an
 /// extra round trip.
 constexpr std::uint32_t WindowBytes = 1U << 20U;
@@ -40,6 +47,8 @@
                          incoming Message) = 0;
   virtual void onStreamClosed(connection &From, std::int32_t Stream) = 0;
   virtual void onLost(connection &From) = 0;
+  /// Ends another connection that holds more; false if there is none.
+  virtual bool makeRoom(connection &) { return false; }
 
 protected:
   ~stream_events() = default;
@@ -47,7 +56,8 @@
 
 class connection : public std::enable_shared_from_this<connection> {
 public:
-  connection(boost::asio::ip::tcp::socket Socket, stream_events &Events);
+  connection(boost::asio::ip::tcp::socket Socket, stream_events &Events,
+             memory_account_ptr Memory = nullptr);
   ~connection();
   connection(const connection &) = delete;
   connection &operator=(const connection &) = delete;
@@ -57,6 +67,10 @@
   std::int32_t submitRequest(std::string_view Path, std::string Body);
   void submitResponse(std::int32_t Stream, result<std::string> Reply);
   void close();
+  bool isClosed() const { return Closed; }
+  /// Whether a whole message has arrived.
+  bool isUsed() const { return IsUsed; }
+  std::size_t heldBytes() const;
 
 private:
   struct outgoing {
@@ -80,6 +94,8 @@
                      void *Self);
   void read();
   void flush();
+  /// Charges what it holds, and closes if that doesn't fit.
+  void holdOrClose();
 
   boost::asio::ip::tcp::socket Socket;
   stream_events &Events;
@@ -88,6 +104,8 @@
   std::string WriteBuffer;
   bool Writing = false;
   bool Closed = false;
+  bool IsUsed = false;
+  memory_charge Charge;
   std::map<std::int32_t, incoming> Receiving;
   std::map<std::int32_t, std::unique_ptr<outgoing>> Sending;
 };
--- a/src/settings.cpp
+++ b/src/settings.cpp
@@ -7,6 +7,8 @@
 namespace {
 
 constexpr std::uint64_t MaxPort = 65535;
+constexpr std::uint64_t MaxMegabytes = 1U << 24U;
+constexpr std::uint64_t MaxDescriptors = 1U << 30U;
 constexpr std::uint64_t MaxRetentionRecords = 1'000'000'000;
 constexpr std::uint64_t MaxRetentionHours = 24 * 365;
 constexpr std::size_t Sha256HexBytes = 64;
@@ -67,6 +69,10 @@
                    .text("data_centre", Out.DataCentre, true)
                    .text("region", Out.Region, true)
                    .text("address", Out.Address, true)
+                   .integer("memory_limit_mb", Out.MemoryMegabytes, 1,
+                            MaxMegabytes)
+                   .integer("file_descriptors", Out.FileDescriptors, 64,
+                            MaxDescriptors)
                    .finish();
              })
       .table("entry",
--- a/src/settings.h
+++ b/src/settings.h
@@ -23,7 +23,9 @@
   std::string VmName;
   std::string DataCentre;
   std::string Region;
-  std::string Address; ///< IP address of this VM
+  std::string Address;                  ///< IP address of this VM
+  std::uint64_t MemoryMegabytes = 128;  ///< of each daemon, 2^20 bytes each
+  std::uint64_t FileDescriptors = 1024; ///< of each daemon
   std::uint64_t EntryPort = 8080;
   std::uint64_t EntryLinkPort = 8090; ///< entry to entry
   std::uint64_t LinkPort = 9090;      ///< control to control, entry to control
