Let no large request set what a connection reserves

What callers saw: one small request, two of 4 MB, then 64 ordinary ones at once on an idle VM: 55 were refused and 5 reset.

Cause: a connection reserves the mean of what requests send, and a mean over few requests is one large one.

A request counts in the mean with at most 1/128 of the burst, or 32 KiB; what it sends beyond its reservation is charged as before.

--- a/src/capacity/vm_capacity.cpp
+++ b/src/capacity/vm_capacity.cpp
@@ -14,6 +14,9 @@
 constexpr double MaxDebtSeconds = 1;
 /// Of one request in the mean.
 constexpr double MinMeanWeight = 0.02;
+/// One request counts in the mean with at most this part of the burst, so that
+/// a few large ones don't shut others out.
+constexpr double MaxMeanPart = 1.0 / 128;
 /// Descriptors for the store, peers, probes and logs.
 constexpr double UsableDescriptorPart = 0.9;
 /// An accepted request opens a connection to an endpoint.
@@ -106,7 +109,11 @@
 
 void vm_capacity::requestEnded(double Bytes, double Charged, mono_time Now) {
   release(Charged - Bytes, Now);
-  MeanBytes += MeanWeight * (Bytes - MeanBytes);
+  const double Counted = usableRate() > 0
+                             ? std::min(Bytes, std::max(InitialRequestBytes,
+                                                        MaxMeanPart * burst()))
+                             : Bytes;
+  MeanBytes += MeanWeight * (Counted - MeanBytes);
   MeanWeight = std::max(MinMeanWeight, MeanWeight / (1 + MeanWeight));
 }
 
--- a/tests/vm_capacity_test.cpp
+++ b/tests/vm_capacity_test.cpp
@@ -261,3 +261,24 @@
   }
   BOOST_TEST(Capacity.meanRequestBytes() == Mean);
 }
+
+// Two uploads of 4 MB among few requests, then 64 ordinary callers at once. A
+// reservation of the mean would leave room for five of them on an idle link.
+BOOST_AUTO_TEST_CASE(few_large_requests_do_not_shut_ordinary_callers_out) {
+  vm_capacity Capacity({125 * Megabyte, 0});
+  Capacity.requestEnded(2000, 0, at(0s));
+  Capacity.requestEnded(4.2 * Megabyte, 0, at(0s));
+  Capacity.requestEnded(4.2 * Megabyte, 0, at(0s));
+  for (int Each = 0; Each < 64; ++Each)
+    BOOST_TEST(!!Capacity.tryAccept(0, at(10s)));
+}
+
+// Connections whose requests are large pay for what they send beyond their
+// reservation, so that the VM refuses others while its link is full.
+BOOST_AUTO_TEST_CASE(large_requests_pay_for_what_they_send) {
+  vm_capacity Capacity({1.25 * Megabyte, 0});
+  const auto Reserved = Capacity.tryAccept(0, at(1s));
+  BOOST_REQUIRE(Reserved);
+  Capacity.charge(4 * Megabyte - *Reserved, at(1s));
+  BOOST_TEST(!Capacity.tryAccept(0, at(1s)));
+}
