--- a/src/peer_datagrams.cpp
+++ b/src/peer_datagrams.cpp
@@ -1,5 +1,6 @@
 #include "peer_datagrams.h"
 
+#include "capacity/config.h"
 #include "config.h"
 #include "hashing.h"
 #include "sockets.h"
@@ -60,9 +61,12 @@
     if (!Parsed)
       continue;
     const udp::endpoint Peer(Parsed->address(), Parsed->port());
-    if (Peer != Own &&
-        Peers.try_emplace(Peer, peer{Now, mono_time{}, 0}).second)
-      ++Generation;
+    if (Peer == Own)
+      continue;
+    const auto [Known, IsNew] =
+        Peers.try_emplace(Peer, peer{Now, mono_time{}, 0});
+    Known->second.IsListed = true;
+    Generation += IsNew ? 1 : 0;
   }
 }
 
@@ -83,17 +87,30 @@
         if (Error == boost::asio::error::operation_aborted)
           return;
         if (!Error && Count > 0) {
-          const mono_time Now = Clock.bootNow();
-          const auto [Peer, IsNew] = Peers.try_emplace(Sender);
-          Peer->second.HeardAt = Now;
-          Generation += IsNew ? 1 : 0;
-          Handler(static_cast<peer_message>(Buffer[0]), addressText(Sender),
-                  std::string_view(Buffer.data() + 1, Count - 1));
+          if (peer *Peer = learn(Sender)) {
+            Peer->HeardAt = Clock.bootNow();
+            Handler(static_cast<peer_message>(Buffer[0]), addressText(Sender),
+                    std::string_view(Buffer.data() + 1, Count - 1));
+          }
         }
         receive();
       }));
 }
 
+// Load: datagrams of ever new senders. Harm prevented: each is kept as a peer,
+// and gets this VM's messages.
+peer_datagrams::peer *peer_datagrams::learn(const udp::endpoint &Address) {
+  if (const auto Known = Peers.find(Address); Known != Peers.end())
+    return &Known->second;
+  const auto Unlisted = static_cast<std::size_t>(
+      std::count_if(Peers.begin(), Peers.end(),
+                    [](const auto &Entry) { return !Entry.second.IsListed; }));
+  if (Unlisted >= config::MaxUnlistedPeers)
+    return nullptr;
+  ++Generation;
+  return &Peers[Address];
+}
+
 void peer_datagrams::dropSilentPeers(mono_time Now) {
   Generation += std::erase_if(Peers, [Now](const auto &Entry) {
     return Now - Entry.second.HeardAt > config::PeerTtl;
--- a/src/peer_datagrams.h
+++ b/src/peer_datagrams.h
@@ -89,7 +89,9 @@
     mono_time HeardAt;
     mono_time SentAt;
     double Cores = 0;
+    bool IsListed = false; ///< named by addPeers()
   };
+  peer *learn(const boost::asio::ip::udp::endpoint &Address);
   void receive();
   void sendBytes(const boost::asio::ip::udp::endpoint &Peer,
                  const std::string &Message);
--- a/tests/peer_datagrams_test.cpp
+++ b/tests/peer_datagrams_test.cpp
@@ -1,4 +1,5 @@
 #define BOOST_TEST_MODULE peer_datagrams
+#include "capacity/config.h"
 #include "loopback.h"
 #include "peer_datagrams.h"
 
@@ -53,6 +54,33 @@
   BOOST_TEST(Heard[1].Cores == 0.5);
 }
 
+// Datagrams of ever new senders. Each would be kept as a peer.
+BOOST_AUTO_TEST_CASE(unlisted_senders_are_limited) {
+  reservePorts();
+  boost::asio::io_context Context;
+  const system_runtime_clock Clock;
+  std::size_t Handled = 0;
+  peer_datagrams Datagrams(Context, Clock, "127.0.0.1:17460",
+                           [&](auto, const auto &, auto) { ++Handled; });
+  const auto SendFrom = [&](const std::string &Ip) {
+    using udp = boost::asio::ip::udp;
+    udp::socket Socket(Context,
+                       udp::endpoint(boost::asio::ip::make_address(Ip), 17461));
+    Socket.send_to(
+        boost::asio::buffer("Dx", 2),
+        udp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 17460));
+    Context.run_one();
+  };
+  for (int Each = 0; Each < 600; ++Each)
+    SendFrom("127.1." + std::to_string(Each / 200) + "." +
+             std::to_string(1 + Each % 200));
+  BOOST_TEST(Datagrams.peerCount() == config::MaxUnlistedPeers);
+  Datagrams.addPeers({"127.2.0.1:17461"});
+  Handled = 0;
+  SendFrom("127.2.0.1");
+  BOOST_TEST(Handled == 1U);
+}
+
 // Guards against a message that also reaches peers it isn't meant for.
 BOOST_AUTO_TEST_CASE(multicast_reaches_only_its_addresses) {
   reservePorts();
