--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 BUILD ?= build
 
-.PHONY: all setup build test sanitize demo fuzz slopes bench-policy bench-platform bench-unseen bench-rollout soak format lint check clean
+.PHONY: all setup build test sanitize demo fuzz slopes bench-policy bench-platform bench-unseen bench-bodies bench-rollout soak format lint check clean
 
 all: build
 
@@ -50,6 +50,11 @@
 bench-unseen: build
 	$(BUILD)/unseen_bench
 
+# Bodies of 200 bytes to 4 MB; ROUTERS="path path" puts routers side by side.
+ROUTERS ?=
+bench-bodies: build
+	$(BUILD)/bodies_bench $(ROUTERS)
+
 # Both errors of roll-outs, by fault, rate and share, in virtual time.
 bench-rollout: build
 	$(BUILD)/rollout_bench
