Send no body with a refusal of a HEAD request

What a caller would see: a refusal at the end of a head had its JSON body also after HEAD, and the caller takes it for the start of the next answer.

--- a/src/caller_server.cpp
+++ b/src/caller_server.cpp
@@ -410,6 +410,9 @@
     KeepsAlive = false;
     IsDrained = !Reader->isDone();
     IsInputDropped = true;
+    // A response to HEAD has no body (RFC 9112, 6.3).
+    if (Reader->head().Method == "HEAD")
+      Answer.Body.clear();
     releaseRequest();
     http_head Head;
     Head.Status = Answer.Status;
--- a/tests/hostile_refused_bodies_test.cpp
+++ b/tests/hostile_refused_bodies_test.cpp
@@ -55,6 +55,15 @@
   BOOST_TEST(isRefused(Answer("/lookup/1", EndlessBytes, "key-a"), "413"));
 }
 
+// A refusal's body after a response to HEAD would be read as the next answer.
+BOOST_FIXTURE_TEST_CASE(refused_head_request_gets_no_body, router_process) {
+  const std::string Answer =
+      exchangeOnce(callers(), "HEAD /nowhere/1 HTTP/1.1\r\nHost: h.example\r\n"
+                              "Content-Length: 10\r\n\r\n");
+  BOOST_TEST(isRefused(Answer, "404"));
+  BOOST_TEST(Answer.ends_with("\r\n\r\n"));
+}
+
 // A caller that is refused while it still sends gets the answer, not a reset.
 BOOST_FIXTURE_TEST_CASE(answer_reaches_a_caller_that_still_sends,
                         router_process) {
