--- a/tests/memory_account_test.cpp
+++ b/tests/memory_account_test.cpp
@@ -27,7 +27,8 @@
 
 /// Bodies of the size that fit together.
 std::vector<memory_charge> fill(const memory_account_ptr &Account,
-                                std::size_t Bytes, std::string Customer = {}) {
+                                std::size_t Bytes,
+                                const std::string &Customer = {}) {
   std::vector<memory_charge> Bodies;
   while (true) {
     memory_charge Body = bodyOf(Account, Customer);
