--- a/tests/standin/model_engine.cpp
+++ b/tests/standin/model_engine.cpp
@@ -113,9 +113,11 @@
   const auto Id = generationId(web::json::value::parse(Call->Body));
   const std::scoped_lock Lock(Mutex);
   const auto Node = Running.extract(Id);
-  const auto Generation = Node.empty() ? nullptr : Node.mapped().lock();
-  if (Generation && !Generation->Gone.exchange(true))
+  // Generations that ended by themselves aren't listed any more.
+  if (!Node.empty())
     ++Cancelled;
+  if (const auto Generation = Node.empty() ? nullptr : Node.mapped().lock())
+    Generation->Gone = true;
   Call->text("ok\n");
 }
 
@@ -207,7 +209,11 @@
     ++Runs[Generation->Version];
     ++Priorities[textOr(Json, "priority")];
     Running[generationId(Json)] = Generation;
-    Timers.after(LoadReportDelay, [this, Load = Running.size()] {
+    const auto Load = static_cast<std::size_t>(
+        std::count_if(Running.begin(), Running.end(), [](const auto &Entry) {
+          return !Entry.second.expired();
+        }));
+    Timers.after(LoadReportDelay, [this, Load] {
       const std::scoped_lock Later(Mutex);
       ReportedLoad = Load;
     });
@@ -226,7 +232,9 @@
 }
 
 void model_engine::finish(const std::shared_ptr<generation> &Generation) {
-  Generation->OnEnd();
+  // One whose caller left stays listed: a cancel call for it may follow.
+  if (!Generation->Gone)
+    Generation->OnEnd();
   Generation->Writer->end();
 }
 
