Take no answer with an undefined status

A 101 was skipped as an interim head, and what followed it was read as HTTP.

Cause: the parser takes any three digits for a status, and what it accepts was taken for sound.

Change: http_reader, which reads the answers of endpoints, of the store and of tunnels, refuses a status outside 100 to 599, and 101. RFC 9110, 15, calls them invalid and has a client treat them as a failure of the server. The attempt fails as broken_answer: what may be repeated is tried elsewhere, what may not gets 502 and "may have run".

--- a/src/http_framing.cpp
+++ b/src/http_framing.cpp
@@ -140,6 +140,13 @@
 }
 
 bool hasNoBody(unsigned Status) {
+// RFC 9110, 15. Nothing here asks to switch protocols, and what follows a 101
+// isn't HTTP.
+bool isUsableStatus(unsigned Status) {
+  constexpr unsigned SwitchingProtocols = 101;
+  return Status >= 100 && Status <= 599 && Status != SwitchingProtocols;
+}
+
   return Status / 100 == 1 || Status == 204 || Status == 304;
 }
 
@@ -256,7 +263,11 @@
 
 template <bool IsRequest>
 void http_reader<IsRequest>::on_response_impl(int Status, text Reason,
-                                              int Version, error_code &) {
+                                              int Version, error_code &Error) {
+  if (!isUsableStatus(static_cast<unsigned>(Status))) {
+    Error = boost::beast::http::error::bad_status;
+    return;
+  }
   Head.Status = static_cast<unsigned>(Status);
   Head.Reason.assign(Reason.data(), Reason.size());
   Head.Version = static_cast<unsigned>(Version);
--- a/tests/http_exchange_test.cpp
+++ b/tests/http_exchange_test.cpp
@@ -148,6 +148,31 @@
   BOOST_TEST(Body.empty());
 }
 
+// Failure: an endpoint's answer has a status that HTTP doesn't define, or
+// switches to a protocol that nobody asked for.
+BOOST_FIXTURE_TEST_CASE(answer_with_undefined_status_is_broken, fixture) {
+  for (const char *Undefined : {"000", "001", "099", "101", "600", "999"}) {
+    Ended = {};
+    Status = 0;
+    Body.clear();
+    BOOST_TEST(answer(std::string("HTTP/1.1 ") + Undefined +
+                      " X\r\nContent-Length: 2\r\n\r\nhi") == "broken_answer",
+               Undefined);
+    BOOST_TEST(Status == 0U);
+    BOOST_TEST(Body.empty());
+  }
+}
+
+// Guards against refusing the outermost statuses that HTTP defines.
+BOOST_FIXTURE_TEST_CASE(answer_with_outermost_status_is_whole, fixture) {
+  for (const char *Defined : {"200", "599"}) {
+    Ended = {};
+    BOOST_TEST(answer(std::string("HTTP/1.1 ") + Defined +
+                      " X\r\nContent-Length: 0\r\n\r\n") == "whole");
+    BOOST_TEST(std::to_string(Status) == Defined);
+  }
+}
+
 BOOST_FIXTURE_TEST_CASE(closed_without_an_answer, fixture) {
   BOOST_TEST(answer("") == "no_answer");
 }
