Take no answer with a field whose name begins with a blank

Callers saw (reported by operators of other systems; played here): an answer in whose head the name of a field holds a blank, with that line passed on, or with a body that isn't the endpoint's.

Cause: the parser refuses blanks and control bytes inside a name and before the colon. A line that begins with a blank it joins with the value before it, as RFC 9112, 5.2, asks of proxies. A Content-Length in such a line is lost, and the body then ends with the connection.

Evidence: before, answer_with_malformed_field_name_is_broken fails for " X-Bad", "\tX-Bad", " X Bad" and " Content-Length" after another field; all other names (every control byte, a blank inside or at the end, none) were refused already. The last five cases of broken_answer_test were played too; the three with a blank first failed.

Ruled out: joining only lines that don't look like fields. A name with another blank in it, or a value with a colon, can't be told apart.

Change: http_reader refuses folded lines in the head of a response. The scan sees each byte of a head once and stops at its end. Heads of requests are read as before.

Not wanted, but accepted: an endpoint that folds lines on purpose is refused.

--- a/src/http_framing.cpp
+++ b/src/http_framing.cpp
@@ -10,6 +10,7 @@
 #include <charconv>
 #include <limits>
 #include <span>
+#include <utility>
 
 namespace clementinelane {
 
@@ -139,7 +140,6 @@
   return {Kind, Kind == framing_kind::Length ? Fields.Bytes : 0};
 }
 
-bool hasNoBody(unsigned Status) {
 // RFC 9110, 15. Nothing here asks to switch protocols, and what follows a 101
 // isn't HTTP.
 bool isUsableStatus(unsigned Status) {
@@ -147,6 +147,7 @@
   return Status >= 100 && Status <= 599 && Status != SwitchingProtocols;
 }
 
+bool hasNoBody(unsigned Status) {
   return Status / 100 == 1 || Status == 204 || Status == 304;
 }
 
@@ -221,6 +222,23 @@
   return Framing;
 }
 
+bool folded_lines::feed(std::string_view Bytes) {
+  while (!IsHeadDone && !Bytes.empty()) {
+    if (std::exchange(IsLineStart, false)) {
+      if (Bytes.front() == ' ' || Bytes.front() == '\t')
+        return true;
+      IsHeadDone = Bytes.front() == '\r';
+      continue;
+    }
+    const std::size_t End = Bytes.find('\n');
+    if (End == std::string_view::npos)
+      break;
+    Bytes.remove_prefix(End + 1);
+    IsLineStart = true;
+  }
+  return false;
+}
+
 template <bool IsRequest>
 http_reader<IsRequest>::http_reader(std::size_t MaxHeaderBytes,
                                     std::optional<std::uint64_t> MaxBody)
@@ -241,7 +259,15 @@
         base::put(boost::asio::const_buffer(Bytes.data() + Consumed,
                                             Bytes.size() - Consumed),
                   Error);
+    // Failure: the name of an endpoint's field begins with a blank. Beast joins
+    // the line with the value before it, and a length in it is lost.
+    const bool IsFolded =
+        !IsRequest && Folds.feed(Bytes.substr(Consumed, Count));
     Consumed += Count;
+    if (IsFolded) {
+      Error = boost::beast::http::error::bad_field;
+      break;
+    }
     if (Error == boost::beast::http::error::need_more) {
       Error = {};
       break;
--- a/src/http_framing.h
+++ b/src/http_framing.h
@@ -67,9 +67,21 @@
 /// Bytes that a head holds in memory, allocations included.
 std::size_t heldBytes(const http_head &Head);
 
+/// Finds lines of a head that begin with a blank.
+class folded_lines {
+public:
+  /// Takes the next bytes of a message; true: a line of its head is folded.
+  bool feed(std::string_view Bytes);
+
+private:
+  bool IsLineStart = false;
+  bool IsHeadDone = false;
+};
+
 /// Incremental reader of one message. Parsing is by Beast; a message is an
 /// error unless requestFraming() or responseFraming() can frame it and Beast
-/// frames it alike. Trailer fields are dropped.
+/// frames it alike. Trailer fields are dropped. A response is also an error if
+/// its status is undefined or a line of its head is folded.
 template <bool IsRequest>
 class http_reader : private boost::beast::http::basic_parser<IsRequest> {
   using base = boost::beast::http::basic_parser<IsRequest>;
@@ -128,6 +140,7 @@
 
   std::uint64_t MaxBody;
   http_head Head;
+  folded_lines Folds;
   message_framing Framing;
   bool IsBodiless = false;
   bool HasFields = false; ///< all fields of the head were read
--- a/tests/broken_answer_test.cpp
+++ b/tests/broken_answer_test.cpp
@@ -83,3 +83,28 @@
 BOOST_FIXTURE_TEST_CASE(status_beyond_all_classes_is_tried_elsewhere, fixture) {
   checkBroken(answerWith("999 OK", ""));
 }
+
+// Failure: the name of a field in a service's answer holds a blank or a control
+// byte.
+BOOST_FIXTURE_TEST_CASE(blank_before_a_name_is_tried_elsewhere, fixture) {
+  checkBroken(answerWith("200 OK", " X-Bad: 1\r\n"));
+}
+
+BOOST_FIXTURE_TEST_CASE(blank_before_a_name_ends_a_single_attempt, fixture) {
+  checkBrokenOnce(answerWith("200 OK", "\tX-Bad: 1\r\n"));
+}
+
+BOOST_FIXTURE_TEST_CASE(blank_in_a_name_is_tried_elsewhere, fixture) {
+  checkBroken(answerWith("200 OK", "X Bad: 1\r\n"));
+}
+
+BOOST_FIXTURE_TEST_CASE(control_byte_in_a_name_is_tried_elsewhere, fixture) {
+  checkBroken(answerWith("200 OK", "X\x01-Bad: 1\r\n"));
+}
+
+// Failure: the line with the length begins with a blank, and the body ends
+// with the connection.
+BOOST_FIXTURE_TEST_CASE(length_with_a_blank_is_tried_elsewhere, fixture) {
+  checkBroken("HTTP/1.1 200 OK\r\nX-Instance-Signature: s\r\n"
+              " Content-Length: 3\r\n\r\nbroken");
+}
--- a/tests/http_exchange_test.cpp
+++ b/tests/http_exchange_test.cpp
@@ -173,6 +173,30 @@
   }
 }
 
+// Failure: the name of a field in an endpoint's answer holds a blank or a
+// control byte, also as its first or last byte.
+BOOST_FIXTURE_TEST_CASE(answer_with_malformed_field_name_is_broken, fixture) {
+  std::vector<std::string> Names{
+      "X Bad",  "X-Bad ",          " X-Bad",          "\tX-Bad",
+      " X Bad", "Content-Length ", " Content-Length", "Transfer-Encoding\t",
+      ""};
+  for (int Byte = 0; Byte < 0x20; ++Byte)
+    Names.push_back(std::string("X") + static_cast<char>(Byte) + "Bad");
+  Names.emplace_back("X\x7f");
+  for (const std::string &Name : Names)
+    for (const char *First : {"", "A: b\r\n"}) {
+      Ended = {};
+      Status = 0;
+      Body.clear();
+      BOOST_TEST(answer(std::string("HTTP/1.1 200 OK\r\n") + First + Name +
+                        ": 1\r\nContent-Length: 2\r\n\r\nhi") ==
+                     "broken_answer",
+                 Name);
+      BOOST_TEST(Status == 0U);
+      BOOST_TEST(Body.empty());
+    }
+}
+
 BOOST_FIXTURE_TEST_CASE(closed_without_an_answer, fixture) {
   BOOST_TEST(answer("") == "no_answer");
 }
