Refuse requests from the middle of a short grace period on

Cause: a stopping router refuses requests 2.6 s after the signal, whatever the grace period; with one of 3 s or less it takes them until it exits. What was open at the exit was cut.

Change: the time is at most half of what the grace period leaves (stop_schedule). At its end open requests are answered: 502 and "may have run", or 503 and "not run" if nothing was sent; an answer that has begun is broken off visibly. The process ends a tick later, when the answers have left.

--- a/src/active_request.cpp
+++ b/src/active_request.cpp
@@ -90,10 +90,8 @@
   runStep([this](mono_time Now) { Request.onTick(Now); });
 }
 
-void router::active_request::abandon() {
-  const auto Keep = shared_from_this();
-  cancelAttempt();
-  abortStream();
+void router::active_request::endForStop() {
+  runStep([this](mono_time Now) { Request.onStop(Now); });
 }
 
 void router::active_request::armTimer() {
--- a/src/active_request_p.h
+++ b/src/active_request_p.h
@@ -19,8 +19,8 @@
   const std::string &service() const { return Request.call().Service; }
   /// Called with each tick of the router.
   void onTick();
-  /// Aborts the response because the stop grace period has run out.
-  void abandon();
+  /// Ends the request because the time to stop has run out.
+  void endForStop();
 
   void startAttempt(const attempt_spec &Spec) override;
   void cancelAttempt() override;
--- a/src/routed_request.cpp
+++ b/src/routed_request.cpp
@@ -908,6 +908,8 @@
     refuse(error_kind::EndpointFailed, run_state::MayHaveRun, Now);
   else if (Reason == "keys_too_old")
     refuse(error_kind::NotReady, run_state::NotRun, Now);
+  else if (Reason == "stopping")
+    refuse(error_kind::Draining, run_state::NotRun, Now);
   else
     refuse(Reason == "no_endpoint" ? error_kind::NoEndpoint
                                    : error_kind::EndpointRefused,
@@ -1023,6 +1025,18 @@
   Attempt.reset();
 }
 
+void routed_request::onStop(mono_time Now) {
+  if (IsOver)
+    return;
+  if (Attempt) {
+    AnyMayHaveRun = AnyMayHaveRun || Attempt->IsSent;
+    endAttempt(attempt_result::Cancelled, Now);
+    Outputs.cancelAttempt();
+    Attempt.reset();
+  }
+  giveUp("stopping", Now);
+}
+
 // Load: an endpoint hangs although it reports healthy. Harm prevented: a short
 // idempotent call waits there until its deadline. A small multiple of the
 // target latency is far above the usual latency and leaves time for a retry.
--- a/src/routed_request.h
+++ b/src/routed_request.h
@@ -116,6 +116,8 @@
   /// `IsAnswered`: an owner of the session replied to the lookup.
   void onSessionLookedUp(bool IsAnswered, mono_time Now);
   void onTimer(mono_time Now);
+  /// The process stops: answers the caller, or breaks off the answer.
+  void onStop(mono_time Now);
   /// Called with each tick; moves a stream off an unreachable endpoint.
   void onTick(mono_time Now);
 
--- a/src/router.cpp
+++ b/src/router.cpp
@@ -8,6 +8,7 @@
 #include "metrics.h"
 #include "request_digest.h"
 #include "rollout_codec.h"
+#include "stop_schedule.h"
 
 #include <algorithm>
 #include <array>
@@ -1439,23 +1440,27 @@
 // no new connections arrive.
 void router::advanceStop() {
   const duration Elapsed = now() - *StoppingAt;
-  if (!HasClosedIdle && Elapsed >= config::StopIdleCloseDelay) {
+  const stop_schedule Schedule = stopSchedule(Settings.StopGrace);
+  if (!HasClosedIdle && Elapsed >= Schedule.RefuseAfter) {
     HasClosedIdle = true;
     Callers->closeIdle();
   }
   const bool IsQuiet = HasClosedIdle && Callers->busyConnections() == 0 &&
                        (!Tunnels || Tunnels->openTunnels() == 0);
-  const bool IsOutOfTime =
-      Elapsed >= Settings.StopGrace - config::StopExitMargin;
   if (HasClosedIdle)
     Callers->closeIdle();
-  if (!IsQuiet && !IsOutOfTime)
+  if (!IsQuiet && Elapsed < Schedule.EndAfter)
     return;
-  logs::info("stopped",
-             {{"open_requests", std::to_string(ActiveRequests.size())}});
-  const auto Left = ActiveRequests;
-  for (const auto &Request : Left)
-    Request->abandon();
+  // What is left is answered, and the answers leave before the next tick.
+  if (!std::exchange(HasEndedRequests, true) && !ActiveRequests.empty()) {
+    logs::info("stop_ends_requests",
+               {{"open_requests", std::to_string(ActiveRequests.size())}});
+    const auto Left = ActiveRequests;
+    for (const auto &Request : Left)
+      Request->endForStop();
+    return;
+  }
+  logs::info("stopped", {});
   Platform.stop();
   Context.stop();
 }
--- a/src/router.h
+++ b/src/router.h
@@ -247,7 +247,8 @@
   boost::asio::steady_timer Tick;
   mono_time ReportedAt{};
   std::optional<mono_time> StoppingAt;
-  std::uint64_t StoreEra = 0; ///< 0: has not changed since the start
+  bool HasEndedRequests = false; ///< those still open at the stop's end
+  std::uint64_t StoreEra = 0;    ///< 0: has not changed since the start
   bool HasClosedIdle = false;
   std::vector<std::uint32_t> LostGroups; ///< as last sent to the peers
   bool WasReady = false;
--- a/tests/graceful_shutdown_test.cpp
+++ b/tests/graceful_shutdown_test.cpp
@@ -1,5 +1,7 @@
 #define BOOST_TEST_MODULE graceful_shutdown
+#include "config.h"
 #include "graceful_shutdown.h"
+#include "stop_schedule.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -56,3 +58,15 @@
   Twice.requestStop(Start + 1ms);
   BOOST_TEST(isIn(Twice, stop_phase::Forced));
 }
+
+// Failure: the grace period is shorter than the time in which a router takes
+// new requests, so that it takes some just before it exits.
+BOOST_AUTO_TEST_CASE(router_takes_no_requests_late_in_any_grace_period) {
+  for (auto Grace = 0ms; Grace <= 30s; Grace += 100ms) {
+    const auto [RefuseAfter, EndAfter] = stopSchedule(Grace);
+    BOOST_TEST((RefuseAfter <= EndAfter / 2));
+    BOOST_TEST(
+        (EndAfter <= std::max<duration>(0s, Grace - config::StopExitMargin)));
+  }
+  BOOST_TEST((stopSchedule(8s).RefuseAfter == config::StopIdleCloseDelay));
+}
--- a/tests/hostile_callers.h
+++ b/tests/hostile_callers.h
@@ -82,6 +82,12 @@
   child_process(const child_process &) = delete;
   child_process &operator=(const child_process &) = delete;
 
+  void signal(int Number) const { ::kill(Id, Number); }
+  void wait() {
+    if (!HasEnded)
+      ::waitpid(Id, nullptr, 0);
+    HasEnded = true;
+  }
   bool isRunning() {
     HasEnded = HasEnded || ::waitpid(Id, nullptr, WNOHANG) != 0;
     return !HasEnded;
--- a/tests/routed_request_test.cpp
+++ b/tests/routed_request_test.cpp
@@ -1156,3 +1156,34 @@
   BOOST_TEST(Notes.Outcomes[0].Ran > 0);
   BOOST_TEST(Notes.Outcomes[0].Rejected > 0);
 }
+
+// Failure: a VM exits with requests open, and their callers don't learn whether
+// they ran.
+BOOST_FIXTURE_TEST_CASE(open_requests_are_answered_at_a_stop, routed_fixture) {
+  auto Sent = booking();
+  Sent->onSent(Now);
+  Sent->onStop(Now);
+  BOOST_REQUIRE(Out.Refused.has_value());
+  BOOST_TEST((Out.Refused->Ran == run_state::MayHaveRun));
+  BOOST_TEST(Out.Cancelled == 1U);
+  BOOST_TEST(Sent->isOver());
+  auto Connecting = booking();
+  Connecting->onStop(Now);
+  BOOST_REQUIRE(Out.Refused.has_value());
+  BOOST_TEST((Out.Refused->Kind == error_kind::Draining));
+  BOOST_TEST((Out.Refused->Ran == run_state::NotRun));
+  BOOST_TEST(!Out.IsAborted);
+}
+
+// An answer that has begun can't be completed; its caller must see that.
+BOOST_FIXTURE_TEST_CASE(begun_answer_is_broken_off_at_a_stop, routed_fixture) {
+  auto Request = stream();
+  Request->onSent(Now);
+  Request->onHead(answer(200), Now);
+  Request->onBody(event(1), Now);
+  BOOST_TEST(Out.HasBegun);
+  Request->onStop(Now);
+  BOOST_TEST(Out.IsAborted);
+  BOOST_TEST(!Out.HasEnded);
+  BOOST_TEST(!Out.Refused.has_value());
+}
--- a/tests/router_process.h
+++ b/tests/router_process.h
@@ -18,12 +18,13 @@
       MemoryLimitMegabytes * Megabyte * 8 / 10;
 
   /// `Pause`: of the service, before it answers; `Program`: the router's, a
-  /// path or a name in the build folder.
+  /// path or a name in the build folder; `Bounds`: more lines of its settings.
   explicit router_process(
       std::size_t Descriptors = DescriptorLimit,
       std::chrono::milliseconds Pause = std::chrono::milliseconds(5),
-      std::string_view Program = "clementine_router")
-      : MaxDescriptors(Descriptors) {
+      std::string_view Program = "clementine_router",
+      std::string_view Bounds = {})
+      : MaxDescriptors(Descriptors), Bounds(Bounds) {
     reservePorts();
     Store = std::make_unique<child_process>(
         "platform_standin",
@@ -76,7 +77,12 @@
         .starts_with("HTTP/1.1 200");
   }
 
+  static boost::asio::ip::tcp::endpoint service() {
+    return endpointOf("127.66.9.2", 17602);
+  }
+
   const std::size_t MaxDescriptors;
+  const std::string Bounds;
   temporary_folder Folder;
   std::unique_ptr<child_process> Store;
   std::unique_ptr<child_process> Service;
@@ -117,7 +123,8 @@
            std::to_string(MemoryLimitMegabytes) +
            "\nfile_descriptors = " + std::to_string(MaxDescriptors) +
            "\nlink_bandwidth_mbps = 1000.0\n[bounds]\n"
-           "retry_budget_extra = 1000\n";
+           "retry_budget_extra = 1000\n" +
+           Bounds;
   }
 };
 
