--- a/src/rejection_guard.cpp
+++ b/src/rejection_guard.cpp
@@ -56,6 +56,11 @@
 /// requests within the mean time of one request.
 double usableLoad(unsigned Slots, double Rejections) {
   constexpr int Steps = 20;
+  // The loss takes a step for each slot; with more slots, a larger part of them
+  // is usable.
+  constexpr unsigned MaxModelledSlots = 1024;
+  if (Slots > MaxModelledSlots)
+    return usableLoad(MaxModelledSlots, Rejections) * Slots / MaxModelledSlots;
   double Low = 0.01;
   double High = std::max(1U, Slots);
   for (int Each = 0; Each < Steps; ++Each) {
--- a/tests/platform_records_test.cpp
+++ b/tests/platform_records_test.cpp
@@ -3,6 +3,7 @@
 
 #include <boost/test/unit_test.hpp>
 #include <rapidcheck.h>
+#include <sys/resource.h>
 
 using namespace clementinelane;
 using namespace std::chrono_literals;
@@ -29,6 +30,13 @@
     R"({"service":"x","address":"10.0.0.9:8080","zone":"hall-a","version":"v1",)"
     R"("slots":64,"state":"ready","cold_remaining_ms":0,"sequence":4})";
 
+/// The most memory that this process ever held.
+std::size_t peakResidentBytes() {
+  rusage Usage{};
+  getrusage(RUSAGE_SELF, &Usage);
+  return static_cast<std::size_t>(Usage.ru_maxrss) * 1024;
+}
+
 std::string replaced(std::string Text, const std::string &From,
                      const std::string &To) {
   return Text.replace(Text.find(From), From.size(), To);
@@ -103,6 +111,21 @@
       {",\"sequence\":4", ""},
       {"\"slots\":64,", ""},
       {"\"slots\":64", "\"slots\":4294967297"},
+      {"\"slots\":64", "\"slots\":4294967295"},
+      {"\"slots\":64", "\"slots\":65537"},
+      {"\"slots\":64", "\"slots\":1e300"},
+      {"\"slots\":64", "\"slots\":1e999"},
+      {"\"slots\":64", "\"slots\":18446744073709551615"},
+      {"\"slots\":64", "\"slots\":18446744073709551616"},
+      {"\"sequence\":4", "\"sequence\":18446744073709551615"},
+      {"\"sequence\":4", "\"sequence\":4,\"born\":1e99"},
+      {"\"cold_remaining_ms\":0", "\"cold_remaining_ms\":-1e999"},
+      {"10.0.0.9:8080", "10.0.0.9:0"},
+      {"10.0.0.9:8080", "10.0.0.9:65536"},
+      {"10.0.0.9:8080", "10.0.0.9:-1"},
+      {"10.0.0.9:8080", "10.0.0.9:99999999999999999999"},
+      {"10.0.0.9:8080", "10.0.0.9:"},
+      {"10.0.0.9:8080", "10.0.0.999:80"},
       {"\"state\":\"ready\"", "\"state\":1"},
       {"\"service\":\"x\",", ""},
       {"\"10.0.0.9:8080\"", "8080"},
@@ -119,6 +142,51 @@
                To);
 }
 
+// Failure: another writer's entry is nested so deeply that its values take the
+// memory of the VM.
+BOOST_AUTO_TEST_CASE(deeply_nested_values_are_dropped) {
+  constexpr std::size_t Depth = 500'000;
+  const std::string Arrays = std::string(Depth, '[') + std::string(Depth, ']');
+  std::string Objects;
+  for (std::size_t Each = 0; Each < Depth; ++Each)
+    Objects += "{\"a\":";
+  Objects += "1" + std::string(Depth, '}');
+  const std::size_t Before = peakResidentBytes();
+  for (const std::string &Nested : {Arrays, Objects}) {
+    const auto Info =
+        decodeEndpoint("i-1", replaced(Entry, "\"sequence\":4",
+                                       "\"sequence\":4,\"extra\":" + Nested));
+    BOOST_REQUIRE(Info.has_value());
+    BOOST_TEST(Info->Slots == 64U);
+    BOOST_TEST(!decodeEndpoint("i-1", Nested).has_value());
+    BOOST_TEST(!decodeEndpoint("i-1", Nested.substr(0, Nested.size() / 2))
+                    .has_value());
+  }
+  constexpr std::size_t MaxGrowthBytes = 24U << 20U;
+  BOOST_TEST(peakResidentBytes() - Before < MaxGrowthBytes);
+}
+
+// Failure: an endpoint's id holds a line break, and its requests' heads hold
+// another line.
+BOOST_AUTO_TEST_CASE(ids_that_no_head_can_hold_yield_no_endpoint) {
+  for (const char *Id : {"i\r\nX: 1", "i\n", "\x01", "\x7f"})
+    BOOST_TEST(!decodeEndpoint(Id, Entry).has_value());
+  BOOST_TEST(decodeEndpoint("\xc3\xa4-1", Entry).has_value());
+}
+
+// Guards against times in orders and routes that overflow when they are
+// converted.
+BOOST_AUTO_TEST_CASE(out_of_range_times_are_clamped) {
+  const auto Order = decodeRolloutOrder(
+      R"({"service":"x","target":"v2","duration_s":1e300})", 9);
+  BOOST_REQUIRE(Order.has_value());
+  BOOST_TEST((Order->Length == 365 * 24h));
+  const auto [Table, Problem] = decodeRoutes(
+      replaced(Routes, "\"timeout_ms\":12000", "\"timeout_ms\":1e300"));
+  BOOST_REQUIRE(Table);
+  BOOST_TEST((Table->Routes[0].Timeout == 365 * 24h));
+}
+
 BOOST_AUTO_TEST_CASE(rollout_records_are_decoded) {
   const auto Order = decodeRolloutOrder(
       R"({"service":"x","target":"v2","duration_s":12.5})", 9);
--- a/tests/rejection_guard_test.cpp
+++ b/tests/rejection_guard_test.cpp
@@ -4,6 +4,7 @@
 #include <boost/test/unit_test.hpp>
 #include <deque>
 #include <functional>
+#include <limits>
 #include <map>
 #include <memory>
 #include <random>
@@ -317,3 +318,22 @@
   BOOST_TEST((*Decoded)[1].Service == 3U);
   BOOST_TEST(!decodeRejections("\xff junk"));
 }
+
+// Failure: an endpoint's entry names billions of slots, and each decision takes
+// a step for every one of them. It hangs as long as the steps last.
+BOOST_AUTO_TEST_CASE(slots_without_bound_cost_no_steps_without_bound) {
+  rejection_guard Guard(1);
+  const mono_time Now{1h};
+  static_cast<void>(Guard.recordAnswer(7, 5.0, Now));
+  admission_query Query;
+  Query.Endpoint = 1;
+  Query.Service = 7;
+  Query.Slots = std::numeric_limits<unsigned>::max();
+  Query.IsShort = true;
+  Query.MeanSeconds = 0.01;
+  Guard.recordRejection(Query, Now);
+  unsigned Admitted = 0;
+  for (int Each = 1; Each <= 1000; ++Each)
+    Admitted += Guard.maySend(Query, Now + Each * 1ms) ? 1 : 0;
+  BOOST_TEST(Admitted > 0U);
+}
