--- a/src/config.h
+++ b/src/config.h
@@ -1087,6 +1087,8 @@
 /// Between probes of an unavailable store. Routers that also have a reader to
 /// query double it with each further failure, up to the maximum.
 constexpr auto StoreRetryDelay = 250ms;
+/// Bytes of one answer, several times those of a full page.
+constexpr std::size_t MaxStoreAnswerBytes = 8U << 20U;
 constexpr auto MaxStoreRetryDelay = 1s;
 /// Probes of all routers other than readers. Larger fleets probe at longer
 /// intervals to stay within it, up to the maximum: a router that reaches the
--- a/tests/topic_follower_test.cpp
+++ b/tests/topic_follower_test.cpp
@@ -1,5 +1,6 @@
 #define BOOST_TEST_MODULE topic_follower
 #include "config.h"
+#include "scripted_endpoint.h"
 #include "standin/platform/store.h"
 #include "topic_follower.h"
 
@@ -9,6 +10,7 @@
 #include <boost/test/unit_test.hpp>
 #include <memory>
 #include <optional>
+#include <sys/resource.h>
 #include <vector>
 
 using namespace clementinelane;
@@ -18,6 +20,13 @@
 
 constexpr std::array<std::string_view, 4> Topics{"a", "b", "c", "d"};
 
+/// The most memory that this process ever held.
+std::size_t peakResidentBytes() {
+  rusage Usage{};
+  getrusage(RUSAGE_SELF, &Usage);
+  return static_cast<std::size_t>(Usage.ru_maxrss) * 1024;
+}
+
 /// One VM that follows several topics of a store.
 struct vm {
   explicit vm(std::string Address)
@@ -130,3 +139,19 @@
   BOOST_TEST(Vm.Failed == 0U);
   BOOST_TEST(Listed.value_or(0) == Keys.size());
 }
+
+// Failure: the store, or what answers in its place, sends a body without end.
+BOOST_AUTO_TEST_CASE(endless_answer_of_the_store_is_a_failure) {
+  const scripted_endpoint Store([](int, int) {
+    return scripted_response{"HTTP/1.1 200 OK\r\n\r\n", true,
+                             std::string(1'000'000, 'x')};
+  });
+  constexpr std::size_t MaxGrowthBytes =
+      2 * Topics.size() * config::MaxStoreAnswerBytes;
+  const std::size_t Before = peakResidentBytes();
+  vm Vm(Store.address());
+  Vm.start();
+  while (Vm.Failed < Topics.size())
+    Vm.Context.run_one();
+  BOOST_TEST(peakResidentBytes() - Before < MaxGrowthBytes);
+}
