Decode no message that is nested deeply

Callers saw (the class of the report of odd entries): a record of another writer in a topic of the routers, and every router that reads it ends.

Cause: the decoder of MessagePack calls itself for each level; about 100,000 levels, one byte each, take the stack of 8 MB. Records may have 1 MB.

Evidence: deeply_nested_records_are_no_messages: before, a memory access violation in the first decoder. Datagrams have at most 64 KB, which took 7 MB of stack.

Ruled out: a smaller limit of bytes; reports of large fleets need theirs.

Change: all decoders go through decodeMessagePack, which checks the nesting of more than 4 KiB first, with the library's own events. Announced sizes reserve nothing, also before (announced_sizes_reserve_nothing guards it). The decoders of entry and control use another library, whose parser doesn't call itself.

--- a/src/configuration_intake.cpp
+++ b/src/configuration_intake.cpp
@@ -2,6 +2,7 @@
 
 #include "config.h"
 #include "deflate.h"
+#include "message_pack.h"
 
 #include <algorithm>
 #include <iterator>
@@ -35,7 +36,7 @@
 std::optional<configuration_query>
 decodeConfigurationQuery(std::string_view Bytes) {
   try {
-    const json Body = json::from_msgpack(Bytes.begin(), Bytes.end());
+    const json Body = decodeMessagePack(Bytes);
     if (!Body.is_array() || Body.size() < QueryFields)
       return std::nullopt;
     return configuration_query{Body[0].get<unsigned>() != 0};
@@ -58,7 +59,7 @@
 std::optional<configuration_reply>
 decodeConfigurationReply(std::string_view Bytes) {
   try {
-    const json Body = json::from_msgpack(Bytes.begin(), Bytes.end());
+    const json Body = decodeMessagePack(Bytes);
     if (!Body.is_array() || Body.size() < ReplyFields)
       return std::nullopt;
     configuration_reply Reply{
--- a/src/endpoint_pauses.cpp
+++ b/src/endpoint_pauses.cpp
@@ -1,5 +1,6 @@
 #include "endpoint_pauses.h"
 
+#include "message_pack.h"
 #include "peer_loads.h"
 
 #include <algorithm>
@@ -29,7 +30,7 @@
 
 std::optional<pause_note> decodePause(std::string_view Bytes) {
   try {
-    const json Body = json::from_msgpack(Bytes.begin(), Bytes.end());
+    const json Body = decodeMessagePack(Bytes);
     return pause_note{
         Body.at(0).get<std::string>(),
         std::chrono::milliseconds(Body.at(1).get<std::uint32_t>())};
--- a/src/part_quarantine.cpp
+++ b/src/part_quarantine.cpp
@@ -2,6 +2,7 @@
 
 #include "config.h"
 #include "hashing.h"
+#include "message_pack.h"
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
@@ -58,7 +59,7 @@
 
 std::optional<std::vector<part_note>> decodePartNotes(std::string_view Bytes) {
   try {
-    const json Body = json::from_msgpack(Bytes.begin(), Bytes.end());
+    const json Body = decodeMessagePack(Bytes);
     if (!Body.is_array())
       return std::nullopt;
     std::vector<part_note> Notes;
--- a/src/peer_loads.cpp
+++ b/src/peer_loads.cpp
@@ -2,6 +2,7 @@
 
 #include "config.h"
 #include "hashing.h"
+#include "message_pack.h"
 
 #include <algorithm>
 #include <cmath>
@@ -183,7 +184,7 @@
 
 std::optional<load_digest> decodeDigest(std::string_view Bytes) {
   try {
-    const json Body = json::from_msgpack(Bytes.begin(), Bytes.end());
+    const json Body = decodeMessagePack(Bytes);
     if (!Body.is_array() || Body.size() < DigestFields)
       return std::nullopt;
     load_digest Digest;
--- a/src/read_relay.cpp
+++ b/src/read_relay.cpp
@@ -3,6 +3,7 @@
 #include "config.h"
 #include "deflate.h"
 #include "hashing.h"
+#include "message_pack.h"
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
@@ -51,7 +52,7 @@
       2 * config::MaxRelayReplyBytes);
   if (!Bytes)
     return false;
-  for (const json &Each : json::from_msgpack(*Bytes)) {
+  for (const json &Each : decodeMessagePack(*Bytes)) {
     if (!Each.is_array() || Each.size() < RecordFields)
       return false;
     topic_record Record;
@@ -74,7 +75,7 @@
 
 std::optional<relay_query> decodeRelayQuery(std::string_view Bytes) {
   try {
-    const json Body = json::from_msgpack(Bytes.begin(), Bytes.end());
+    const json Body = decodeMessagePack(Bytes);
     if (!Body.is_array() || Body.size() < QueryFields)
       return std::nullopt;
     const auto Topic = Body[1].get<std::size_t>();
@@ -115,7 +116,7 @@
 std::optional<relay_reply> decodeRelayReply(std::string_view Bytes,
                                             mono_time Now) {
   try {
-    const json Body = json::from_msgpack(Bytes.begin(), Bytes.end());
+    const json Body = decodeMessagePack(Bytes);
     if (!Body.is_array() || Body.size() < ReplyFields)
       return std::nullopt;
     relay_reply Reply;
@@ -201,7 +202,7 @@
 
 void read_relay::handleAnnouncement(std::string_view Bytes, mono_time Now) {
   try {
-    const json Body = json::from_msgpack(Bytes);
+    const json Body = decodeMessagePack(Bytes);
     if (!Body.is_array() || Body.size() < AnnouncementFields)
       return;
     const auto Topic = Body[0].get<std::size_t>();
--- a/src/rejection_guard.cpp
+++ b/src/rejection_guard.cpp
@@ -2,6 +2,7 @@
 
 #include "config.h"
 #include "hashing.h"
+#include "message_pack.h"
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
@@ -55,12 +56,12 @@
 /// The load of an endpoint without a queue at which it rejects `Rejections`
 /// requests within the mean time of one request.
 double usableLoad(unsigned Slots, double Rejections) {
-  constexpr int Steps = 20;
   // The loss takes a step for each slot; with more slots, a larger part of them
   // is usable.
   constexpr unsigned MaxModelledSlots = 1024;
   if (Slots > MaxModelledSlots)
     return usableLoad(MaxModelledSlots, Rejections) * Slots / MaxModelledSlots;
+  constexpr int Steps = 20;
   double Low = 0.01;
   double High = std::max(1U, Slots);
   for (int Each = 0; Each < Steps; ++Each) {
@@ -85,7 +86,7 @@
 std::optional<std::vector<rejection_note>>
 decodeRejections(std::string_view Bytes) {
   try {
-    const json Body = json::from_msgpack(Bytes.begin(), Bytes.end());
+    const json Body = decodeMessagePack(Bytes);
     std::vector<rejection_note> Notes;
     for (const json &Each : Body)
       Notes.push_back(
--- a/src/request_quarantine.cpp
+++ b/src/request_quarantine.cpp
@@ -2,6 +2,7 @@
 
 #include "config.h"
 #include "hashing.h"
+#include "message_pack.h"
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
@@ -49,7 +50,7 @@
 std::optional<std::vector<crash_note>>
 decodeCrashNotes(std::string_view Bytes) {
   try {
-    const json Body = json::from_msgpack(Bytes.begin(), Bytes.end());
+    const json Body = decodeMessagePack(Bytes);
     if (!Body.is_array())
       return std::nullopt;
     std::vector<crash_note> Notes;
--- a/src/return_exchange.cpp
+++ b/src/return_exchange.cpp
@@ -1,6 +1,7 @@
 #include "return_exchange.h"
 
 #include "config.h"
+#include "message_pack.h"
 
 #include <nlohmann/json.hpp>
 
@@ -24,7 +25,7 @@
 
 std::optional<return_batch> decodeReturns(std::string_view Bytes) {
   try {
-    const json Body = json::from_msgpack(Bytes.begin(), Bytes.end());
+    const json Body = decodeMessagePack(Bytes);
     return_batch Batch{
         Body.at(0).get<std::uint64_t>(), Body.at(1).get<std::uint64_t>(), {}};
     const json &Notes = Body.at(2);
--- a/src/rollout_codec.cpp
+++ b/src/rollout_codec.cpp
@@ -1,5 +1,7 @@
 #include "rollout_codec.h"
 
+#include "message_pack.h"
+
 #include <nlohmann/json.hpp>
 
 namespace clementinelane {
@@ -86,7 +88,7 @@
 
 std::optional<rollout_report> decodeReport(std::string_view Bytes) {
   try {
-    const json Body = json::from_msgpack(Bytes.begin(), Bytes.end());
+    const json Body = decodeMessagePack(Bytes);
     rollout_report Report;
     Report.Vm = Body.at("vm").get<std::string>();
     Report.Incarnation = Body.at("incarnation").get<std::uint64_t>();
--- a/src/run_registry.cpp
+++ b/src/run_registry.cpp
@@ -2,6 +2,7 @@
 
 #include "config.h"
 #include "hashing.h"
+#include "message_pack.h"
 
 #include <algorithm>
 #include <array>
@@ -48,7 +49,7 @@
 
 std::optional<run_message> decodeRunMessage(std::string_view Bytes) {
   try {
-    const json Body = json::from_msgpack(Bytes.begin(), Bytes.end());
+    const json Body = decodeMessagePack(Bytes);
     if (!Body.is_array() || Body.size() < MessageFields)
       return std::nullopt;
     const auto Kind = Body[0].get<unsigned>();
