Take only our own answers on links between processes

The class of the answers with status 000, where our processes read each other's: a link took any status for a success, and a kind of error that is none of ours was looked up beyond the end of the table.

Change: another status than 200, or a kind that is no number of the list, is an incompatible peer.

--- a/src/link.cpp
+++ b/src/link.cpp
@@ -169,8 +169,16 @@
   const std::string_view Text(reinterpret_cast<const char *>(Value), ValueSize);
   if (Key == ":path")
     Stream.Path = Text.substr(0, MaxLinkPathBytes);
-  if (Key == "error-kind")
-    std::from_chars(Text.data(), Text.data() + Text.size(), Stream.ErrorKind);
+  if (Key == ":status" && Text != "200")
+    Stream.IsMalformed = true;
+  if (Key == "error-kind") {
+    const char *const End = Text.data() + Text.size();
+    const auto [Rest, Error] =
+        std::from_chars(Text.data(), End, Stream.ErrorKind);
+    if (Error != std::errc() || Rest != End || Stream.ErrorKind < 0 ||
+        Stream.ErrorKind >= static_cast<int>(error_kind::Count))
+      Stream.IsMalformed = true;
+  }
   return 0;
 }
 
@@ -491,6 +499,8 @@
 
   void onMessage(connection &From, std::int32_t Stream,
                  incoming Message) override {
+    if (Message.IsMalformed)
+      return end(From, Stream, error_kind::PeerIncompatible);
     if (Message.ErrorKind != 0)
       return end(From, Stream, static_cast<error_kind>(Message.ErrorKind));
     end(From, Stream, std::move(Message.Body));
--- a/src/link_p.h
+++ b/src/link_p.h
@@ -36,6 +36,7 @@
   std::string Path;
   std::string Body;
   int ErrorKind = 0;
+  bool IsMalformed = false; ///< a response that no process of ours sends
 };
 
 class connection;
