Read endpoints' answers at the entry with bounds and with our own reader

Answers with malformed heads reach callers of an entry, too.

Cause: the entry read answers with cpprestsdk's client. It bounds neither heads nor bodies, takes any number for a status, cuts blanks off the names of fields and skips lines that are none.

Ruled out: checks after the library has read a head. What it cuts off or skips is gone by then, and it has the whole head in memory.

Change: an attempt is an http_exchange on a connection of its own, as in the router: heads of 32 KiB, framing_limit, statuses and names as for routers. The body of an answer has at most 16 MiB and is charged to the entry's memory account. The probe of leaving endpoints and the cancel call go the same way.

--- a/src/config.h
+++ b/src/config.h
@@ -234,6 +234,9 @@
 
 // --- our own processes -----------------------------------------------------
 
+/// Maximum size in bytes of an endpoint's answer at an entry, with the events
+/// of a stream. A stream of as many tokens as a request may ask for is smaller.
+constexpr std::size_t MaxEndpointBodyBytes = 16U << 20U;
 /// Maximum size in bytes of one message between our processes.
 constexpr std::size_t MaxLinkMessageBytes = 16U << 20U;
 /// Timeout of one call between our processes on one VM or one data centre.
@@ -1084,11 +1087,11 @@
 /// would time out.
 constexpr auto StoreProbeTimeout = 600ms;
 constexpr auto StoreConnectTimeout = 500ms;
+/// Bytes of one answer, several times those of a full page.
+constexpr std::size_t MaxStoreAnswerBytes = 8U << 20U;
 /// Between probes of an unavailable store. Routers that also have a reader to
 /// query double it with each further failure, up to the maximum.
 constexpr auto StoreRetryDelay = 250ms;
-/// Bytes of one answer, several times those of a full page.
-constexpr std::size_t MaxStoreAnswerBytes = 8U << 20U;
 constexpr auto MaxStoreRetryDelay = 1s;
 /// Probes of all routers other than readers. Larger fleets probe at longer
 /// intervals to stay within it, up to the maximum: a router that reaches the
--- a/src/endpoint_client.cpp
+++ b/src/endpoint_client.cpp
@@ -24,12 +24,6 @@
     OpenExchanges.insert_or_assign(Id, std::move(Exchange));
   }
 
-  std::shared_ptr<exchange> find(const std::string &Id) {
-    const std::scoped_lock Lock(Mutex);
-    const auto Found = OpenExchanges.find(Id);
-    return Found == OpenExchanges.end() ? nullptr : Found->second;
-  }
-
   std::shared_ptr<exchange> remove(const std::string &Id) {
     const std::scoped_lock Lock(Mutex);
     const auto Node = OpenExchanges.extract(Id);
@@ -43,13 +37,15 @@
   std::unordered_map<std::string, std::shared_ptr<exchange>> OpenExchanges;
 };
 
-http_endpoint_transport::http_endpoint_transport(timer_service &Timers,
+http_endpoint_transport::http_endpoint_transport(http_client_thread &Http,
+                                                 timer_service &Timers,
                                                  const runtime_clock &Clock,
                                                  leaving_callback OnLeaving,
-                                                 progress_timeouts Limits)
-    : Impl(std::make_shared<impl>(
-          std::shared_ptr<exchange_context>(new exchange_context{
-              Timers, Clock, std::move(OnLeaving), Limits, {}}))) {}
+                                                 progress_timeouts Limits,
+                                                 memory_account_ptr Memory)
+    : Impl(std::make_shared<impl>(std::shared_ptr<exchange_context>(
+          new exchange_context{Timers, Clock, std::move(OnLeaving), Limits,
+                               std::move(Memory), Http}))) {}
 
 http_endpoint_transport::~http_endpoint_transport() = default;
 
@@ -73,10 +69,4 @@
     Exchange->cancel();
 }
 
-void http_endpoint_transport::dropConnections(std::string_view RequestId,
-                                              unsigned Attempt) {
-  if (const auto Exchange = Impl->find(exchangeId(RequestId, Attempt)))
-    Exchange->dropPooledConnections();
-}
-
 } // namespace clementinelane
--- a/src/endpoint_client.h
+++ b/src/endpoint_client.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "capacity/memory_account.h"
+#include "http_fetch.h"
 #include "progress.h"
 #include "request.h"
 #include "request_machine.h"
@@ -19,7 +21,7 @@
   unsigned Attempt = 0;
   std::uint64_t ResumeFrom = 0;
   std::string PriorText;
-  bool AtMostOnce = false; ///< not retried by the library; has a longer timeout
+  bool AtMostOnce = false; ///< has a longer timeout
   std::string Endpoint;    ///< endpoint name, for its leaving notices
 };
 
@@ -34,9 +36,6 @@
                      attempt_callback OnEvent) = 0;
   /// Stops the events of this attempt and tells the endpoint to stop it.
   virtual void cancel(std::string_view RequestId, unsigned Attempt) = 0;
-  /// Closes every idle pooled connection to the endpoint of this attempt.
-  virtual void dropConnections(std::string_view RequestId,
-                               unsigned Attempt) = 0;
 };
 
 /// Called when an endpoint's answer states whether it is leaving the pool; from
@@ -44,19 +43,21 @@
 using leaving_callback =
     std::function<void(const std::string &Endpoint, bool IsLeaving)>;
 
-/// Transport over HTTP by cpprestsdk. Engines stream server-sent events of the
-/// chat API, with a `token_index` in each; services answer in one body.
+/// Transport over HTTP. Engines stream server-sent events of the chat API, with
+/// a `token_index` in each; services answer in one body, which is charged to
+/// `Memory`, if given, until it is whole.
 class http_endpoint_transport final : public endpoint_transport {
 public:
-  http_endpoint_transport(timer_service &Timers, const runtime_clock &Clock,
+  http_endpoint_transport(http_client_thread &Http, timer_service &Timers,
+                          const runtime_clock &Clock,
                           leaving_callback OnLeaving,
-                          progress_timeouts Limits = {});
+                          progress_timeouts Limits = {},
+                          memory_account_ptr Memory = nullptr);
   ~http_endpoint_transport() override;
 
   void start(const caller_request &Request, const endpoint_call &Call,
              attempt_callback OnEvent) override;
   void cancel(std::string_view RequestId, unsigned Attempt) override;
-  void dropConnections(std::string_view RequestId, unsigned Attempt) override;
 
 private:
   class impl;
--- a/src/entry.cpp
+++ b/src/entry.cpp
@@ -58,26 +58,29 @@
       Usage({Log, LogCalls, Clock, Timers, Link, Peers},
             selfOf(Settings, Clock)),
       Sessions({Clock, Timers, Link, Peers}, selfOf(Settings, Clock)),
+      Resources(server_resources::of(Settings)),
       LeavingProbe(std::make_shared<leaving_probe>(
-          Timers, Config,
+          Http, Timers, Config,
           [this](const std::string &Endpoint, bool IsLeaving) {
             Placer.setLeaving(Endpoint, IsLeaving);
           })),
       Transport(
-          Timers, Clock,
+          Http, Timers, Clock,
           [Probe = LeavingProbe](const std::string &Endpoint, bool IsLeaving) {
             Probe->setLeaving(Endpoint, IsLeaving);
-          }),
-      Resources(server_resources::of(Settings)),
+          },
+          {}, Resources.Memory),
       Server(Settings.Address + ":" + std::to_string(Settings.EntryPort),
              routes(), Resources) {}
 
-// Timers stop before any member is destroyed: a timer that fires during
-// destruction would use destroyed members and crash intermittently at exit.
+// Timers and exchanges stop before any member is destroyed: a handler that runs
+// during destruction would use destroyed members and crash intermittently at
+// exit.
 entry::~entry() {
   IsStopping = true;
   if (ControlThread.joinable())
     ControlThread.join();
+  Http.stop();
   Timers.stop();
 }
 
--- a/src/entry.h
+++ b/src/entry.h
@@ -83,6 +83,8 @@
   log_intent_service Intents;
   log_usage_service Usage;
   session_service Sessions;
+  server_resources Resources;
+  http_client_thread Http;
   std::shared_ptr<leaving_probe> LeavingProbe;
   http_endpoint_transport Transport;
   std::atomic<std::uint64_t> Open{0};
@@ -92,7 +94,6 @@
   std::atomic<stop_phase> Phase{stop_phase::Serving};
   std::atomic<bool> IsStopping{false}; ///< ends ControlThread
   std::unique_ptr<link_server> LinkServer;
-  server_resources Resources;
   http_server Server;
   std::thread ControlThread;
 };
--- a/src/exchange.cpp
+++ b/src/exchange.cpp
@@ -1,46 +1,38 @@
 #include "exchange_p.h"
 
-#include <algorithm>
-#include <cpprest/rawptrstream.h>
+#include <boost/asio/post.hpp>
+#include <cpprest/json.h>
+#include <utility>
 
 namespace clementinelane {
 
 namespace {
 
-namespace http = web::http;
+namespace json = web::json;
 
 constexpr std::string_view EventSeparator = "\n\n";
 constexpr std::string_view DataPrefix = "data: ";
 constexpr std::string_view StreamEndMarker = "[DONE]";
-constexpr auto LeavingHeader = "X-Leaving";
-
-http::http_request makeChatRequest(const caller_request &Request,
-                                   const endpoint_call &Call) {
-  auto Body = web::json::value::parse(Request.Body);
-  Body["model"] = web::json::value::string(Call.Version);
-  Body["stream"] = web::json::value::boolean(true);
-  Body["request_id"] = web::json::value::string(Request.Id);
-  Body["attempt"] = web::json::value::number(Call.Attempt);
-  Body["priority"] =
-      web::json::value::string(std::string(nameOf(Request.Priority)));
+constexpr std::string_view LeavingHeader = "X-Leaving";
+constexpr std::string_view JsonType = "application/json";
+
+constexpr unsigned StatusOk = 200;
+constexpr unsigned StatusNotFound = 404;
+constexpr unsigned StatusTooManyRequests = 429;
+constexpr unsigned StatusUnavailable = 503;
+
+std::string chatBody(const caller_request &Request, const endpoint_call &Call) {
+  auto Body = json::value::parse(Request.Body);
+  Body["model"] = json::value::string(Call.Version);
+  Body["stream"] = json::value::boolean(true);
+  Body["request_id"] = json::value::string(Request.Id);
+  Body["attempt"] = json::value::number(Call.Attempt);
+  Body["priority"] = json::value::string(std::string(nameOf(Request.Priority)));
   if (Call.ResumeFrom > 0) {
-    Body["resume_from"] = web::json::value::number(Call.ResumeFrom);
-    Body["resume_text"] = web::json::value::string(Call.PriorText);
+    Body["resume_from"] = json::value::number(Call.ResumeFrom);
+    Body["resume_text"] = json::value::string(Call.PriorText);
   }
-  http::http_request Out(http::methods::POST);
-  Out.set_request_uri("/v1/chat/completions");
-  Out.set_body(Body);
-  return Out;
-}
-
-http::http_request makeServiceRequest(const caller_request &Request) {
-  http::http_request Out(Request.Method);
-  Out.set_request_uri(Request.Path.empty() ? "/" : Request.Path);
-  if (!Request.Body.empty())
-    Out.set_body(Request.Body, Request.ContentType.empty()
-                                   ? "application/octet-stream"
-                                   : Request.ContentType);
-  return Out;
+  return Body.serialize();
 }
 
 duration firstProgressLimit(const progress_timeouts &Limits,
@@ -48,11 +40,10 @@
   return Call.AtMostOnce ? Limits.AtMostOnce : Limits.FirstToken;
 }
 
-/// Whether the connection attempt failed, so that nothing was sent.
-bool isConnectFailure(const http::http_exception &Error) {
-  return Error.error_code() == std::errc::connection_refused ||
-         Error.error_code() == std::errc::host_unreachable ||
-         Error.error_code() == std::errc::network_unreachable;
+/// Whether nothing was sent.
+bool isConnectFailure(exchange_failure Failure) {
+  return Failure == exchange_failure::NotConnected ||
+         Failure == exchange_failure::Unanswered;
 }
 
 } // namespace
@@ -60,11 +51,9 @@
 exchange::exchange(std::shared_ptr<exchange_context> Shared,
                    const caller_request &Request, const endpoint_call &Call,
                    attempt_callback OnEvent, std::function<void()> OnEnd)
-    : Context(std::move(Shared)),
-      Client(Call.AtMostOnce ? connection_pool::dedicatedClient(Call.Address)
-                             : Context->Pool.pooledClient(Call.Address)),
-      Call(Call), Id(Request.Id), IsService(Request.IsService),
-      OnEvent(std::move(OnEvent)), OnEnd(std::move(OnEnd)),
+    : Context(std::move(Shared)), Call(Call), Id(Request.Id),
+      IsService(Request.IsService), OnEvent(std::move(OnEvent)),
+      OnEnd(std::move(OnEnd)), Charge(Context->Memory, memory_holder::Answer),
       Watch(firstProgressLimit(Context->Limits, Call),
             Context->Limits.BetweenTokens, Context->Clock.now()) {
   FinishEvent.Attempt = Call.Attempt;
@@ -73,24 +62,76 @@
 void exchange::run(const caller_request &Request) {
   armTimer();
   runGuarded([&] {
-    http::http_request Out = IsService ? makeServiceRequest(Request)
-                                       : makeChatRequest(Request, Call);
-    Out.headers().add("X-Request-Id", Id);
-    if (!Request.Traceparent.empty())
-      Out.headers().add("traceparent", Request.Traceparent);
-    if (!Request.IdempotencyKey.empty())
-      Out.headers().add("Idempotency-Key", Request.IdempotencyKey);
-    Client->request(Out, CancelSource.get_token())
-        .then([Self = shared_from_this()](
-                  const pplx::task<http::http_response> &Task) {
-          Self->runGuarded([&] { Self->onHead(Task.get()); });
-        });
+    boost::asio::post(Context->Http.context(),
+                      [Self = shared_from_this(), Out = makeRequest(Request)] {
+                        Self->start(Out);
+                      });
+  });
+}
+
+fetch_request exchange::makeRequest(const caller_request &Request) const {
+  fetch_request Out;
+  Out.Address = Call.Address;
+  Out.Method = IsService ? Request.Method : "POST";
+  Out.Target = !IsService             ? "/v1/chat/completions"
+               : Request.Path.empty() ? "/"
+                                      : Request.Path;
+  Out.Body = IsService ? Request.Body : chatBody(Request, Call);
+  std::string Type(JsonType);
+  if (IsService)
+    Type = Request.ContentType.empty() ? "application/octet-stream"
+                                       : Request.ContentType;
+  if (!Out.Body.empty())
+    Out.Fields.push_back({"Content-Type", std::move(Type)});
+  Out.Fields.push_back({"X-Request-Id", Id});
+  if (!Request.Traceparent.empty())
+    Out.Fields.push_back({"traceparent", Request.Traceparent});
+  if (!Request.IdempotencyKey.empty())
+    Out.Fields.push_back({"Idempotency-Key", Request.IdempotencyKey});
+  return Out;
+}
+
+// The progress watchdog ends a connect that hangs.
+void exchange::start(const fetch_request &Request) {
+  if (Ended)
+    return;
+  Http = startExchange(Context->Http.connector(),
+                       {{Request.Address},
+                        Request.Method,
+                        fetchText(Request),
+                        config::MaxDeadline},
+                       events());
+}
+
+http_exchange_events exchange::events() {
+  const auto With = [Weak = weak_from_this()](auto Do) {
+    if (const auto Self = Weak.lock(); Self && !Self->Ended)
+      Self->runGuarded([&] { Do(*Self); });
+  };
+  http_exchange_events Events;
+  Events.OnHead = [With](const http_head &Head) {
+    With([&Head](exchange &Self) { Self.onHead(Head); });
+  };
+  Events.OnBody = [With](const std::string &Bytes) {
+    With([&Bytes](exchange &Self) { Self.onBody(Bytes); });
+  };
+  Events.OnEnd = [With] { With([](exchange &Self) { Self.onAnswerEnd(); }); };
+  Events.OnFailure = [With](exchange_failure Failure) {
+    With([Failure](exchange &Self) { Self.onFailure(Failure); });
+  };
+  return Events;
+}
+
+void exchange::close() {
+  boost::asio::post(Context->Http.context(), [Self = shared_from_this()] {
+    if (const auto Open = std::exchange(Self->Http, nullptr))
+      Open->cancel();
   });
 }
 
 void exchange::cancel() {
   Ended = true;
-  CancelSource.cancel();
+  close();
   if (!IsService)
     cancelAtEngine();
 }
@@ -99,36 +140,29 @@
 // stops it at once. The call names the attempt, so that a late one can't stop a
 // newer attempt at the same engine.
 void exchange::cancelAtEngine() {
-  auto Body = web::json::value::object();
-  Body["request_id"] = web::json::value::string(Id);
-  Body["attempt"] = web::json::value::number(Call.Attempt);
-  pplx::cancellation_token_source Limit;
-  const auto Client = Context->Pool.pooledClient(Call.Address);
-  const auto Timer = Context->Timers.after(config::CancelCallTimeout,
-                                           [Limit] { Limit.cancel(); });
-  Client->request(http::methods::POST, "/v1/cancel", Body, Limit.get_token())
-      .then([Client, Timer,
-             Context = Context](const pplx::task<http::http_response> &Task) {
-        Context->Timers.cancel(Timer);
-        try {
-          Task.get();
-        } catch (const std::exception &) {
-          // The engine is down or slow; it stops on its next write.
-        }
-      });
+  auto Body = json::value::object();
+  Body["request_id"] = json::value::string(Id);
+  Body["attempt"] = json::value::number(Call.Attempt);
+  fetch_request Request{
+      Call.Address,     "POST",
+      "/v1/cancel",     {{"Content-Type", std::string(JsonType)}},
+      Body.serialize(), config::CancelCallTimeout};
+  boost::asio::post(Context->Http.context(), [Context = Context,
+                                              Request = std::move(Request)] {
+    startFetch(Context->Http.context(), Context->Http.connector(), Request,
+               [](const std::optional<fetch_answer> &) {
+                 // If the engine is down or slow, it stops on its next
+                 // write.
+               });
+  });
 }
 
-/// Runs `Run`; an exception of the HTTP library fails the attempt.
+/// Runs `Run`; an exception of the JSON library fails the attempt.
 template <typename F> void exchange::runGuarded(F Run) {
   try {
     Run();
-  } catch (const http::http_exception &Error) {
-    end(request_event::failed{Call.Attempt, error_kind::EndpointFailed,
-                              isConnectFailure(Error) ? run_state::NotRun
-                                                      : run_state::MayHaveRun});
   } catch (const std::exception &) {
-    end(request_event::failed{Call.Attempt, error_kind::EndpointFailed,
-                              run_state::MayHaveRun});
+    fail(error_kind::EndpointFailed, run_state::MayHaveRun);
   }
 }
 
@@ -136,92 +170,42 @@
 // refusal. For a non-idempotent call the status alone doesn't prove that
 // nothing ran, since a gateway may send it after the work was done. Without
 // X-Ran: not_run it is forwarded as the service's answer.
-bool exchange::isRefusal(http::status_code Status) const {
-  const bool IsBusy = Status == http::status_codes::ServiceUnavailable ||
-                      Status == http::status_codes::TooManyRequests;
+bool exchange::isRefusal(const http_head &Head) const {
+  const bool IsBusy =
+      Head.Status == StatusUnavailable || Head.Status == StatusTooManyRequests;
   if (!IsBusy)
-    return !IsService && Status == http::status_codes::NotFound;
-  if (!Call.AtMostOnce)
-    return true;
-  const auto Ran = Response.headers().find("X-Ran");
-  return Ran != Response.headers().end() && Ran->second == "not_run";
+    return !IsService && Head.Status == StatusNotFound;
+  return !Call.AtMostOnce || Head.value("X-Ran") == "not_run";
 }
 
-void exchange::onHead(const http::http_response &Answer) {
-  Response = Answer;
-  const auto Status = Response.status_code();
-  const auto LeavingField = Response.headers().find(LeavingHeader);
-  if (LeavingField != Response.headers().end())
-    Context->OnLeaving(Call.Endpoint, LeavingField->second == "true");
-  if (isRefusal(Status))
-    return end(request_event::failed{Call.Attempt, error_kind::EndpointRefused,
-                                     run_state::NotRun});
+void exchange::onHead(const http_head &Head) {
+  if (Head.has(LeavingHeader))
+    Context->OnLeaving(Call.Endpoint, Head.value(LeavingHeader) == "true");
+  if (isRefusal(Head))
+    return fail(error_kind::EndpointRefused, run_state::NotRun);
   if (IsService) {
-    OnEvent(request_event::head{Call.Attempt, Status,
-                                Response.headers().content_type()});
-    return readBody();
+    OnEvent(request_event::head{Call.Attempt, Head.Status,
+                                std::string(Head.value("Content-Type"))});
+    return;
   }
-  if (Status != http::status_codes::OK)
-    return end(request_event::failed{Call.Attempt, error_kind::EndpointFailed,
-                                     run_state::MayHaveRun});
-  OnEvent(request_event::head{Call.Attempt, Status, "application/json"});
-  Body = Response.body().streambuf();
-  readMore();
-}
-
-void exchange::readBody() {
-  Response.extract_vector().then(
-      [Self = shared_from_this()](
-          const pplx::task<std::vector<unsigned char>> &Task) {
-        Self->runGuarded([&] {
-          const auto Bytes = Task.get();
-          Self->onBodyComplete({Bytes.begin(), Bytes.end()});
-        });
-      });
-}
-
-// The HTTP library reports a body shorter than its Content-Length as an error;
-// a test checks this.
-void exchange::onBodyComplete(std::string Bytes) {
-  if (!Bytes.empty())
-    OnEvent(request_event::tokens{Call.Attempt, {{0, std::move(Bytes)}}});
-  FinishEvent.FinishReason = "stop";
-  end(FinishEvent);
+  if (Head.Status != StatusOk)
+    return fail(error_kind::EndpointFailed, run_state::MayHaveRun);
+  OnEvent(request_event::head{Call.Attempt, StatusOk, std::string(JsonType)});
 }
 
-// getn(n) waits for all n bytes. Reading one byte and then what is available
-// forwards each token as it arrives.
-void exchange::readMore() {
-  Body.bumpc().then([Self = shared_from_this()](const pplx::task<int> &Task) {
-    Self->runGuarded([&] {
-      const int First = Task.get();
-      if (First == concurrency::streams::char_traits<unsigned char>::eof())
-        return Self->end(request_event::failed{Self->Call.Attempt,
-                                               error_kind::EndpointFailed,
-                                               run_state::MayHaveRun});
-      Self->Pending += static_cast<char>(First);
-      Self->readAvailable();
-    });
-  });
-}
-
-void exchange::readAvailable() {
-  const std::size_t Count = std::min(Body.in_avail(), Chunk.size());
-  if (Count == 0)
-    return onBytes();
-  Body.getn(Chunk.data(), Count)
-      .then([Self = shared_from_this()](const pplx::task<std::size_t> &Task) {
-        Self->runGuarded([&] {
-          Self->Pending.append(
-              reinterpret_cast<const char *>(Self->Chunk.data()), Task.get());
-          Self->onBytes();
-        });
-      });
+// Failure: an endpoint sends a body without end, which would fill the VM's
+// memory: a service's is held until it is whole, and the text of a stream for
+// callers that don't stream and for a resume elsewhere.
+void exchange::onBody(std::string_view Bytes) {
+  BodyBytes += Bytes.size();
+  if (BodyBytes > config::MaxEndpointBodyBytes || !Charge.tryResize(BodyBytes))
+    return fail(error_kind::EndpointFailed, run_state::MayHaveRun);
+  Pending += Bytes;
+  if (!IsService)
+    readEvents();
 }
 
-void exchange::onBytes() {
-  if (Ended)
-    return;
+void exchange::readEvents() {
   std::vector<answer_token> Tokens;
   std::size_t Begin = 0;
   for (auto Split = Pending.find(EventSeparator); Split != std::string::npos;
@@ -234,15 +218,13 @@
   }
   Pending.erase(0, Begin);
   if (Pending.size() > config::MaxStreamEventBytes)
-    return end(request_event::failed{Call.Attempt, error_kind::EndpointFailed,
-                                     run_state::MayHaveRun});
+    return fail(error_kind::EndpointFailed, run_state::MayHaveRun);
   if (!Tokens.empty()) {
     recordProgress();
     OnEvent(request_event::tokens{Call.Attempt, std::move(Tokens)});
   }
   if (IsStreamDone)
-    return end(FinishEvent);
-  readMore();
+    end(FinishEvent);
 }
 
 void exchange::readEvent(std::string_view Data,
@@ -251,7 +233,7 @@
     IsStreamDone = true;
     return;
   }
-  const auto Json = web::json::value::parse(std::string(Data));
+  const auto Json = json::value::parse(std::string(Data));
   const auto &Choice = Json.at("choices").as_array().at(0);
   const auto &Delta = Choice.at("delta");
   if (Delta.has_string_field("content"))
@@ -271,6 +253,21 @@
   }
 }
 
+// An engine's stream ends with its marker, not with the answer.
+void exchange::onAnswerEnd() {
+  if (!IsService)
+    return fail(error_kind::EndpointFailed, run_state::MayHaveRun);
+  if (!Pending.empty())
+    OnEvent(request_event::tokens{Call.Attempt, {{0, std::move(Pending)}}});
+  FinishEvent.FinishReason = "stop";
+  end(FinishEvent);
+}
+
+void exchange::onFailure(exchange_failure Failure) {
+  fail(error_kind::EndpointFailed,
+       isConnectFailure(Failure) ? run_state::NotRun : run_state::MayHaveRun);
+}
+
 void exchange::recordProgress() {
   Watch.recordProgress(Context->Clock.now());
   // The limit between tokens is shorter than the first one, so the timer is
@@ -298,6 +295,10 @@
   end(request_event::silent{Call.Attempt});
 }
 
+void exchange::fail(error_kind Kind, run_state Ran) {
+  end(request_event::failed{Call.Attempt, Kind, Ran});
+}
+
 void exchange::end(request_input Event) {
   if (Ended.exchange(true))
     return;
@@ -307,8 +308,10 @@
   }
   // A silent exchange stays registered, so that cancel() can close its
   // connection.
-  if (!std::holds_alternative<request_event::silent>(Event))
+  if (!std::holds_alternative<request_event::silent>(Event)) {
+    close();
     OnEnd();
+  }
   OnEvent(std::move(Event));
 }
 
--- a/src/leaving_probe.cpp
+++ b/src/leaving_probe.cpp
@@ -1,11 +1,10 @@
 #include "leaving_probe.h"
 
-#include "connection_pool.h"
 #include "logs.h"
 
-namespace clementinelane {
+#include <boost/asio/post.hpp>
 
-namespace http = web::http;
+namespace clementinelane {
 
 void leaving_probe::setLeaving(const std::string &Endpoint, bool IsLeaving) {
   if (!IsLeaving)
@@ -44,27 +43,28 @@
   const auto Spec = Current->Endpoints.find(Endpoint);
   if (Spec == Current->Endpoints.end())
     return clearLeaving(Endpoint);
-  pplx::cancellation_token_source Limit;
-  const auto Timer =
-      Timers.after(config::CancelCallTimeout, [Limit] { Limit.cancel(); });
-  const auto Client = connection_pool::dedicatedClient(Spec->second.Address);
-  Client->request(http::methods::GET, "/healthz", Limit.get_token())
-      .then([Self = shared_from_this(), Client, Endpoint,
-             Timer](const pplx::task<http::http_response> &Task) {
-        Self->Timers.cancel(Timer);
-        try {
-          const http::http_response Answer = Task.get();
-          const auto Header = Answer.headers().find("X-Leaving");
-          const bool IsLeaving =
-              Header != Answer.headers().end() && Header->second == "true";
-          if (Answer.status_code() == http::status_codes::OK && !IsLeaving)
-            return Self->clearLeaving(Endpoint);
-        } catch (const std::exception &) {
-          // Unreachable; probed again until it is removed from the
-          // configuration.
-        }
-        Self->schedule(Endpoint);
+  const fetch_request Request{
+      Spec->second.Address,     "GET", "/healthz", {}, {},
+      config::CancelCallTimeout};
+  boost::asio::post(
+      Http.context(), [Self = shared_from_this(), Request, Endpoint] {
+        startFetch(Self->Http.context(), Self->Http.connector(), Request,
+                   [Self, Endpoint](const std::optional<fetch_answer> &Answer) {
+                     Self->onProbed(Endpoint, Answer);
+                   });
       });
 }
 
+// An endpoint that is unreachable is probed again until it is removed from the
+// configuration.
+void leaving_probe::onProbed(const std::string &Endpoint,
+                             const std::optional<fetch_answer> &Answer) {
+  constexpr unsigned StatusOk = 200;
+  if (Answer && Answer->Head.Status == StatusOk &&
+      Answer->Head.value("X-Leaving") != "true")
+    clearLeaving(Endpoint);
+  else
+    schedule(Endpoint);
+}
+
 } // namespace clementinelane
--- a/src/leaving_probe.h
+++ b/src/leaving_probe.h
@@ -2,9 +2,11 @@
 
 #include "config_source.h"
 #include "endpoint_client.h"
+#include "http_fetch.h"
 
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -18,9 +20,9 @@
 /// is cleared, so that it starts without a record when it returns.
 class leaving_probe : public std::enable_shared_from_this<leaving_probe> {
 public:
-  leaving_probe(timer_service &Timers, const config_source &Config,
-                leaving_callback Apply)
-      : Timers(Timers), Config(Config), Apply(std::move(Apply)) {}
+  leaving_probe(http_client_thread &Http, timer_service &Timers,
+                const config_source &Config, leaving_callback Apply)
+      : Http(Http), Timers(Timers), Config(Config), Apply(std::move(Apply)) {}
 
   /// Handles the endpoint's own announcement that it is leaving or staying.
   void setLeaving(const std::string &Endpoint, bool IsLeaving);
@@ -28,8 +30,11 @@
 private:
   void schedule(const std::string &Endpoint);
   void probe(const std::string &Endpoint);
+  void onProbed(const std::string &Endpoint,
+                const std::optional<fetch_answer> &Answer);
   void clearLeaving(const std::string &Endpoint);
 
+  http_client_thread &Http;
   timer_service &Timers;
   const config_source &Config;
   leaving_callback Apply;
--- a/src/request_machine.cpp
+++ b/src/request_machine.cpp
@@ -261,11 +261,10 @@
 void request_machine::on(const event::silent &Event) {
   if (!isCurrentAttempt(Event.Attempt))
     return;
-  // An intermediary may have dropped the state of this connection and of others
-  // in the pool, without an error to either end. The whole pool is closed and
-  // the same endpoint gets one retry on a new connection; only a second timeout
-  // counts as the endpoint's failure.
-  emit(action::drop_connections{Endpoint});
+  // An intermediary may have dropped the state of this connection, without an
+  // error to either end. The same endpoint gets one retry on a new connection;
+  // only a second timeout counts as the endpoint's failure.
+  emit(action::report_silence{Endpoint});
   emit(action::cancel{Attempts});
   emit(action::release{Endpoint, attempt_outcome::Silent});
   const bool WasReconnected = SilentEndpoint == Endpoint;
--- a/src/request_machine.h
+++ b/src/request_machine.h
@@ -128,9 +128,8 @@
   std::string Endpoint;
   attempt_outcome Outcome;
 };
-/// Close all pooled connections to the endpoint, since others of them may be
-/// dead too.
-struct drop_connections {
+/// Log that the endpoint made no progress.
+struct report_silence {
   std::string Endpoint;
 };
 /// Decide whether the cascade accepts this answer or escalates.
@@ -181,7 +180,7 @@
     std::variant<request_action::admit, request_action::place_intent,
                  request_action::place, request_action::dispatch,
                  request_action::cancel, request_action::release,
-                 request_action::drop_connections,
+                 request_action::report_silence,
                  request_action::evaluate_answer, request_action::sample,
                  request_action::send_head, request_action::send_tokens,
                  request_action::store_usage, request_action::record_outcome,
--- a/src/request_runner.cpp
+++ b/src/request_runner.cpp
@@ -195,10 +195,9 @@
         Release.Outcome, Now - AttemptStart, Now, AnsweredTokens);
   }
 
-  void perform(const action::drop_connections &Drop) {
-    logs::warning("drop_connections",
-                  {{"request", Request.Id}, {"endpoint", Drop.Endpoint}});
-    Services.Transport.dropConnections(Request.Id, Machine.attempts());
+  void perform(const action::report_silence &Silence) {
+    logs::warning("endpoint_silent",
+                  {{"request", Request.Id}, {"endpoint", Silence.Endpoint}});
   }
 
   void perform(const action::evaluate_answer &Evaluation) {
