Read the answers of the log, the rater and engines' orders with bounds

Change: fetch() reads one answer with http_exchange, within a timeout and 16 MiB. The rater's address has to be an IP number and a port, as the log's. What is left with the library's client is clementinectl, on the operator's machine.

--- a/src/control_duties.cpp
+++ b/src/control_duties.cpp
@@ -2,12 +2,13 @@
 
 #include "codec.h"
 #include "config.h"
+#include "http_fetch.h"
 #include "logs.h"
 #include "operator_client.h"
 #include "request.h"
 
 #include <algorithm>
-#include <cpprest/http_client.h>
+#include <cpprest/json.h>
 #include <pplx/pplxtasks.h>
 #include <xxhash.h>
 
@@ -15,13 +16,8 @@
 
 namespace {
 
-namespace http = web::http;
-
-http::client::http_client engineClient(const std::string &Address) {
-  http::client::http_client_config Config;
-  Config.set_timeout(config::OrderTimeout);
-  return {"http://" + Address, Config};
-}
+constexpr unsigned StatusOk = 200;
+constexpr unsigned StatusConflict = 409;
 
 /// POST /orders {"engine_order", "version", "fence"}: 200 done, 409 fenced;
 /// anything else is unknown.
@@ -31,29 +27,29 @@
       web::json::value::string(std::string(nameOf(Order.Kind)));
   Body["version"] = web::json::value::string(Order.Version);
   Body["fence"] = web::json::value::number(Order.Fence);
-  try {
-    const auto Status = engineClient(Order.Address)
-                            .request(http::methods::POST, "/orders", Body)
-                            .get()
-                            .status_code();
-    if (Status == http::status_codes::OK)
-      return order_result::Done;
-    return Status == http::status_codes::Conflict ? order_result::Fenced
-                                                  : order_result::Unknown;
-  } catch (const std::exception &) {
+  const auto Answer = fetch({Order.Address,
+                             "POST",
+                             "/orders",
+                             {{"Content-Type", "application/json"}},
+                             Body.serialize(),
+                             config::OrderTimeout});
+  if (!Answer)
     return order_result::Unknown;
-  }
+  if (Answer->Head.Status == StatusOk)
+    return order_result::Done;
+  return Answer->Head.Status == StatusConflict ? order_result::Fenced
+                                               : order_result::Unknown;
 }
 
 /// GET /orders: {"loaded": ["m@1"]}.
 std::optional<std::set<std::string>> readLoaded(const std::string &Address) {
+  const auto Answer =
+      fetch({Address, "GET", "/orders", {}, {}, config::OrderTimeout});
+  if (!Answer || Answer->Head.Status != StatusOk)
+    return std::nullopt;
   try {
-    const auto Response =
-        engineClient(Address).request(http::methods::GET, "/orders").get();
-    if (Response.status_code() != http::status_codes::OK)
-      return std::nullopt;
     std::set<std::string> Loaded;
-    const web::json::value Body = Response.extract_json().get();
+    const auto Body = web::json::value::parse(Answer->Body);
     for (const auto &Version : Body.at("loaded").as_array())
       Loaded.insert(Version.as_string());
     return Loaded;
--- a/src/log_client.cpp
+++ b/src/log_client.cpp
@@ -1,25 +1,49 @@
 #include "log_client.h"
 
 #include "config.h"
+#include "http_fetch.h"
 
-#include <cpprest/http_client.h>
+#include <cpprest/asyncrt_utils.h>
+#include <cpprest/json.h>
 
 namespace clementinelane {
 
 namespace {
 
-namespace http = web::http;
+constexpr unsigned StatusOk = 200;
+constexpr unsigned StatusGone = 410;
 
-http::client::http_client_config clientConfig() {
-  http::client::http_client_config Config;
-  Config.set_timeout(config::LogCallTimeout);
-  return Config;
+std::error_code errorOf(unsigned Status) {
+  return Status == StatusGone ? error_kind::LogExpired
+                              : error_kind::LogUnavailable;
 }
 
-std::error_code errorOf(http::status_code Status) {
-  if (Status == http::status_codes::Gone)
-    return error_kind::LogExpired;
-  return error_kind::LogUnavailable;
+/// The JSON of an answer; an error unless it is whole and has status 200.
+result<web::json::value> fetchJson(const fetch_request &Request) {
+  const auto Answer = fetch(Request);
+  if (!Answer)
+    return error_kind::LogUnavailable;
+  if (Answer->Head.Status != StatusOk)
+    return errorOf(Answer->Head.Status);
+  try {
+    return web::json::value::parse(Answer->Body);
+  } catch (const std::exception &) {
+    return error_kind::LogUnavailable;
+  }
+}
+
+/// What `Read` makes of the JSON of an answer.
+template <typename Function>
+auto readAnswer(const fetch_request &Request, Function Read)
+    -> result<decltype(Read(web::json::value()))> {
+  const auto Body = fetchJson(Request);
+  if (!Body)
+    return Body.error();
+  try {
+    return Read(Body.value());
+  } catch (const std::exception &) {
+    return error_kind::LogUnavailable;
+  }
 }
 
 log_batch parseBatch(const web::json::value &Body) {
@@ -37,62 +61,48 @@
 
 } // namespace
 
-http_append_log::http_append_log(std::string_view Address)
-    : BaseUrl("http://" + std::string(Address)) {}
+http_append_log::http_append_log(std::string_view Address) : Address(Address) {}
 
 result<std::uint64_t> http_append_log::append(std::string_view Stream,
                                               std::string_view Bytes) {
-  try {
-    http::client::http_client Client(BaseUrl, clientConfig());
-    const auto Response =
-        Client
-            .request(http::methods::POST,
+  return readAnswer({Address,
+                     "POST",
                      "/v1/streams/" + std::string(Stream) + "/records",
-                     std::string(Bytes), "application/octet-stream")
-            .get();
-    if (Response.status_code() != http::status_codes::OK)
-      return errorOf(Response.status_code());
-    return Response.extract_json().get().at("offset").as_number().to_uint64();
-  } catch (const std::exception &) {
-    return error_kind::LogUnavailable;
-  }
+                     {{"Content-Type", "application/octet-stream"}},
+                     std::string(Bytes),
+                     config::LogCallTimeout},
+                    [](const web::json::value &Body) {
+                      return Body.at("offset").as_number().to_uint64();
+                    });
 }
 
 result<log_batch> http_append_log::read(std::string_view Stream,
                                         std::uint64_t From,
                                         std::chrono::milliseconds Wait) {
-  try {
-    http::client::http_client Client(BaseUrl, clientConfig());
-    const auto Response =
-        Client
-            .request(http::methods::GET,
+  return readAnswer({Address,
+                     "GET",
                      "/v1/streams/" + std::string(Stream) +
                          "/records?from=" + std::to_string(From) +
                          "&limit=" + std::to_string(config::LogReadBatch) +
-                         "&wait_ms=" + std::to_string(Wait.count()))
-            .get();
-    if (Response.status_code() != http::status_codes::OK)
-      return errorOf(Response.status_code());
-    return parseBatch(Response.extract_json().get());
-  } catch (const std::exception &) {
-    return error_kind::LogUnavailable;
-  }
+                         "&wait_ms=" + std::to_string(Wait.count()),
+                     {},
+                     {},
+                     config::LogCallTimeout},
+                    parseBatch);
 }
 
 result<log_bounds> http_append_log::bounds(std::string_view Stream) {
-  try {
-    http::client::http_client Client(BaseUrl, clientConfig());
-    const auto Response =
-        Client.request(http::methods::GET, "/v1/streams/" + std::string(Stream))
-            .get();
-    if (Response.status_code() != http::status_codes::OK)
-      return errorOf(Response.status_code());
-    const web::json::value Body = Response.extract_json().get();
-    return log_bounds{Body.at("first").as_number().to_uint64(),
-                      Body.at("next").as_number().to_uint64()};
-  } catch (const std::exception &) {
-    return error_kind::LogUnavailable;
-  }
+  return readAnswer({Address,
+                     "GET",
+                     "/v1/streams/" + std::string(Stream),
+                     {},
+                     {},
+                     config::LogCallTimeout},
+                    [](const web::json::value &Body) {
+                      return log_bounds{
+                          Body.at("first").as_number().to_uint64(),
+                          Body.at("next").as_number().to_uint64()};
+                    });
 }
 
 } // namespace clementinelane
--- a/src/log_client.h
+++ b/src/log_client.h
@@ -62,7 +62,7 @@
   result<log_bounds> bounds(std::string_view Stream) override;
 
 private:
-  std::string BaseUrl;
+  std::string Address;
 };
 
 } // namespace clementinelane
--- a/src/rater.cpp
+++ b/src/rater.cpp
@@ -1,21 +1,16 @@
 #include "rater.h"
 
 #include "config.h"
+#include "http_fetch.h"
 #include "logs.h"
 
-#include <cpprest/http_client.h>
+#include <cpprest/json.h>
 
 namespace clementinelane {
 
 namespace {
 
-namespace http = web::http;
-
-http::client::http_client makeClient(const std::string &BaseUrl) {
-  http::client::http_client_config Config;
-  Config.set_timeout(config::RaterCallTimeout);
-  return {BaseUrl, Config};
-}
+constexpr unsigned StatusOk = 200;
 
 web::json::value toJson(const rating_sample &Sample) {
   auto Json = web::json::value::object();
@@ -44,10 +39,9 @@
 
 rater_client::rater_client(std::string_view Address,
                            const config_source &Config, quality_table &Table)
-    : Config(Config), Table(Table) {
+    : Address(Address), Config(Config), Table(Table) {
   if (Address.empty())
     return;
-  BaseUrl = "http://" + std::string(Address);
   Sender = std::thread([this] { sendSamples(); });
   Reader = std::thread([this] { readRatings(); });
 }
@@ -65,14 +59,13 @@
 
 void rater_client::enqueue(rating_sample Sample) {
   const std::scoped_lock Lock(Mutex);
-  if (BaseUrl.empty() || Samples.size() >= config::MaxQueuedSamples)
+  if (Address.empty() || Samples.size() >= config::MaxQueuedSamples)
     return;
   Samples.push_back(std::move(Sample));
   Changed.notify_all();
 }
 
 void rater_client::sendSamples() {
-  auto Client = makeClient(BaseUrl);
   for (;;) {
     rating_sample Sample;
     {
@@ -83,11 +76,13 @@
       Sample = std::move(Samples.front());
       Samples.pop_front();
     }
-    try {
-      Client.request(http::methods::POST, "/v1/ratings", toJson(Sample)).wait();
-    } catch (const std::exception &) {
+    if (!fetch({Address,
+                "POST",
+                "/v1/ratings",
+                {{"Content-Type", "application/json"}},
+                toJson(Sample).serialize(),
+                config::RaterCallTimeout}))
       logs::info("sample_lost", {{"request", Sample.RequestId}});
-    }
   }
 }
 
@@ -98,27 +93,29 @@
 }
 
 void rater_client::readRatings() {
-  auto Client = makeClient(BaseUrl);
   std::uint64_t Next = 0;
   while (waitForNextPoll()) {
     const configuration_ptr Current = Config.get();
     if (!Current)
       continue;
     Table.updateRollouts(*Current);
+    // Keeps the current ratings while the service is unavailable; they decay
+    // only with new ones.
+    const auto Answer = fetch({Address,
+                               "GET",
+                               "/v1/ratings?from=" + std::to_string(Next),
+                               {},
+                               {},
+                               config::RaterCallTimeout});
+    if (!Answer || Answer->Head.Status != StatusOk)
+      continue;
     try {
-      const auto Body = Client
-                            .request(http::methods::GET,
-                                     "/v1/ratings?from=" + std::to_string(Next))
-                            .get()
-                            .extract_json()
-                            .get();
+      const auto Body = web::json::value::parse(Answer->Body);
       for (const auto &Item : Body.at("ratings").as_array())
         Table.add(*Current, parseRating(Item));
       Next = Body.at("next").as_number().to_uint64();
     } catch (const std::exception &) {
-      // Keeps the current ratings while the service is unavailable; they decay
-      // only with new ones.
-      continue;
+      logs::info("ratings_unreadable", {{"from", std::to_string(Next)}});
     }
   }
 }
--- a/src/rater.h
+++ b/src/rater.h
@@ -46,7 +46,7 @@
   void readRatings();
   bool waitForNextPoll();
 
-  std::string BaseUrl;
+  std::string Address;
   const config_source &Config;
   quality_table &Table;
   std::mutex Mutex;
--- a/src/settings.cpp
+++ b/src/settings.cpp
@@ -121,9 +121,13 @@
       Out.OperatorKeySha256.empty())
     Errors.push_back({std::string(File), 0, "keys.operator_key_sha256",
                       "is required where vm.address is not loopback"});
-  if (!Out.LogAddress.empty() && Out.LogAddress.find(':') == std::string::npos)
-    Errors.push_back({std::string(File), 0, "platform.log",
-                      "must be an IP number and a port"});
+  const auto CheckAddress = [&](const std::string &Address, const char *Key) {
+    if (!Address.empty() && Address.find(':') == std::string::npos)
+      Errors.push_back(
+          {std::string(File), 0, Key, "must be an IP number and a port"});
+  };
+  CheckAddress(Out.LogAddress, "platform.log");
+  CheckAddress(Out.RaterAddress, "platform.rater");
   if (Errors.empty() && (Out.VmName.empty() || Out.LogAddress.empty()))
     Errors.push_back({std::string(File), 0, "",
                       "the tables [vm] and [platform] are required"});
