Test odd keys on many pages through a restart of all routers

Callers saw, on machines with real processes: an entry of another writer stood in the list of endpoints, its key held characters such as '&', '+', '#', '%' or a blank, and the list had several pages. After all processes had started anew, almost no request was served.

This is the whole case: two routers, three services and the store's stand-in as processes, 1,200 odd keys in pages of 500, or odd keys at the ends of pages of two; all routers are killed and started again while the entries stand. The stand-in decodes a query as a form now, so that a '+' that isn't escaped is a blank, and keeps the bytes of keys in its listings.

--- a/tests/standin/platform/query.h
+++ b/tests/standin/platform/query.h
@@ -7,13 +7,13 @@
 
 namespace clementinelane::standin {
 
-/// Decodes what a client escaped in a value.
+/// Decodes a value of a form: what a client escaped, and blanks.
 inline std::string unescaped(std::string_view Text) {
   constexpr int Hexadecimal = 16;
   std::string Plain;
   for (std::size_t At = 0; At < Text.size(); ++At) {
     if (Text[At] != '%' || At + 2 >= Text.size()) {
-      Plain += Text[At];
+      Plain += Text[At] == '+' ? ' ' : Text[At];
       continue;
     }
     Plain += static_cast<char>(std::strtol(
--- a/tests/standin/platform/store.cpp
+++ b/tests/standin/platform/store.cpp
@@ -31,6 +31,25 @@
   return Text;
 }
 
+/// A JSON string of the bytes as they stand, whether they are UTF-8 or not.
+std::string jsonString(std::string_view Bytes) {
+  constexpr std::string_view Digits = "0123456789abcdef";
+  std::string Text = "\"";
+  for (const char Byte : Bytes) {
+    const auto Code = static_cast<unsigned char>(Byte);
+    if (Byte == '"' || Byte == '\\')
+      Text += '\\';
+    if (Code < ' ') {
+      Text += "\\u00";
+      Text += Digits[Code >> 4U];
+      Text += Digits[Code & 0xfU];
+    } else {
+      Text += Byte;
+    }
+  }
+  return Text + '"';
+}
+
 bool isKeyed(const std::string &Topic) { return Topic.starts_with("keyed."); }
 
 constexpr std::array<std::pair<std::string_view, store_fault>, 5> FaultNames{{
@@ -135,6 +154,14 @@
         newest(queryValue(Target, "topic"), queryValue(Target, "key"))
             .value_or(""));
     return true;
+  } else if (Target.starts_with("/standin/listings")) {
+    Exchange->answer(200, {}, std::to_string(Listings));
+    return true;
+  } else if (Target.starts_with("/standin/item")) {
+    listItem(queryValue(Target, "topic"), queryValue(Target, "key"),
+             std::string(Exchange->body()));
+  } else if (Target.starts_with("/standin/pages")) {
+    setPageSize(queryNumber(Target, "size"));
   } else if (Target.starts_with("/standin/copy")) {
     keepCopy();
   } else if (Target.starts_with("/standin/restore")) {
@@ -167,10 +194,24 @@
   }
 }
 
+bool platform_store::answerAsSet(caller_exchange &Exchange) const {
+  for (const auto &[Part, Body] : Answers) {
+    if (Exchange.head().Target.find(Part) == std::string::npos)
+      continue;
+    answer(Exchange, 200, {}, Body);
+    return true;
+  }
+  return false;
+}
+
 void platform_store::handleRequest(const exchange_ptr &Exchange) {
   if (handleControl(Exchange) || isFaulty(Exchange))
     return;
   const std::string_view Target = Exchange->head().Target;
+  Listings += Target.starts_with("/api/log-newest") ? 1 : 0;
+  Reads += Target.starts_with("/api/log-read") ? 1 : 0;
+  if (answerAsSet(*Exchange))
+    return;
   if (Target.starts_with("/api/log-append"))
     append(Exchange);
   else if (Target.starts_with("/api/log-read"))
@@ -250,22 +291,29 @@
   answer(Exchange, 200, {}, Body);
 }
 
+void platform_store::addBytes(const std::string &Topic, std::string Bytes) {
+  Topics[Topic].Records.push_back(std::move(Bytes));
+  wake(Topic);
+}
+
 void platform_store::listNewest(const exchange_ptr &Exchange) {
   const std::string &Target = Exchange->head().Target;
   const topic &Topic = Topics[queryValue(Target, "topic")];
   const std::string After = queryValue(Target, "after");
-  auto Items = nlohmann::json::array();
-  auto At =
-      After.empty() ? Topic.Newest.begin() : Topic.Newest.upper_bound(After);
-  for (; At != Topic.Newest.end() && Items.size() < PageSize; ++At)
-    Items.push_back({{"key", At->first},
-                     {"value", base64(At->second.first)},
-                     {"offset", At->second.second}});
+  std::map<std::string, std::string> Items = Topic.Items;
+  for (const auto &[Key, Record] : Topic.Newest)
+    Items[Key] = "{\"key\":" + jsonString(Key) + ",\"value\":\"" +
+                 base64(Record.first) +
+                 "\",\"offset\":" + std::to_string(Record.second) + "}";
+  auto At = After.empty() ? Items.begin() : Items.upper_bound(After);
+  std::string Page;
+  for (std::size_t Listed = 0; At != Items.end() && Listed < PageSize;
+       ++At, ++Listed)
+    Page += (Page.empty() ? "" : ",") + At->second;
   answerJson(*Exchange, 200,
-             nlohmann::json{{"items", std::move(Items)},
-                            {"has_more", At != Topic.Newest.end()},
-                            {"end_offset", Topic.end()}}
-                 .dump());
+             "{\"items\":[" + Page +
+                 "],\"has_more\":" + (At != Items.end() ? "true" : "false") +
+                 ",\"end_offset\":" + std::to_string(Topic.end()) + "}");
 }
 
 } // namespace clementinelane::standin
--- a/tests/standin/platform/store.h
+++ b/tests/standin/platform/store.h
@@ -26,6 +26,9 @@
 ///   POST /standin/compact?topic=T       drops the history
 ///   POST /standin/copy                  keeps a copy of all topics
 ///   POST /standin/restore               goes back to it, in the next era
+///   POST /standin/item?topic=T&key=K    the body as an item of T's listing
+///   POST /standin/pages?size=N          items of a page of a listing
+///   GET  /standin/listings              number of listing calls
 class platform_store {
 public:
   platform_store(boost::asio::io_context &Context, std::string_view Address);
@@ -43,6 +46,24 @@
   void setFault(store_fault Value) { Fault = Value; }
   /// Items of a page of the newest records.
   void setPageSize(std::size_t Value) { PageSize = Value; }
+  /// Lists `Text` as it stands among the items of a topic, at the place of
+  /// `Key`.
+  void listItem(const std::string &Topic, const std::string &Key,
+                const std::string &Text) {
+    Topics[Topic].Items[Key] = Text;
+  }
+  /// Adds a record to the log of a topic whose bytes, with the length before
+  /// them, are `Bytes`.
+  void addBytes(const std::string &Topic, std::string Bytes);
+  /// Answers calls whose target holds `Part` with `Body` while it is set.
+  void setAnswer(const std::string &Part, const std::string &Body) {
+    Answers[Part] = Body;
+  }
+  void clearAnswers() { Answers.clear(); }
+  /// Listing calls so far.
+  unsigned listings() const { return Listings; }
+  /// Calls that read records so far.
+  unsigned reads() const { return Reads; }
   /// Returns the newest value of a key.
   std::optional<std::string> newest(const std::string &Topic,
                                     const std::string &Key) const;
@@ -53,6 +74,7 @@
     std::uint64_t First = 0;
     std::deque<std::string> Records; ///< including length prefixes
     std::map<std::string, std::pair<std::string, std::uint64_t>> Newest;
+    std::map<std::string, std::string> Items; ///< as they are listed, by place
     std::uint64_t end() const { return First + Records.size(); }
   };
   struct waiting {
@@ -69,6 +91,7 @@
   void handleRequest(const exchange_ptr &Exchange);
   bool isFaulty(const exchange_ptr &Exchange);
   bool handleControl(const exchange_ptr &Exchange);
+  bool answerAsSet(caller_exchange &Exchange) const;
   void append(const exchange_ptr &Exchange);
   void read(const exchange_ptr &Exchange);
   void answerRead(caller_exchange &Exchange, const topic &Topic,
@@ -85,6 +108,9 @@
   std::vector<exchange_ptr> Unanswered;
   store_fault Fault = store_fault::None;
   std::size_t PageSize = 500;
+  std::map<std::string, std::string> Answers; ///< by a part of the target
+  unsigned Listings = 0;
+  unsigned Reads = 0;
   caller_server Server;
 };
 
