Drop an item of a listing that can't be read, not its page

Cause: the decoder of a page threw the whole page away for one item. The follower took that for an outage of the store and listed from the start again, without end. Its log named neither the topic nor the item.

Ruled out: to skip only what was seen. Any item may be odd, and after one there may be no key to go on from.

Change: each item is decoded by itself. What can't be read is dropped, logged once with topic, key, offset and reason, and counted (clementine_records_dropped_total). Bytes that are no UTF-8 don't make a page unreadable; the key names the same bytes in the next call. topic_listing reads the pages of a topic: it goes on after the last key that is named exactly, and ends with what it has where no key leads further, a later page can't be read, or pages don't end. Such a listing is used, not relayed, and tried again every 30 s. The first listing of a topic delivers what was read; a later one leaves what it lacks as it was. The orders count as up to date only if the configuration is among what was read, since a customer's key may be withdrawn on a missing page.

An answer that can't be read as a whole (store_outcome::Unreadable) is no outage: no probes, and calls 0.25 to 10 s apart. The same delays hold if a listing's end has expired each time.

--- a/src/config.h
+++ b/src/config.h
@@ -1089,6 +1089,15 @@
 constexpr auto StoreConnectTimeout = 500ms;
 /// Bytes of one answer, several times those of a full page.
 constexpr std::size_t MaxStoreAnswerBytes = 8U << 20U;
+/// Longest delay after answers that can't be read; the first is that of probes.
+constexpr auto MaxUnreadableDelay = 10s;
+/// Between listings of a topic in which something couldn't be read.
+constexpr auto ListAnewInterval = 30s;
+/// Pages of one listing; several times those of the largest fleet.
+constexpr std::size_t MaxListingPages = 256;
+/// Records that can't be read and are logged; later ones are only counted.
+constexpr std::size_t MaxLoggedDroppedRecords = 1000;
+constexpr std::size_t MaxDropDetailBytes = 200;
 /// Between probes of an unavailable store. Routers that also have a reader to
 /// query double it with each further failure, up to the maximum.
 constexpr auto StoreRetryDelay = 250ms;
--- a/src/platform.h
+++ b/src/platform.h
@@ -34,11 +34,13 @@
   /// All statuses that were in the store at `SentAt` have been delivered.
   virtual void onRolloutStatusesRead(mono_time SentAt) = 0;
   /// A report that some router, maybe this one, wrote with appendReport().
-  virtual void onReport(std::string_view Bytes) = 0;
+  /// Returns false if it can't be read.
+  virtual bool onReport(std::string_view Bytes) = 0;
   /// All reports that were in the store at `SentAt` have been delivered.
   virtual void onReportsRead(mono_time SentAt) = 0;
-  /// An entry written with storeQuarantine(); none if it was deleted.
-  virtual void onQuarantine(std::string_view Key,
+  /// An entry written with storeQuarantine(); none if it was deleted. Returns
+  /// false if it can't be read.
+  virtual bool onQuarantine(std::string_view Key,
                             std::optional<std::string_view> Bytes) = 0;
   /// Addresses of all registered routers.
   virtual void onPeers(const std::vector<std::string> &Addresses) = 0;
@@ -46,6 +48,9 @@
   /// written since that copy may be missing until it is written again. All
   /// topics are listed anew after this call.
   virtual void onStoreEra(std::uint64_t Era) = 0;
+  /// A record of the store couldn't be read; for metrics.
+  virtual void onRecordDropped(std::string_view Topic,
+                               std::string_view Reason) = 0;
   /// A call to the store finished; for metrics.
   virtual void onStoreCall(std::string_view Call, bool IsOk) = 0;
 };
--- a/src/router.cpp
+++ b/src/router.cpp
@@ -659,14 +659,13 @@
   updateReadiness();
 }
 
-void router::onReport(std::string_view Bytes) {
+bool router::onReport(std::string_view Bytes) {
   const auto Report = decodeReport(Bytes);
-  if (!Report) {
-    logs::warning("report_unreadable", {});
-    return;
-  }
+  if (!Report)
+    return false;
   if (version_shift *Shift = shiftOf(Report->Service))
     Shift->addReport(*Report, now());
+  return true;
 }
 
 void router::onReportsRead(mono_time SentAt) {
@@ -693,7 +692,9 @@
   case peer_message::SessionRuns:
     return onSessionRuns(Sender, Bytes);
   case peer_message::Report:
-    return onReport(Bytes);
+    if (!onReport(Bytes))
+      logs::warning("report_unreadable", {{"from", Sender}});
+    return;
   case peer_message::Crashes:
     return onCrashNotes(Bytes);
   case peer_message::PartCrashes:
@@ -1294,20 +1295,19 @@
 }
 
 // Whoever deletes a part's record releases the part on all VMs.
-void router::onStoredParts(std::string_view Key,
+bool router::onStoredParts(std::string_view Key,
                            std::optional<std::string_view> Bytes) {
   if (Bytes) {
     const auto Notes = decodePartNotes(*Bytes);
-    if (!Notes) {
-      logs::warning("quarantine_unreadable", {{"key", std::string(Key)}});
-      return;
-    }
+    if (!Notes)
+      return false;
     for (const part_note &Note : *Notes)
       Parts.applyStored(Note, now());
   } else if (const auto Part = fromHex(Key)) {
     Parts.release(*Part, now());
     sendPartNotes(now());
   }
+  return true;
 }
 
 // Readers collect what all VMs learned of parts and tell all VMs; a VM that
@@ -1342,24 +1342,21 @@
                              encodePartNotes({&Note, 1}));
 }
 
-void router::onQuarantine(std::string_view Key,
+bool router::onQuarantine(std::string_view Key,
                           std::optional<std::string_view> Bytes) {
-  if (Key.starts_with(PartKeyPrefix)) {
-    onStoredParts(Key.substr(PartKeyPrefix.size()), Bytes);
-    return;
-  }
+  if (Key.starts_with(PartKeyPrefix))
+    return onStoredParts(Key.substr(PartKeyPrefix.size()), Bytes);
   if (!Bytes) {
     if (const auto Request = fromHex(Key))
       releaseRequest(*Request);
-    return;
+    return true;
   }
   const auto Notes = decodeCrashNotes(*Bytes);
-  if (!Notes) {
-    logs::warning("quarantine_unreadable", {{"key", std::string(Key)}});
-    return;
-  }
+  if (!Notes)
+    return false;
   for (const crash_note &Note : *Notes)
     Quarantine.applyStoredNote(Note, ageOf(Note.LastMs), now());
+  return true;
 }
 
 void router::releaseRequest(std::uint64_t Request) {
--- a/src/router.h
+++ b/src/router.h
@@ -65,12 +65,16 @@
   void onRolloutStatus(std::string_view Service, std::string_view Target,
                        rollout_state State) override;
   void onRolloutStatusesRead(mono_time SentAt) override;
-  void onReport(std::string_view Bytes) override;
+  bool onReport(std::string_view Bytes) override;
   void onReportsRead(mono_time SentAt) override;
-  void onQuarantine(std::string_view Key,
+  bool onQuarantine(std::string_view Key,
                     std::optional<std::string_view> Bytes) override;
   void onPeers(const std::vector<std::string> &Addresses) override;
   void onStoreEra(std::uint64_t Era) override;
+  void onRecordDropped(std::string_view Topic,
+                       std::string_view Reason) override {
+    Metrics.recordDropped(Topic, Reason);
+  }
   void onStoreCall(std::string_view Call, bool IsOk) override {
     Metrics.platformCall(Call, IsOk);
   }
@@ -168,7 +172,7 @@
                          std::span<const crash_suspect> Suspects);
   void onCrashNotes(std::string_view Bytes);
   void onPartNotes(std::string_view Bytes);
-  void onStoredParts(std::string_view Key,
+  bool onStoredParts(std::string_view Key,
                      std::optional<std::string_view> Bytes);
   void sendPartNotes(mono_time Now);
   void tickParts(mono_time Now);
--- a/src/router_metrics.cpp
+++ b/src/router_metrics.cpp
@@ -202,6 +202,11 @@
   ++PlatformCalls[{std::string(Call), IsOk ? "ok" : "failed"}];
 }
 
+void router_metrics::recordDropped(std::string_view Topic,
+                                   std::string_view Reason) {
+  ++DroppedRecords[{std::string(Topic), std::string(Reason)}];
+}
+
 std::string router_metrics::text(const gauges &Gauges) const {
   std::vector<prometheus::MetricFamily> Families;
   for (const gauge_row &Row : GaugeRows) {
@@ -252,6 +257,10 @@
   Families.push_back(pairFamilyOf("clementine_platform_calls_total",
                                   "calls to the platform's store", "call",
                                   "result", PlatformCalls));
+  Families.push_back(pairFamilyOf(
+      "clementine_records_dropped_total",
+      "records and answers of the platform's store that can't be read", "topic",
+      "reason", DroppedRecords));
   Families.push_back(histogramFamily(
       "clementine_request_seconds",
       "latency from a request to the end of its answer", Duration));
--- a/src/router_metrics.h
+++ b/src/router_metrics.h
@@ -37,6 +37,8 @@
   void heldBack(std::string_view Rule);
   void endpointCrashed() { ++EndpointCrashes; }
   void platformCall(std::string_view Call, bool IsOk);
+  /// A record or an answer of the platform's store that can't be read.
+  void recordDropped(std::string_view Topic, std::string_view Reason);
 
   /// Gauge values at the time of a scrape.
   struct gauges {
@@ -92,7 +94,8 @@
   counters Dropped;  ///< by reason
   counters HeldBack; ///< by rule
   std::uint64_t EndpointCrashes = 0;
-  pair_counters PlatformCalls; ///< by call and result
+  pair_counters PlatformCalls;  ///< by call and result
+  pair_counters DroppedRecords; ///< by topic and reason
   std::map<std::string, histogram, std::less<>> Duration;
   std::map<std::string, histogram, std::less<>> FirstByte;
 };
--- a/tests/odd_entry_test.cpp
+++ b/tests/odd_entry_test.cpp
@@ -191,6 +191,15 @@
   BOOST_TEST(Fleet.listings() <= MaxListings);
 }
 
+void checkItem(std::string_view Topic, std::string_view Item) {
+  checkServed([&](const fleet &Fleet) {
+    Fleet.setPageSize(3);
+    // Before, among and after the sound keys.
+    for (const std::string_view Place : {"!", "d", "e2x", "z"})
+      Fleet.putItem(Topic, Place, Item);
+  });
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_CASE(no_odd_entry) {
@@ -232,3 +241,59 @@
       Fleet.put("keyed.servers", Key, "odd");
   });
 }
+
+// Failure: a key's bytes are no UTF-8 and stand in the page as they are.
+BOOST_AUTO_TEST_CASE(key_that_is_no_utf8) {
+  checkServed([](const fleet &Fleet) {
+    Fleet.setPageSize(3);
+    for (const std::string_view Key : {"\x80", "e1\xff\xfe", "\xc3(", "e2\xf0"})
+      Fleet.put("keyed.servers", Key, "odd");
+  });
+}
+
+// Failure: the writer of the page replaces such bytes, and the key that it
+// names stands elsewhere in the list.
+BOOST_AUTO_TEST_CASE(key_with_replaced_bytes) {
+  checkServed([](const fleet &Fleet) {
+    Fleet.setPageSize(3);
+    for (const std::string Place : {"\x80", "d\x80", "e2\xff", "\xff"})
+      Fleet.putItem("keyed.servers", Place,
+                    R"({"key":")" + Place.substr(0, Place.size() - 1) +
+                        "\xef\xbf\xbd" + R"(","value":"b2Rk","offset":1})");
+  });
+}
+
+// Failure: one item of a page has no key that can be read.
+BOOST_AUTO_TEST_CASE(item_without_a_readable_key) {
+  for (const std::string_view Item :
+       {R"({"key":null,"value":"b2Rk","offset":1})",
+        R"({"key":7,"value":"b2Rk","offset":1})",
+        R"({"value":"b2Rk","offset":1})",
+        R"({"key":"","value":"b2Rk","offset":1})", "null", "[]", "7"})
+    BOOST_TEST_CONTEXT(Item)
+  checkItem("keyed.servers", Item);
+}
+
+// Failure: one item of a page has no offset that can be read.
+BOOST_AUTO_TEST_CASE(item_without_a_readable_offset) {
+  for (const std::string_view Item :
+       {R"({"key":"odd","value":"b2Rk"})",
+        R"({"key":"odd","value":"b2Rk","offset":-1})",
+        R"({"key":"odd","value":"b2Rk","offset":18446744073709551615})",
+        R"({"key":"odd","value":"b2Rk","offset":"1"})"})
+    BOOST_TEST_CONTEXT(Item)
+  checkItem("keyed.servers", Item);
+}
+
+// Failure: the odd item stands among the operator's orders.
+BOOST_AUTO_TEST_CASE(odd_item_among_orders) {
+  for (const std::string_view Item :
+       {"null", R"({"key":"rollout/x","value":"b2Rk"})"})
+    BOOST_TEST_CONTEXT(Item)
+  checkItem("keyed.op", Item);
+}
+
+// Failure: the odd item stands among the registrations of routers.
+BOOST_AUTO_TEST_CASE(odd_item_among_routers) {
+  checkItem("keyed.routers", "null");
+}
--- a/tests/platform_records_test.cpp
+++ b/tests/platform_records_test.cpp
@@ -240,6 +240,71 @@
   BOOST_TEST(*Page->Records[2].Value == "hello");
 }
 
+// Failure: one item of a listing can't be read.
+BOOST_AUTO_TEST_CASE(odd_items_leave_the_others) {
+  const std::string Sound = R"({"key":"s","value":"aGVsbG8=","offset":5})";
+  for (const std::string_view Odd :
+       {R"({"key":null,"value":"Kg==","offset":4})",
+        R"({"key":7,"value":"Kg==","offset":4})",
+        R"({"value":"Kg==","offset":4})", "null", "[]", "true",
+        R"({"key":"","value":"Kg==","offset":4})",
+        R"({"key":"o","value":"Kg=="})",
+        R"({"key":"o","value":"Kg==","offset":true})",
+        R"({"key":"o","value":"Kg==","offset":-4})",
+        R"({"key":"o","value":"Kg==","offset":6})",
+        R"({"key":"o","value":"Kg==","offset":1e300})"}) {
+    const auto Page =
+        decodeNewestPage("{\"items\":[" + std::string(Odd) + "," + Sound + "," +
+                         std::string(Odd) + R"(],"end_offset":6})");
+    BOOST_REQUIRE(Page.has_value());
+    BOOST_REQUIRE(Page->Records.size() == 1U);
+    BOOST_TEST(*Page->Records[0].Value == "hello");
+    BOOST_TEST(Page->Dropped.size() == 2U);
+  }
+}
+
+// Failure: bytes that are no UTF-8, or control characters, stand in a page as
+// they are. A key names the same bytes in the next call.
+BOOST_AUTO_TEST_CASE(bytes_of_keys_are_kept) {
+  const auto DecodeWithKey = [](std::string_view Key) {
+    std::string Page = R"({"items":[{"key":"s","value":"aGVsbG8=","offset":4},)"
+                       R"({"key":")";
+    Page += Key;
+    Page += R"(","value":"Kg==","offset":5}],"end_offset":6})";
+    return decodeNewestPage(Page);
+  };
+  for (const std::string_view Key :
+       {"\xff", "a\x80\xbf", "\xc3", "\xc3\xa9\xf0", "\n", "a\x01\xfe"}) {
+    const auto Page = DecodeWithKey(Key);
+    BOOST_REQUIRE(Page.has_value());
+    BOOST_REQUIRE(Page->Records.size() == 2U);
+    BOOST_TEST(*Page->Records[0].Value == "hello");
+    BOOST_TEST(Page->Records[1].Key == Key);
+    BOOST_TEST(Page->LastExactKey == Key);
+  }
+  const auto Replaced = DecodeWithKey("a\xef\xbf\xbd");
+  BOOST_REQUIRE(Replaced.has_value());
+  BOOST_TEST(Replaced->LastExactKey == "s");
+  BOOST_TEST(Replaced->LastKey == "a\xef\xbf\xbd");
+}
+
+// Failure: a field beside the items can't be read.
+BOOST_AUTO_TEST_CASE(odd_fields_of_a_page_leave_its_items) {
+  const std::string Items =
+      R"({"items":[{"key":"s","value":"Kg==","offset":4}])";
+  const auto WithoutEnd = decodeNewestPage(Items + "}");
+  BOOST_REQUIRE(WithoutEnd.has_value());
+  BOOST_TEST(WithoutEnd->End == 5U);
+  BOOST_TEST(decodeNewestPage(Items + R"(,"end_offset":-1})")->End == 5U);
+  const auto OddMore =
+      decodeNewestPage(Items + R"(,"end_offset":9,"has_more":"yes"})");
+  BOOST_REQUIRE(OddMore.has_value());
+  BOOST_TEST(OddMore->HasMore);
+  BOOST_TEST(!decodeNewestPage(R"({"items":{},"end_offset":9})").has_value());
+  BOOST_TEST(!decodeNewestPage(R"({"items":[]})").has_value());
+  BOOST_TEST(!decodeNewestPage("[]").has_value());
+}
+
 // Guards against decoders that throw, or read out of bounds, on arbitrary bytes
 // from the store.
 BOOST_AUTO_TEST_CASE(decoders_accept_any_bytes) {
