Relay no listing in which two records have one offset

Found on reading the places that use a listing's offsets: an item of another writer may name the offset of a sound record. The cache of what readers relay holds one record an offset, so it lost the sound one, relayed its listing as complete, and looked up a record that was gone when the key changed next.

Change: the record before is taken out in order, and the listing counts as incomplete; other VMs list the topic themselves.

Evidence: listing_with_an_offset_twice_is_not_relayed fails before (the listing is relayed) and passes after.

--- a/src/read_relay.cpp
+++ b/src/read_relay.cpp
@@ -244,6 +244,12 @@
   if (const auto Before = Cache.OffsetOf.find(Record.Key);
       Before != Cache.OffsetOf.end())
     eraseRecord(Cache, Before->second);
+  // Failure: another writer's item names the offset of a sound record, which
+  // this cache can't hold then.
+  if (Cache.Records.contains(Record.Offset)) {
+    eraseRecord(Cache, Record.Offset);
+    Cache.IsComplete = false;
+  }
   Cache.Records[Record.Offset] = Record;
   Cache.OffsetOf[Record.Key] = Record.Offset;
   Cache.Bytes += sizeOf(Record) + config::RelayRecordOverheadBytes;
--- a/tests/read_relay_test.cpp
+++ b/tests/read_relay_test.cpp
@@ -394,6 +394,28 @@
   BOOST_TEST((Received["k4"] == std::optional<std::string>("new")));
 }
 
+// Failure: another writer's item names the offset of a sound record. The cache
+// can't hold both, and must not relay its listing as complete.
+BOOST_AUTO_TEST_CASE(listing_with_an_offset_twice_is_not_relayed) {
+  fleet Fleet(5);
+  const std::vector<topic_record> Records{record(3, "a"), record(4, "b"),
+                                          record(4, "odd")};
+  for (const std::string &Reader : Fleet.readers()) {
+    read_relay &Relay = Fleet.Vms.at(Reader)->Relay;
+    Relay.cacheListing(relayed_topic::Endpoints, Records, 5);
+    Relay.cacheRecord(relayed_topic::Endpoints, record(5, "b"));
+    Relay.cacheRecord(relayed_topic::Endpoints, record(6, "odd"));
+    Relay.confirm(relayed_topic::Endpoints, 7, Fleet.Now);
+  }
+  std::optional<read_relay::topic_update> Update;
+  Fleet.follower().requestListing(
+      relayed_topic::Endpoints, 0, Fleet.Now,
+      [&Update](const std::optional<read_relay::topic_update> &Value) {
+        Update = Value;
+      });
+  BOOST_TEST(!Update.has_value());
+}
+
 // A router that has just started has confirmed nothing yet.
 BOOST_AUTO_TEST_CASE(unconfirmed_records_are_not_relayed) {
   fleet Fleet(4);
