Test answers that end in their heads

Reported by operators of other systems: an endpoint stopped in the middle of its answer's head and closed, and clients got a 200 with an empty or short body.

It can't be shown here: an answer whose head isn't whole is a broken answer. The reader was tested at each byte already; now the exchange is, directly and through a tunnel, after an interim answer and after one of another request, for heads with a length, with chunks and with neither; the router, for requests that may be repeated and those that may not; and the entry's client.

--- a/tests/broken_answer_test.cpp
+++ b/tests/broken_answer_test.cpp
@@ -108,3 +108,25 @@
   checkBroken("HTTP/1.1 200 OK\r\nX-Instance-Signature: s\r\n"
               " Content-Length: 3\r\n\r\nbroken");
 }
+
+// Failure: a service stops within the head of its answer and closes.
+BOOST_FIXTURE_TEST_CASE(answer_ended_in_its_head_is_tried_elsewhere, fixture) {
+  checkBroken("HTTP/1.1 200 OK\r\nX-Instance-Signature: s\r\n"
+              "Content-Length: 1");
+}
+
+BOOST_FIXTURE_TEST_CASE(answer_ended_before_its_blank_line_is_tried_elsewhere,
+                        fixture) {
+  checkBroken("HTTP/1.1 200 OK\r\nX-Instance-Signature: s\r\n");
+}
+
+BOOST_FIXTURE_TEST_CASE(answer_ended_in_its_head_ends_a_single_attempt,
+                        fixture) {
+  checkBrokenOnce("HTTP/1.1 200 OK\r\nX-Instance-Signature: s\r\n"
+                  "Content-Length: 1");
+}
+
+BOOST_FIXTURE_TEST_CASE(answer_ended_before_its_blank_line_ends_an_attempt,
+                        fixture) {
+  checkBrokenOnce("HTTP/1.1 200 OK\r\nX-Instance-Signature: s\r\n\r");
+}
--- a/tests/endpoint_client_test.cpp
+++ b/tests/endpoint_client_test.cpp
@@ -259,6 +259,21 @@
     }
 }
 
+// Failure: an endpoint stops within the head of its answer and closes.
+BOOST_FIXTURE_TEST_CASE(answers_ended_in_their_heads_are_failures, fixture) {
+  const std::string Head = "HTTP/1.1 200 OK\r\nContent-Length: 16\r\n\r\n";
+  unsigned Attempt = 0;
+  for (std::size_t Length = 1; Length < Head.size(); ++Length)
+    for (const bool IsService : {false, true}) {
+      const scripted_endpoint Endpoint([&](int, int) {
+        return scripted_response{Head.substr(0, Length), false};
+      });
+      BOOST_TEST_INFO(Head.substr(0, Length));
+      BOOST_CHECK(failure(call(Endpoint, ++Attempt, IsService, true)).Ran ==
+                  run_state::MayHaveRun);
+    }
+}
+
 // Failure: an endpoint sends a head without end, which would fill the memory of
 // the process.
 BOOST_FIXTURE_TEST_CASE(endless_head_is_a_failure, fixture) {
--- a/tests/http_exchange_test.cpp
+++ b/tests/http_exchange_test.cpp
@@ -238,6 +238,44 @@
   BOOST_TEST(answer("") == "no_answer");
 }
 
+// Failure: an endpoint stops within the head of its answer and closes the
+// connection in order. What it sent isn't an answer without a body.
+BOOST_FIXTURE_TEST_CASE(answer_that_ends_in_its_head_is_broken, fixture) {
+  for (const std::string Before :
+       {"", "HTTP/1.1 100 Continue\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nId: other\r\nContent-Length: 2\r\n\r\nno"})
+    for (const std::string Fields :
+         {"Content-Length: 16\r\n", "Transfer-Encoding: chunked\r\n",
+          "Content-Type: text/event-stream\r\n"}) {
+      const std::string Head =
+          "HTTP/1.1 200 OK\r\nId: own\r\n" + Fields + "\r\n";
+      for (std::size_t Length = 1; Length < Head.size(); ++Length) {
+        Ended = {};
+        Body.clear();
+        Status = 0;
+        std::string Sent = Before;
+        Sent += Head.substr(0, Length);
+        BOOST_TEST_INFO(Sent);
+        BOOST_TEST(answer(Sent) == "broken_answer");
+        BOOST_TEST(Body.empty());
+        BOOST_TEST(Status == 0U);
+      }
+    }
+}
+
+// The same through a tunnel that tells of the endpoint's orderly end.
+BOOST_FIXTURE_TEST_CASE(answer_that_ends_in_its_head_is_broken_in_a_tunnel,
+                        fixture) {
+  const std::string Head = "HTTP/1.1 200 OK\r\nContent-Length: 16\r\n\r\n";
+  for (std::size_t Length = 1; Length < Head.size(); ++Length)
+    BOOST_TEST(answerThrough(FramesAgreed,
+                             frame(Head.substr(0, Length)) +
+                                 tunnelFrameHeader(tunnel_frame::End, 0)) ==
+               "broken_answer");
+  BOOST_TEST(Body.empty());
+  BOOST_TEST(Status == 0U);
+}
+
 BOOST_FIXTURE_TEST_CASE(invalid_http_is_broken, fixture) {
   BOOST_TEST(answer("\x01\x02garbage\r\n\r\n") == "broken_answer");
 }
