--- a/tests/odd_records_test.cpp
+++ b/tests/odd_records_test.cpp
@@ -15,7 +15,7 @@
 
 namespace {
 
-constexpr auto StoreAddress = "127.0.0.1:17698";
+constexpr auto StoreAddress = "127.0.0.1:17697";
 constexpr auto PollInterval = 1ms;
 
 /// A key or a place: few bytes, so that they are near each other.
