--- a/tests/http_exchange_test.cpp
+++ b/tests/http_exchange_test.cpp
@@ -276,6 +276,22 @@
   BOOST_TEST(Status == 0U);
 }
 
+// The same with a connection that is lost, which may take bytes with it.
+BOOST_FIXTURE_TEST_CASE(answer_reset_in_its_head_is_not_whole, fixture) {
+  const std::string Head = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+  for (std::size_t Length = 1; Length < Head.size(); ++Length) {
+    Ended = {};
+    BOOST_TEST_INFO(Head.substr(0, Length));
+    BOOST_TEST(answer(Head.substr(0, Length), true) != "whole");
+    BOOST_TEST(Status == 0U);
+    BOOST_TEST(answerThrough(FramesAgreed,
+                             frame(Head.substr(0, Length)) +
+                                 tunnelFrameHeader(tunnel_frame::Broken)) ==
+               "broken_answer");
+    BOOST_TEST(Status == 0U);
+  }
+}
+
 BOOST_FIXTURE_TEST_CASE(invalid_http_is_broken, fixture) {
   BOOST_TEST(answer("\x01\x02garbage\r\n\r\n") == "broken_answer");
 }
--- a/tests/odd_entry_test.cpp
+++ b/tests/odd_entry_test.cpp
@@ -297,3 +297,16 @@
 BOOST_AUTO_TEST_CASE(odd_item_among_routers) {
   checkItem("keyed.routers", "null");
 }
+
+// Failure: the newest configuration can't be read. The last one stays in force,
+// also once the lease on the customers' keys would have ended.
+BOOST_AUTO_TEST_CASE(odd_configuration_leaves_the_last_one) {
+  constexpr auto BeyondKeyLease = 6s;
+  fleet Fleet;
+  Fleet.restartRouters();
+  BOOST_TEST(fleet::countReady() == Routers);
+  Fleet.put("keyed.op", "config", R"({"version":2,"routes":[null]})");
+  std::this_thread::sleep_for(BeyondKeyLease);
+  BOOST_TEST(fleet::countReady() == Routers);
+  BOOST_TEST(fleet::countServed() == Routers * RequestsPerStart);
+}
