--- a/review/standin-2/lost_body.cpp
+++ b/review/standin-2/lost_body.cpp
@@ -9,6 +9,17 @@
 
 constexpr int Requests = 60;
 
+std::string requestOf(const std::string &Id, const std::string &Body) {
+  return "POST /match/" + Id +
+         " HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: " + Id +
+         "\r\nX-Key: key-shop\r\nX-Model: *\r\nX-Token-Usage: 4000,80\r\n"
+         "X-Prompt-Prefix-Hash: 5c1e07a2:3900,e4402b7d:100\r\n"
+         "X-Deadline-Remaining-Ms: 25000\r\nContent-Length: " +
+         std::to_string(Body.size()) + "\r\n\r\n" + Body;
+}
+
+std::string answerTo(const std::string &Body) { return "on <" + Body + ">"; }
+
 } // namespace
 
 int main(int, char **Args) {
@@ -61,11 +72,15 @@
       for (int Event = 1; Event <= 3; ++Event) {
         if (!workFor(Fd, 20))
           return false;
-        const std::string Data = "id: " + std::to_string(Event) +
-                                 "\ndata: on <" + Request.Body + ">\n\n";
+        std::string Data = "id: " + std::to_string(Event) + "\ndata: ";
+        Data += answerTo(Request.Body);
+        Data += "\n\n";
         char Size[16];
         std::snprintf(Size, sizeof Size, "%zx\r\n", Data.size());
-        if (!sendAll(Fd, Size + Data + "\r\n"))
+        std::string Chunk = Size;
+        Chunk += Data;
+        Chunk += "\r\n";
+        if (!sendAll(Fd, Chunk))
           return false;
       }
       return sendAll(Fd, "0\r\n\r\n");
@@ -85,16 +100,10 @@
   for (int Each = 0; Each < Requests; ++Each) {
     const std::string Id = "r" + std::to_string(Each);
     const std::string Body = "body of " + Id;
-    const std::string Text =
-        "POST /match/" + Id +
-        " HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: " + Id +
-        "\r\nX-Key: key-shop\r\nX-Model: *\r\nX-Token-Usage: 4000,80\r\n"
-        "X-Prompt-Prefix-Hash: 5c1e07a2:3900,e4402b7d:100\r\n"
-        "X-Deadline-Remaining-Ms: 25000\r\nContent-Length: " +
-        std::to_string(Body.size()) + "\r\n\r\n" + Body;
+    const std::string Text = requestOf(Id, Body);
     const reply Reply = call(Router.Callers, Text, 5000);
     const bool IsRight =
-        Reply.Answer.Body.find("on <" + Body + ">") != std::string::npos;
+        Reply.Answer.Body.find(answerTo(Body)) != std::string::npos;
     Answered += Reply.Status == 200 ? 1 : 0;
     if (Reply.Status == 200 && !IsRight) {
       ++Wrong;
