Run a stream that may run once at one model only

Callers of a route with several models whose streams may not be resumed got 200 with a larger model's answer to an empty body, and their request ran twice.

Cause: the cascade asked another model after an answer of low confidence without asking whether the request may run again. The body had been released at the head of the first answer, rightly, since such a request runs once at most; the second attempt took a released body for an empty one.

Change: mayRunAgain() is the one condition for the release of the body, the cascade, the retry and sendAttempt(), which starts every attempt. The first model is chosen knowing that no second one can follow. Kept answers are logged as kept_weak_answer, may_run_once.

Guard only, passed before: escalated_attempt_has_the_body.

--- a/src/routed_request.cpp
+++ b/src/routed_request.cpp
@@ -307,7 +307,22 @@
   return Context.Choice.choose(choiceRequestFor(Model, Now), Now);
 }
 
+// Once false it stays false: the body is released then, and no attempt may
+// start without it.
+bool routed_request::mayRunAgain() const {
+  return !HasBegunPlain && (!AnyMayHaveRun || Call.Route->isRetryable());
+}
+
+void routed_request::releaseUnneededBody() {
+  if (!mayRunAgain())
+    Call.Body.reset();
+}
+
 void routed_request::sendAttempt(mono_time Now) {
+  if (!mayRunAgain()) {
+    giveUp("may_have_run", Now);
+    return;
+  }
   // Failure: the customer's key is revoked while the VM is suspended or cut off
   // from the platform. Checked for each attempt.
   if (!Call.Route->IsPublic && Call.Table->HasCustomers &&
@@ -435,8 +450,7 @@
     return;
   }
   AnyMayHaveRun = true;
-  if (!Call.Route->isRetryable())
-    Call.Body.reset();
+  releaseUnneededBody();
   Context.Gate.shares().recordRun(digestHash(Call.Service), Now);
   beginRun(Now);
   recordSample(sample_type::FirstByte, Now, Now - Attempt->SentAt);
@@ -564,7 +578,8 @@
       Call.Service, Context.Choice.meanOutstandingWork(Call.Service));
   View.EngineTimePrice = Context.Mix.delayCost(Call.Service, rank(),
                                                Call.Route->TargetLatency, Wait);
-  View.MayEscalate = SentAttempts + 2 <= Call.Route->MaxAttempts &&
+  View.MayEscalate = Call.Route->isRetryable() &&
+                     SentAttempts + 2 <= Call.Route->MaxAttempts &&
                      Context.Budget.available(Call.Service, Now,
                                               config::CascadeBudgetShare) >= 1;
   return View;
@@ -586,7 +601,12 @@
       Context.Cascade.nextModel(cascadeView(Options, Now), Answer);
   if (Next == Model)
     return false;
-  if (!mayRunAgain(Now)) {
+  if (!mayRunAgain()) {
+    Outputs.logDecision("kept_weak_answer", "may_run_once",
+                        Attempt->Endpoint.Id);
+    return false;
+  }
+  if (!mayRunAfterOrder(Now)) {
     Outputs.logDecision("kept_weak_answer", "session_before_order",
                         Attempt->Endpoint.Id);
     return false;
@@ -605,7 +625,7 @@
   return true;
 }
 
-bool routed_request::mayRunAgain(mono_time Now) const {
+bool routed_request::mayRunAfterOrder(mono_time Now) const {
   const version_shift *Shift = Context.ShiftOf(Call.Service);
   return !Shift ||
          !Shift->forbidsRerun(Call.Metadata.Session, *FirstSentAt, Now);
@@ -652,7 +672,7 @@
   Attempt->IsForwarded = true;
   HasBegunResponse = true;
   HasBegunPlain = true;
-  Call.Body.reset();
+  releaseUnneededBody();
   Outputs.beginAnswer(*Attempt->Response);
   Outputs.writeStream(Body);
 }
@@ -833,10 +853,9 @@
 // service nothing and is free; any other is charged to the fleet's retry
 // budget.
 void routed_request::retryOrGiveUp(std::string_view Reason, mono_time Now) {
-  const bool IsHarmless = !AnyMayHaveRun || Call.Route->isRetryable();
-  const bool CanGoOn = !HasBegunResponse ||
-                       (Call.Route->IsResumable && LastEvent && !HasBegunPlain);
-  if (!IsHarmless || !CanGoOn) {
+  const bool CanGoOn =
+      !HasBegunResponse || (Call.Route->IsResumable && LastEvent);
+  if (!mayRunAgain() || !CanGoOn) {
     giveUp(Reason, Now);
     return;
   }
--- a/src/routed_request.h
+++ b/src/routed_request.h
@@ -185,7 +185,9 @@
   void recallAttempt(mono_time Now);
   void onSuccessHead(mono_time Now);
   bool escalatesModel(mono_time Now);
-  bool mayRunAgain(mono_time Now) const;
+  bool mayRunAgain() const;
+  bool mayRunAfterOrder(mono_time Now) const;
+  void releaseUnneededBody();
   void forwardEvents(mono_time Now);
   void onEventTooLong(mono_time Now);
   void forwardAnswer(mono_time Now);
--- a/tests/routed_fixture.h
+++ b/tests/routed_fixture.h
@@ -134,7 +134,10 @@
     Booking.Name = "booking";
     Booking.Kind = call_kind::NonIdempotent;
     Booking.MaxAttempts = 1;
-    Table->Routes = {Stream, Lookup, Booking};
+    route_rule SingleStream = Stream;
+    SingleStream.Name = "single_stream";
+    SingleStream.IsResumable = false;
+    Table->Routes = {Stream, Lookup, Booking, SingleStream};
     service_rule Engine;
     Engine.Models = {{"small", 0.2}, {"middle", 1.2}, {"large", 2.5}};
     Table->Services.emplace("engine", Engine);
@@ -164,6 +167,7 @@
     Call.Metadata.Model = "*";
     Call.Metadata.Remaining = Table->Routes[Route].Timeout * 2;
     Call.Metadata.Parts = {{"shared", 1000}, {"own", 10}};
+    Call.Body = std::make_shared<const std::string>("body");
     Call.Table = Table;
     Call.Route = &Table->Routes[Route];
     Call.Service = Call.Route->Services[0].Service;
@@ -181,6 +185,8 @@
   std::unique_ptr<routed_request> stream() { return begin(call(0)); }
   std::unique_ptr<routed_request> lookup() { return begin(call(1)); }
   std::unique_ptr<routed_request> booking() { return begin(call(2)); }
+  /// A stream that may run once at most.
+  std::unique_ptr<routed_request> singleStream() { return begin(call(3)); }
 
   static endpoint_response answer(unsigned Status) {
     endpoint_response Response;
--- a/tests/routed_request_test.cpp
+++ b/tests/routed_request_test.cpp
@@ -476,6 +476,46 @@
   BOOST_TEST(Out.HasBegun);
 }
 
+// A stream that may run once has an answer of low confidence. Guards against a
+// second run, at another model and without the request's body.
+BOOST_FIXTURE_TEST_CASE(low_confidence_is_kept_if_stream_may_run_once,
+                        routed_fixture) {
+  for (int Each = 0; Each < 5; ++Each)
+    Budget.recordRequest("engine", Now);
+  auto Request = singleStream();
+  Request->onSent(Now);
+  Request->onHead(answerWithConfidence(1), Now);
+  BOOST_TEST(Out.Attempts.size() == 1U);
+  BOOST_TEST(Out.Cancelled == 0U);
+  Request->onBody(event(1), Now);
+  Request->onEnd(Now);
+  BOOST_TEST(Out.HasEnded);
+  BOOST_TEST(Out.Bytes == event(1));
+}
+
+// Guards against starting with a small model in the expectation of a second
+// answer that the request can't get.
+BOOST_FIXTURE_TEST_CASE(stream_that_may_run_once_starts_with_a_better_model,
+                        routed_fixture) {
+  for (int Each = 0; Each < 5; ++Each)
+    Budget.recordRequest("engine", Now);
+  const auto Repeatable = stream();
+  BOOST_TEST(Out.Attempts.at(0).Model == "small");
+  const auto Single = singleStream();
+  BOOST_TEST(Out.Attempts.at(0).Model != "small");
+}
+
+// Guards against releasing the body while another model may still be asked.
+BOOST_FIXTURE_TEST_CASE(escalated_attempt_has_the_body, routed_fixture) {
+  for (int Each = 0; Each < 5; ++Each)
+    Budget.recordRequest("engine", Now);
+  auto Request = stream();
+  Request->onHead(answerWithConfidence(10), Now);
+  BOOST_REQUIRE(Out.Attempts.size() == 2U);
+  BOOST_REQUIRE(Request->call().Body);
+  BOOST_TEST(*Request->call().Body == "body");
+}
+
 // A session's version is gone, and its request runs on another one before the
 // next roll-out starts. Its low-confidence answer arrives after the start.
 // Guards against escalating on that version during the roll-out.
@@ -549,18 +589,25 @@
   int Value;
 };
 
-/// Applies random events to a request; `Runs` counts the executions.
+/// What endpoints saw of a request.
+struct seen_runs {
+  unsigned Runs = 0;     ///< executions
+  unsigned Bodiless = 0; ///< attempts that started after the body's release
+};
+
+/// Applies random events to a request.
 void runSteps(routed_fixture &Fixture, routed_request &Request,
-              const std::vector<step> &Steps, unsigned &Runs) {
+              const std::vector<step> &Steps, seen_runs &Seen) {
   std::size_t Begun = 0;
   bool HasHead = false;
   for (const auto &[Event, Value] : Steps) {
-    if (Request.isOver())
-      return;
     if (Fixture.Out.Attempts.size() != Begun) {
       Begun = Fixture.Out.Attempts.size();
       HasHead = false;
+      Seen.Bodiless += Request.call().Body ? 0 : 1;
     }
+    if (Request.isOver())
+      return;
     switch (Event) {
     case 0:
       if (HasHead)
@@ -572,7 +619,7 @@
                        Fixture.Now);
         break;
       }
-      ++Runs;
+      ++Seen.Runs;
       Request.onHead(Value % 3 == 1
                          ? routed_fixture::answerWithConfidence(Value % 100)
                          : routed_fixture::answer(500),
@@ -590,7 +637,7 @@
     case 3:
       if (!HasHead && Value % 2 == 1) {
         Request.onSent(Fixture.Now);
-        ++Runs; // it may have run without a response
+        ++Seen.Runs; // it may have run without a response
       }
       Request.onFailure(HasHead          ? exchange_failure::BrokenAnswer
                         : Value % 2 == 1 ? exchange_failure::NoAnswer
@@ -604,37 +651,41 @@
   }
 }
 
+void checkInvariants(std::size_t Route) {
+  const auto Raw = *rc::gen::container<std::vector<std::pair<int, int>>>(
+      rc::gen::pair(rc::gen::inRange(0, 5), rc::gen::inRange(0, 400)));
+  std::vector<step> Steps;
+  Steps.reserve(Raw.size());
+  for (const auto &[Event, Value] : Raw)
+    Steps.push_back({Event, Value});
+  routed_fixture Fixture;
+  for (int Each = 0; Each < 10; ++Each)
+    Fixture.Budget.recordRequest(Fixture.call(Route).Service, Fixture.Now);
+  auto Request = Fixture.begin(Fixture.call(Route));
+  seen_runs Seen;
+  runSteps(Fixture, *Request, Steps, Seen);
+  const recorded_outputs &Out = Fixture.Out;
+  RC_ASSERT(Seen.Bodiless == 0U);
+  if (!Fixture.Table->Routes[Route].isRetryable())
+    RC_ASSERT(Seen.Runs <= 1U);
+  if (Out.Refused && Out.Refused->Ran == run_state::NotRun)
+    RC_ASSERT(Seen.Runs == 0U);
+  const int Ends = int(Out.Refused.has_value()) + int(Out.Whole.has_value()) +
+                   int(Out.HasEnded) + int(Out.IsAborted);
+  RC_ASSERT(Ends == int(Request->isOver()));
+  RC_ASSERT(Out.Attempts.size() <= Fixture.Table->Routes[Route].MaxAttempts +
+                                       config::MaxConnectFailures);
+}
+
 } // namespace
 
-// For any sequence of events a non-idempotent call runs at most once, "not run"
-// is correct, and a request ends in exactly one way.
+// For any sequence of events a request that isn't retryable runs at most once,
+// each attempt has the request's body, "not run" is correct, and a request ends
+// in exactly one way.
 BOOST_AUTO_TEST_CASE(invariants_hold_for_any_event_sequence) {
-  const bool IsOk = rc::check([] {
-    const auto Route = *rc::gen::inRange<std::size_t>(0, 3);
-    const auto Raw = *rc::gen::container<std::vector<std::pair<int, int>>>(
-        rc::gen::pair(rc::gen::inRange(0, 5), rc::gen::inRange(0, 400)));
-    std::vector<step> Steps;
-    Steps.reserve(Raw.size());
-    for (const auto &[Event, Value] : Raw)
-      Steps.push_back({Event, Value});
-    routed_fixture Fixture;
-    for (int Each = 0; Each < 10; ++Each)
-      Fixture.Budget.recordRequest(Fixture.call(Route).Service, Fixture.Now);
-    auto Request = Fixture.begin(Fixture.call(Route));
-    unsigned Runs = 0;
-    runSteps(Fixture, *Request, Steps, Runs);
-    const recorded_outputs &Out = Fixture.Out;
-    if (Route == 2)
-      RC_ASSERT(Runs <= 1U);
-    if (Out.Refused && Out.Refused->Ran == run_state::NotRun)
-      RC_ASSERT(Runs == 0U);
-    const int Ends = int(Out.Refused.has_value()) + int(Out.Whole.has_value()) +
-                     int(Out.HasEnded) + int(Out.IsAborted);
-    RC_ASSERT(Ends == int(Request->isOver()));
-    RC_ASSERT(Out.Attempts.size() <= Fixture.Table->Routes[Route].MaxAttempts +
-                                         config::MaxConnectFailures);
-  });
-  BOOST_TEST(IsOk);
+  const std::size_t Routes = routed_fixture().Table->Routes.size();
+  for (std::size_t Route = 0; Route < Routes; ++Route)
+    BOOST_TEST(rc::check([Route] { checkInvariants(Route); }));
 }
 
 // A stream takes longer than the session TTL, and the session's next request
--- a/tests/standin/platform/endpoint.cpp
+++ b/tests/standin/platform/endpoint.cpp
@@ -96,6 +96,13 @@
   return Fields;
 }
 
+double platform_endpoint::confidenceFor(const caller_exchange &Exchange) const {
+  const auto Found =
+      Behaviour.ConfidenceOfModel.find(Exchange.head().value("X-Model"));
+  return Found == Behaviour.ConfidenceOfModel.end() ? Behaviour.Confidence
+                                                    : Found->second;
+}
+
 void platform_endpoint::handleRequest(const exchange_ptr &Exchange) {
   if (handleControl(*Exchange))
     return;
@@ -122,6 +129,7 @@
   if (hasCrashPart(*Exchange))
     PartArrivals.push_back(Arrivals.back());
   ++Runs[std::string(Head.value("X-Attempt-Id"))];
+  Bodies.push_back(Exchange->body());
   const auto Run = std::make_shared<run>(Context, Exchange);
   if (const auto Last = Head.value("Last-Event-Id"); !Last.empty())
     Run->Next = static_cast<unsigned>(std::stoul(std::string(Last))) + 1;
@@ -164,7 +172,7 @@
   if (!Run->HasBegun) {
     auto Fields = fieldsFor(Exchange);
     Fields.push_back({"Content-Type", "text/event-stream"});
-    Fields.push_back({"X-Confidence", std::to_string(Behaviour.Confidence)});
+    Fields.push_back({"X-Confidence", std::to_string(confidenceFor(Exchange))});
     Exchange.begin(200, std::move(Fields));
     Run->HasBegun = true;
   }
--- a/tests/standin/platform/endpoint.h
+++ b/tests/standin/platform/endpoint.h
@@ -19,6 +19,8 @@
   unsigned Events = 0;               ///< events of a stream; 0: a plain service
   std::chrono::milliseconds Work{5}; ///< response and event delay
   double Confidence = 100;
+  /// Confidence in the answers of single models, in place of `Confidence`.
+  std::map<std::string, double, std::less<>> ConfidenceOfModel;
   bool Fails = false;        ///< responds with 500
   bool IsFull = false;       ///< rejects requests without running them
   bool NeverAnswers = false; ///< accepts requests but never responds
@@ -60,6 +62,8 @@
   }
   /// Number of runs of each request.
   const std::map<std::string, unsigned> &runs() const { return Runs; }
+  /// Bodies of all runs, in order.
+  const std::vector<std::string> &bodies() const { return Bodies; }
   unsigned crashes() const { return Crashes; }
   /// Arrival times of requests whose prompt has the part CrashPart.
   const std::vector<std::chrono::steady_clock::time_point> &
@@ -89,10 +93,12 @@
   void crash();
   void listen();
   std::vector<http_field> fieldsFor(const caller_exchange &Exchange) const;
+  double confidenceFor(const caller_exchange &Exchange) const;
 
   boost::asio::io_context &Context;
   endpoint_behaviour Behaviour;
   std::map<std::string, unsigned> Runs;
+  std::vector<std::string> Bodies;
   unsigned Cancelled = 0;
   unsigned Crashes = 0;
   std::vector<std::chrono::steady_clock::time_point> Arrivals;
