Test answers with status 000 to streams too

Here it held for repeatable requests and single ones; the tests had no stream. Both new cases passed when first run with streaming stand-ins (a first form with plain stand-ins failed, as their answers aren't events: the test's mistake). No change of the product.

--- a/tests/broken_answer_test.cpp
+++ b/tests/broken_answer_test.cpp
@@ -22,10 +22,12 @@
   /// Sends requests of this kind until the broken endpoint got one; returns
   /// the answers of all.
   std::vector<std::string> answersBeside(const std::string &Kind,
-                                         const std::string &Broken) {
+                                         const std::string &Broken,
+                                         bool IsResumable = true) {
     nlohmann::json Configuration = configuration();
     Configuration["version"] = 2;
     Configuration["routes"][0]["kind"] = Kind;
+    Configuration["routes"][0]["resumable"] = IsResumable;
     const scripted_endpoint Endpoint([&Broken](int, int) -> scripted_response {
       return {Broken, false};
     });
@@ -44,6 +46,14 @@
     return Answers;
   }
 
+  /// The sound services answer with streams.
+  void streamEvents() {
+    Thread.run([this] {
+      for (const auto &Endpoint : Endpoints)
+        Endpoint->behaviour().Events = 3;
+    });
+  }
+
   void checkBroken(const std::string &Broken) {
     for (const std::string &Answer : answersBeside("idempotent", Broken)) {
       BOOST_TEST(Answer.starts_with("HTTP/1.1 200"));
@@ -80,6 +90,22 @@
   checkBrokenOnce(answerWith("000 OK", ""));
 }
 
+BOOST_FIXTURE_TEST_CASE(undefined_status_of_a_stream_is_tried_elsewhere,
+                        fixture) {
+  streamEvents();
+  for (const std::string &Answer :
+       answersBeside("streaming", answerWith("000 OK", "")))
+    BOOST_TEST(Answer.starts_with("HTTP/1.1 200"));
+}
+
+BOOST_FIXTURE_TEST_CASE(undefined_status_ends_a_stream_that_may_run_once,
+                        fixture) {
+  streamEvents();
+  const std::vector<std::string> Answers =
+      answersBeside("streaming", answerWith("000 OK", ""), false);
+  BOOST_TEST(Answers.back().starts_with("HTTP/1.1 502"));
+}
+
 BOOST_FIXTURE_TEST_CASE(status_beyond_all_classes_is_tried_elsewhere, fixture) {
   checkBroken(answerWith("999 OK", ""));
 }
